--- /dev/null
+++ b/core/form/doc.go
@@ -0,0 +1,2 @@
+// Package form decides how a replicated group forms itself from a few seeds and which members it gives up.
+package form
--- /dev/null
+++ b/core/form/form.go
@@ -0,0 +1,60 @@
+package form
+
+import (
+	"slices"
+	"time"
+
+	"wasabiweir/core/raft"
+)
+
+// FirstDisk is the disk id of a founder. It is fixed, so that all founders know each other's identities without a
+// message; a disk that is lost later gets a random id, because the system's first start is over then.
+const FirstDisk = "first"
+
+// Founders returns the first voters of the group, the same on each seed. It returns none on a process that is not a
+// seed, which joins.
+func Founders(self string, seeds []string) raft.Members {
+	if !slices.Contains(seeds, self) {
+		return raft.Members{}
+	}
+	names := slices.Compact(slices.Sorted(slices.Values(seeds)))
+	var m raft.Members
+	for _, name := range names {
+		m.Voters = append(m.Voters, raft.ID{Name: name, Disk: FirstDisk})
+	}
+	return m
+}
+
+const (
+	// GoneAfter is the silence after which a voter may be removed; a restart takes less.
+	GoneAfter = 6 * time.Second
+	// EnoughVoters is the size up to which a group of odd size keeps silent voters: five bear two losses.
+	EnoughVoters = 5
+)
+
+// Gone returns a member that its leader should remove, at most one at a time. In a group of even size a silent voter
+// only raises the quorum, and beyond EnoughVoters it only makes commits wait for more disks; in a small group of odd
+// size it may come back and costs nothing.
+func Gone(m raft.Members, leader raft.ID, silent func(raft.ID) time.Duration) (raft.ID, bool) {
+	worst, longest := raft.ID{}, GoneAfter
+	for _, id := range m.Learners {
+		if s := silent(id); s >= longest {
+			worst, longest = id, s
+		}
+	}
+	if !worst.IsZero() {
+		return worst, true
+	}
+	if n := len(m.Voters); n <= EnoughVoters && n%2 == 1 || n <= 2 {
+		return raft.ID{}, false
+	}
+	for _, id := range m.Voters {
+		if id == leader {
+			continue
+		}
+		if s := silent(id); s >= longest {
+			worst, longest = id, s
+		}
+	}
+	return worst, !worst.IsZero()
+}
--- /dev/null
+++ b/core/place/table.go
@@ -0,0 +1,290 @@
+package place
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wasabiweir/core/table"
+)
+
+// Weights of the cost of an endpoint; a request goes to the endpoint with the least cost.
+const (
+	// readingCost is the cost of a prompt that an endpoint reads: prompts on one endpoint take turns, and each step of the
+	// streams beside them takes several times as long.
+	readingCost = 1.0
+	// runningCost is the cost of a request that runs, in prompts; a batch of 64 makes each step about twice as long.
+	runningCost = 0.03
+	// copyCost is the cost of a copy that an endpoint holds: its stream comes here when its engine fails.
+	copyCost = 0.02
+	// jitter spreads the choices of relays that know the same; it is less than one prompt.
+	jitter = 0.25
+	// suspectCost keeps requests off a failure domain of which several endpoints have just failed.
+	suspectCost = 4.0
+)
+
+const (
+	// firstSuspension and longestSuspension bound how long an endpoint that failed gets nothing; it doubles with each
+	// failure in a row.
+	firstSuspension   = 400 * time.Millisecond
+	longestSuspension = 2 * time.Second
+	// suspectFor is how long a failure counts against its failure domain.
+	suspectFor = 1500 * time.Millisecond
+	// suspectShare is the part of a domain's endpoints whose failure makes the others suspect.
+	suspectShare = 0.25
+	// loadFor is how long a reported load counts; it is stale when it arrives.
+	loadFor = 500 * time.Millisecond
+)
+
+// Table holds the endpoints; it is not safe for concurrent use.
+type Table struct {
+	// Rand is the source of the draws that spread equal choices.
+	Rand *rand.Rand
+
+	rows table.Table[string, row]
+}
+
+// row is one endpoint with what this process knows of it.
+type row struct {
+	Endpoint
+	// listed is false once the platform's list has no entry any more.
+	listed bool
+	// reading, running and copies count this process's own requests.
+	reading int
+	running int
+	copies  int
+	// until is when the suspension ends, and failures counts the failures in a row.
+	until    time.Time
+	failures int
+	failed   time.Time
+	// gone says that the endpoint denied its identity: another one has the address.
+	gone bool
+	load Load
+	at   time.Time // when load arrived
+}
+
+// Load is what an endpoint says of itself.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Slowness is how long work takes at this moment; 1 means as usual.
+	Slowness float64
+}
+
+// Update takes a reading of the platform's list.
+func (t *Table) Update(list []Endpoint) {
+	seen := make(map[string]bool, len(list))
+	for _, e := range list {
+		seen[e.ID] = true
+		if r := t.rows.Get(e.ID); r != nil {
+			r.Endpoint, r.listed = e, true
+			continue
+		}
+		t.rows.Put(e.ID, row{Endpoint: e, listed: true})
+	}
+	t.rows.Each(func(id string, r *row) bool {
+		if seen[id] {
+			return true
+		}
+		r.listed = false
+		if r.running == 0 && r.copies == 0 {
+			t.rows.Delete(id)
+		}
+		return true
+	})
+}
+
+// Want is what a request asks of an endpoint.
+type Want struct {
+	Service string
+	// Model says that the endpoints are model engines, whose cost is what they read and run.
+	Model bool
+	// Not are the ids of endpoints that must not be chosen.
+	Not map[string]bool
+	// NotDomain is a failure domain to avoid if another one has an endpoint.
+	NotDomain string
+}
+
+// Choose returns the endpoint with the least cost, or false if none takes requests now.
+func (t *Table) Choose(w Want, now time.Time) (Endpoint, bool) {
+	var best *row
+	var least float64
+	suspect := t.suspects(w.Service, now)
+	t.rows.Each(func(id string, r *row) bool {
+		if r.Service != w.Service || w.Not[id] || !r.takes(now) {
+			return true
+		}
+		cost := r.cost(w, now) + jitter*t.Rand.Float64()
+		if suspect[r.Domain] {
+			cost += suspectCost
+		}
+		if w.NotDomain != "" && r.Domain == w.NotDomain {
+			cost += 2 * suspectCost
+		}
+		if best == nil || cost < least {
+			best, least = r, cost
+		}
+		return true
+	})
+	if best == nil {
+		return Endpoint{}, false
+	}
+	return best.Endpoint, true
+}
+
+// Holder returns the endpoint that should hold the copy of a run on the endpoint: one of another failure domain, or
+// false if there is none.
+func (t *Table) Holder(of Endpoint, not map[string]bool, now time.Time) (Endpoint, bool) {
+	w := Want{Service: of.Service, Model: true, Not: not, NotDomain: of.Domain}
+	e, ok := t.Choose(w, now)
+	if !ok || e.Domain == of.Domain {
+		return Endpoint{}, false
+	}
+	return e, true
+}
+
+// takes reports whether the endpoint may get requests now.
+func (r *row) takes(now time.Time) bool {
+	return r.listed && !r.Draining && !r.gone && !now.Before(r.until)
+}
+
+func (r *row) cost(w Want, now time.Time) float64 {
+	if !w.Model {
+		return r.plainCost(now)
+	}
+	return readingCost*float64(r.reading) + runningCost*float64(r.running) + copyCost*float64(r.copies)
+}
+
+// plainCost is the number of requests before a new one, in units of the endpoint's slots.
+func (r *row) plainCost(now time.Time) float64 {
+	running, slots, slowness := float64(r.running), float64(max(1, r.Slots)), 1.0
+	if now.Sub(r.at) < loadFor {
+		running = max(running, float64(r.load.Running+r.load.Waiting))
+		if r.load.Slowness > 0 {
+			slowness = r.load.Slowness
+		}
+	}
+	return (running + 1) / slots * slowness
+}
+
+// suspects returns the failure domains of which a part of the endpoints has just failed.
+func (t *Table) suspects(service string, now time.Time) map[string]bool {
+	all, failed := map[string]int{}, map[string]int{}
+	t.rows.Each(func(_ string, r *row) bool {
+		if r.Service != service || !r.listed {
+			return true
+		}
+		all[r.Domain]++
+		if r.failures > 0 && now.Sub(r.failed) < suspectFor {
+			failed[r.Domain]++
+		}
+		return true
+	})
+	out := map[string]bool{}
+	for domain, n := range failed {
+		if n >= 2 && float64(n) >= suspectShare*float64(all[domain]) {
+			out[domain] = true
+		}
+	}
+	return out
+}
+
+// Get returns an endpoint that the list has, or false.
+func (t *Table) Get(id string) (Endpoint, bool) {
+	r := t.rows.Get(id)
+	if r == nil || !r.listed {
+		return Endpoint{}, false
+	}
+	return r.Endpoint, true
+}
+
+// Usable reports whether the endpoint is not known to be down, gone or leaving.
+func (t *Table) Usable(id string, now time.Time) bool {
+	r := t.rows.Get(id)
+	return r != nil && r.takes(now)
+}
+
+// Any reports whether the list has an endpoint of the service that is not draining.
+func (t *Table) Any(service string) bool {
+	found := false
+	t.rows.Each(func(_ string, r *row) bool {
+		found = r.listed && !r.Draining && r.Service == service
+		return !found
+	})
+	return found
+}
+
+// Began counts a request that is sent to the endpoint; prompt says that it begins with a prompt to be read.
+func (t *Table) Began(id string, prompt bool) {
+	if r := t.rows.Get(id); r != nil {
+		r.running++
+		if prompt {
+			r.reading++
+		}
+	}
+}
+
+// Read counts that the prompt of a request has been read.
+func (t *Table) Read(id string) {
+	if r := t.rows.Get(id); r != nil && r.reading > 0 {
+		r.reading--
+	}
+}
+
+// Ended counts that a request has ended.
+func (t *Table) Ended(id string) {
+	if r := t.rows.Get(id); r != nil && r.running > 0 {
+		r.running--
+	}
+}
+
+// Copied counts a copy that the endpoint holds, or one less.
+func (t *Table) Copied(id string, n int) {
+	if r := t.rows.Get(id); r != nil {
+		r.copies = max(0, r.copies+n)
+	}
+}
+
+// Served records an answer of the endpoint.
+func (t *Table) Served(id string) {
+	if r := t.rows.Get(id); r != nil {
+		r.failures, r.until = 0, time.Time{}
+	}
+}
+
+// Loaded records what the endpoint says of itself.
+func (t *Table) Loaded(id string, l Load, now time.Time) {
+	if r := t.rows.Get(id); r != nil {
+		r.load, r.at = l, now
+	}
+}
+
+// Failed records that the endpoint could not be reached, broke off or fell silent, and returns for how long it gets
+// nothing. Failures that were noticed during a suspension are those of the same crash.
+func (t *Table) Failed(id string, now time.Time) time.Duration {
+	r := t.rows.Get(id)
+	if r == nil {
+		return 0
+	}
+	if now.Before(r.until) {
+		return r.until.Sub(now)
+	}
+	pause := min(longestSuspension, firstSuspension<<min(r.failures, 8))
+	r.failures++
+	r.failed, r.until = now, now.Add(pause)
+	return pause
+}
+
+// Full records that the endpoint refused a request because it is full, so that it gets nothing for the pause.
+func (t *Table) Full(id string, pause time.Duration, now time.Time) {
+	if r := t.rows.Get(id); r != nil && now.Add(pause).After(r.until) {
+		r.until = now.Add(pause)
+	}
+}
+
+// Gone records that another endpoint has the address.
+func (t *Table) Gone(id string) {
+	if r := t.rows.Get(id); r != nil {
+		r.gone = true
+	}
+}
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -49,7 +49,7 @@
 	}
 	for _, id := range members.All() {
 		if id != n.ID && n.lead.peers[id] == nil {
-			n.lead.peers[id] = &progress{next: n.log.last() + 1}
+			n.lead.peers[id] = &progress{next: n.log.last() + 1, since: n.now}
 		}
 	}
 }
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -23,6 +23,7 @@
 	commit   uint64 // commit index that was last sent
 	seq      uint64 // latest confirmation round that the member answered
 	sent     uint64 // latest tick of a message that the member answered
+	since    uint64 // tick at which this leader began to send to the member
 }
 
 func (p *progress) probe() {
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -125,6 +125,8 @@
 	Now uint64
 	// Match is the last entry that each other member has synced, on a leader.
 	Match map[ID]uint64
+	// Silent is the number of ticks since each other member last answered this leader, or since it began to send to it.
+	Silent map[ID]uint64
 }
 
 // Status returns the node's state.
@@ -140,8 +142,10 @@
 	s.First = n.lead.first
 	s.LeaseAge = n.LeaseAge()
 	s.Match = make(map[ID]uint64, len(n.lead.peers))
+	s.Silent = make(map[ID]uint64, len(n.lead.peers))
 	for id, p := range n.lead.peers {
 		s.Match[id] = p.match
+		s.Silent[id] = n.now - max(p.sent, p.since)
 	}
 	return s
 }
--- a/io/cmds/list.go
+++ b/io/cmds/list.go
@@ -6,6 +6,8 @@
 		{name: "dev", summary: "Run all roles and stand-ins in one process", bind: bindDev},
 		{name: "router", summary: "Serve callers on an entry instance", bind: bindRouter},
 		{name: "control", summary: "Replicate the configuration and the call ledger", bind: bindControl},
+		{name: "platform edge", summary: "Forward callers' requests on an edge machine of the users' platform", bind: bindPlatformEdge},
+		{name: "platform core", summary: "Keep the configuration on a core machine of the users' platform", bind: bindPlatformCore},
 		{name: "standin engine", summary: "Run a stand-in for a model engine", bind: bindEngine},
 		{name: "standin service", summary: "Run a stand-in for a plain service", bind: bindService},
 		{name: "apply", args: "FILE", summary: "Check a change and publish it whole", bind: bindApply},
--- /dev/null
+++ b/io/cmds/platform.go
@@ -0,0 +1,148 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiweir/core/place"
+	"wasabiweir/io/flags"
+	"wasabiweir/io/keeper"
+	"wasabiweir/io/logs"
+	"wasabiweir/io/metric"
+	"wasabiweir/io/relay"
+	"wasabiweir/io/wall"
+	"wasabiweir/platform"
+)
+
+const (
+	// platformCallTimeout bounds a call to the platform's list or to an engine, besides the callers' own limits.
+	platformCallTimeout = 2 * time.Second
+	// addressLife is how long callers keep an answer of the directory; a planned stop takes three times as long at least.
+	addressLife = time.Second
+	// budgetPart is the part of the platform's budget of extra arrivals that relays may spend, since not all of them know
+	// at each moment how many share it.
+	budgetPart = 0.8
+)
+
+// platformProcess is what both processes on the users' platform have in common.
+type platformProcess struct {
+	settings *platform.Settings
+	live     *platform.Live
+	log      *zap.Logger
+	metrics  *metric.Scope
+	signals  *signals
+}
+
+// platformFlags are the settings that the platform's file does not have.
+type platformFlags struct {
+	level   *string
+	metrics *string
+}
+
+func bindPlatformFlags(set *flags.Set) *platformFlags {
+	f := &platformFlags{level: level(set)}
+	f.metrics = set.String("metrics", "", "port for the metrics, on the instance's address; empty means none")
+	return f
+}
+
+func startPlatform(e *environ, role string, f *platformFlags) (*platformProcess, error) {
+	log, err := logs.New(e.stdout, *f.level)
+	if err != nil {
+		return nil, fmt.Errorf("build logger: %w", err)
+	}
+	path, err := platform.SettingsPath()
+	if err != nil {
+		return nil, err
+	}
+	live := &platform.Live{Path: path, Log: log}
+	settings, err := live.Load()
+	if err != nil {
+		return nil, err
+	}
+	p := &platformProcess{settings: settings, live: live, metrics: metric.New(role)}
+	p.log = log.With(zap.String("node", settings.Name))
+	live.Log = p.log
+	p.signals = &signals{log: p.log}
+	return p, nil
+}
+
+// run runs the process until a signal ends it, beside the watch of the settings file.
+func (p *platformProcess) run(ctx context.Context, serve func(context.Context) error) error {
+	defer func() { _ = p.metrics.Close() }()
+	return p.signals.run(ctx, func(ctx context.Context) error {
+		watch, cancel := context.WithCancel(ctx)
+		defer cancel()
+		w := &settingsWatch{live: p.live, log: p.log}
+		go w.run(watch)
+		return serve(ctx)
+	})
+}
+
+// settingsWatch takes over changes of the settings file beside a process.
+type settingsWatch struct {
+	live *platform.Live
+	log  *zap.Logger
+}
+
+func (w *settingsWatch) run(ctx context.Context) {
+	if err := w.live.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		w.log.Error("settings-not-watched", zap.Error(err))
+	}
+}
+
+// lister reads the platform's list, on connections of its own: a pooled one may have gone silent for good.
+func (p *platformProcess) lister() *platform.ListReader {
+	return &platform.ListReader{Address: p.settings.List, Client: freshClient(), Skipped: func(err error) {
+		p.log.Debug("list-entry-skipped", zap.Error(err))
+	}}
+}
+
+func freshClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: platformCallTimeout}
+}
+
+func bindPlatformEdge(set *flags.Set, e *environ) runFunc {
+	f := bindPlatformFlags(set)
+	return func(ctx context.Context) error {
+		p, err := startPlatform(e, "relay", f)
+		if err != nil {
+			return err
+		}
+		s, b := p.settings, p.settings.Bounds
+		r := &relay.Relay{
+			Name: s.Name, Domain: s.Domain, Front: s.Front, Seeds: p.live.Seeds, PeerKey: platform.PeerKey,
+			Decode: platform.DecodeState, List: p.lister(), Engines: &platform.Inspector{Client: freshClient()},
+			Names:       platform.Headers(),
+			Budget:      place.Budget{Ratio: budgetPart * b.RetryRatio, Slack: budgetPart * b.RetrySlack, Window: b.RetryWindow},
+			AddressLife: min(addressLife, b.MaxAddressLife), StopGrace: b.StopGrace,
+			Clock: wall.Clock{}, Log: p.log, Metrics: p.metrics,
+		}
+		r.Servers = []relay.Server{{Address: s.Readiness, Handler: platform.Readiness(r.Ready)}}
+		return p.run(ctx, r.Run)
+	}
+}
+
+func bindPlatformCore(set *flags.Set, e *environ) runFunc {
+	f := bindPlatformFlags(set)
+	return func(ctx context.Context) error {
+		p, err := startPlatform(e, "keeper", f)
+		if err != nil {
+			return err
+		}
+		s := p.settings
+		k := &keeper.Keeper{
+			Peer: s.Peer, Seeds: p.live.Seeds, First: s.First, PeerKey: platform.PeerKey, DataDir: s.DataDir,
+			Decode: platform.DecodeState, List: p.lister(), Clock: wall.Clock{}, Log: p.log, Metrics: p.metrics,
+		}
+		k.Servers = []keeper.Server{
+			{Address: s.Operators, Handler: platform.Operators(k, p.log)},
+			{Address: s.Directory, Handler: platform.Directory(k, min(addressLife, s.Bounds.MaxAddressLife))},
+		}
+		return p.run(ctx, k.Run)
+	}
+}
--- a/io/ctrl/group.go
+++ b/io/ctrl/group.go
@@ -8,8 +8,10 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/raft"
+	"wasabiweir/io/mesh"
 	"wasabiweir/io/repl"
 	"wasabiweir/io/store"
+	"wasabiweir/io/wire"
 )
 
 // ConfigGroup is the name of the replicated log that holds the configuration.
@@ -23,13 +25,13 @@
 	name    string
 	replica *repl.Replica
 	control *Control
-	sender  sender
-	senders senders
+	sender  mesh.Sender
+	inbound mesh.Receiver
 }
 
 func (c *Control) newGroup(name string, m repl.Machine) *group {
 	g := &group{name: name, control: c}
-	g.sender.group = g
+	g.sender = mesh.Sender{Group: name, Peer: c.link}
 	g.replica = &repl.Replica{
 		Name:      c.Name,
 		Store:     &store.Store{Folder: c.folder, Group: name},
@@ -48,6 +50,26 @@
 	return g
 }
 
+// link returns the link to another control process, or nil if it can not be reached.
+func (c *Control) link(name string) *wire.Link {
+	if p := c.members[name]; p != nil {
+		return p.Link()
+	}
+	return nil
+}
+
+// step hands the log messages of a frame to the replica.
+func (g *group) step(l *wire.Link, f wire.Frame) {
+	messages, err := g.inbound.Messages(l, f)
+	if err != nil {
+		g.control.Log.Warn("raft-message-refused", zap.Error(err))
+		return
+	}
+	for _, m := range messages {
+		g.replica.Step(m)
+	}
+}
+
 // loop runs the replica until ctx ends or the stored state turns out to be damaged.
 func (g *group) loop(ctx context.Context) error {
 	if err := g.replica.Run(ctx); err != nil {
--- a/io/ctrl/join.go
+++ b/io/ctrl/join.go
@@ -24,9 +24,6 @@
 // errNotOpen is returned for a group whose stored state has not been read yet.
 var errNotOpen = eris.New("the group's stored state has not been read yet")
 
-// errSilent is returned for a learner that asks to be promoted before it has synced an entry.
-var errSilent = eris.New("the learner has not synced any entry yet")
-
 // identity is a member's answer to the question whether it holds state of a group.
 type identity struct {
 	ID     raft.ID `cbor:"id"`
@@ -141,54 +138,7 @@
 
 // join makes a process a voter, one step a call; the process repeats its request until it votes.
 func (g *group) join(ctx context.Context, req joinRequest) error {
-	s := g.replica.Status()
-	if s.Role != raft.Leader {
-		return &raft.NotLeaderError{Leader: s.Leader}
-	}
-	if s.Members.IsVoter(req.ID) {
-		return nil
-	}
-	if err := g.removeStale(ctx, s.Members, req.ID); err != nil {
-		return err
-	}
-	for _, old := range s.Members.Voters {
-		if old.Name == req.ID.Name {
-			return g.replace(ctx, old, req.ID)
-		}
-	}
-	step := raft.ConfChange{Type: raft.AddLearner, ID: req.ID}
-	if s.Members.IsLearner(req.ID) {
-		step.Type = raft.Promote
-		if s.Match[req.ID] == 0 {
-			// A learner that never answered would count towards the quorum, however short the log is.
-			return errSilent
-		}
-	}
-	return g.replica.ConfChange(ctx, step)
-}
-
-// removeStale removes learners under earlier identities of the same member, whose disk was lost again before they
-// became voters.
-func (g *group) removeStale(ctx context.Context, members raft.Members, id raft.ID) error {
-	for _, learner := range members.Learners {
-		if learner.Name != id.Name || learner == id {
-			continue
-		}
-		if err := g.replica.ConfChange(ctx, raft.ConfChange{Type: raft.Remove, ID: learner}); err != nil {
-			return fmt.Errorf("remove learner %s: %w", learner, err)
-		}
-	}
-	return nil
-}
-
-func (g *group) replace(ctx context.Context, old, fresh raft.ID) error {
-	log := g.control.Log.With(zap.String("group", g.name), zap.String("old", old.String()), zap.String("new", fresh.String()))
-	log.Warn("member-replacement-started")
-	if err := g.replica.Replace(ctx, old, fresh); err != nil {
-		return fmt.Errorf("replace the member: %w", err)
-	}
-	log.Info("member-replaced")
-	return nil
+	return g.replica.Admit(ctx, req.ID)
 }
 
 // founded waits until most of the configured members vote: until then the loss of one disk could lose what a smaller
--- a/io/ctrl/batch.go
+++ b/io/mesh/raft.go
@@ -1,10 +1,10 @@
-package ctrl
+package mesh
 
 import (
+	"fmt"
 	"sync"
 
 	"github.com/rotisserie/eris"
-	"go.uber.org/zap"
 
 	"wasabiweir/core/raft"
 	"wasabiweir/io/wire"
@@ -26,10 +26,14 @@
 // errNoEnds is returned for a batch that relies on identities which the link has not carried.
 var errNoEnds = eris.New("the batch names no identities and is the first one on its link")
 
-// sender sends the messages of one replica, whose goroutine is the only one that uses it.
-type sender struct {
-	group *group
-	last  map[string]lastBatch
+// Sender sends the messages of one replica, whose goroutine is the only one that uses it; its fields are set before that.
+type Sender struct {
+	// Group is the name of the replicated log.
+	Group string
+	// Peer returns the link to a member by its instance name, or nil if there is none.
+	Peer func(name string) *wire.Link
+
+	last map[string]lastBatch
 }
 
 // lastBatch is what the latest batch to a member was sent on.
@@ -39,7 +43,7 @@
 }
 
 // Send posts raft messages to the members that they name; a message without a link is lost and repeated by raft.
-func (s *sender) Send(messages []raft.Message) {
+func (s *Sender) Send(messages []raft.Message) {
 	byEnds := map[ends][]raft.Message{}
 	for _, m := range messages {
 		e := ends{From: m.From, To: m.To}
@@ -51,12 +55,8 @@
 	}
 }
 
-func (s *sender) post(e ends, messages []raft.Message) {
-	p := s.group.control.members[e.To.Name]
-	if p == nil {
-		return
-	}
-	l := p.Link()
+func (s *Sender) post(e ends, messages []raft.Message) {
+	l := s.Peer(e.To.Name)
 	if l == nil {
 		return
 	}
@@ -69,21 +69,21 @@
 		batch.Ends = &e
 	}
 	// A full queue of the link is the same as a lost message.
-	if err := l.Post(wire.KindRaft, s.group.name, batch); err != nil {
+	if err := l.Post(wire.KindRaft, s.Group, batch); err != nil {
 		delete(s.last, e.To.Name)
 		return
 	}
 	s.last[e.To.Name] = now
 }
 
-// senders knows the identities of the latest batch on each link.
-type senders struct {
+// Receiver knows the identities of the latest batch on each link.
+type Receiver struct {
 	mu    sync.Mutex
 	known map[*wire.Link]ends
 }
 
 // complete returns the messages of a batch with their identities.
-func (s *senders) complete(l *wire.Link, b *raftBatch) ([]raft.Message, error) {
+func (s *Receiver) complete(l *wire.Link, b *raftBatch) ([]raft.Message, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if b.Ends != nil {
@@ -100,7 +100,7 @@
 }
 
 // learn records the identities of a link and forgets the links that are closed.
-func (s *senders) learn(l *wire.Link, e ends) {
+func (s *Receiver) learn(l *wire.Link, e ends) {
 	if s.known == nil {
 		s.known = map[*wire.Link]ends{}
 	}
@@ -114,18 +114,11 @@
 	s.known[l] = e
 }
 
-func (g *group) step(l *wire.Link, f wire.Frame) {
+// Messages returns the log messages of a frame with their identities.
+func (s *Receiver) Messages(l *wire.Link, f wire.Frame) ([]raft.Message, error) {
 	batch, err := wire.Decode[raftBatch](f)
 	if err != nil {
-		g.control.Log.Warn("raft-message-refused", zap.Error(err))
-		return
-	}
-	messages, err := g.senders.complete(l, &batch)
-	if err != nil {
-		g.control.Log.Warn("raft-message-refused", zap.Error(err))
-		return
-	}
-	for _, m := range messages {
-		g.replica.Step(m)
+		return nil, fmt.Errorf("messages from %s: %w", l.Name, err)
 	}
+	return s.complete(l, &batch)
 }
--- a/io/ctrl/batch_test.go
+++ b/io/mesh/raft_test.go
@@ -1,4 +1,4 @@
-package ctrl
+package mesh
 
 import (
 	"errors"
@@ -11,7 +11,7 @@
 // Guards against messages that are taken for those of another identity: a link's identities hold for that link only, and
 // change when the member at either end has a new disk.
 func TestIdentitiesOfBatches(t *testing.T) {
-	var s senders
+	var s Receiver
 	one, two := &wire.Link{Name: "one"}, &wire.Link{Name: "two"}
 	a := ends{From: raft.ID{Name: "control-1", Disk: "a"}, To: raft.ID{Name: "control-2", Disk: "x"}}
 	b := ends{From: raft.ID{Name: "control-1", Disk: "b"}, To: raft.ID{Name: "control-2", Disk: "x"}}
--- /dev/null
+++ b/io/relay/feed.go
@@ -0,0 +1,311 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"wasabiweir/core/place"
+	"wasabiweir/core/state"
+	"wasabiweir/io/serve"
+	"wasabiweir/io/wire"
+)
+
+const (
+	// proofInterval is the time between two questions to the keeper for the state in force.
+	proofInterval = 500 * time.Millisecond
+	// proofTimeout is the time without a confirmed answer after which the relay moves to another keeper.
+	proofTimeout = 1100 * time.Millisecond
+	// freshFor is how long a confirmation counts in the relay's reports.
+	freshFor = 3 * time.Second
+	// reportInterval is the time between two reports.
+	reportInterval = 500 * time.Millisecond
+	// moveTick is the pause before another keeper is dialled.
+	moveTick = 50 * time.Millisecond
+	// ownListAge is the age of the list after which the relay reads the platform's list itself.
+	ownListAge = 3 * time.Second
+	// listTick is the time between two looks at the list's age.
+	listTick = 500 * time.Millisecond
+	// ownListTimeout bounds one reading by the relay itself.
+	ownListTimeout = 900 * time.Millisecond
+	// firstListWait is how long a list may be missing before the relay counts as ready without one.
+	firstListWait = 3 * time.Second
+)
+
+var errStale = eris.New("the keeper has not confirmed its state in time")
+
+// feed follows one keeper.
+type feed struct {
+	relay *Relay
+	name  string
+	wake  chan struct{}
+
+	mu      sync.Mutex
+	keepers []string
+	// link is the link to the keeper that is followed.
+	link      *wire.Link
+	confirmed time.Time
+	listed    time.Time // when the reading of the present list began
+	sent      int64
+	version   atomic.Uint64
+}
+
+func (f *feed) prepare(r *Relay) {
+	f.relay = r
+	// Each start is another relay to the keepers, so that no step of the clock makes a new one look old.
+	f.name = r.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
+	f.wake = make(chan struct{}, 1)
+}
+
+// known reports whether a list of endpoints has arrived.
+func (f *feed) known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.listed.IsZero() || f.relay.since() > firstListWait
+}
+
+// loop follows one keeper after another until ctx ends.
+func (f *feed) loop(ctx context.Context) error {
+	last := ""
+	for ctx.Err() == nil {
+		for _, address := range f.candidates(last) {
+			if ctx.Err() != nil {
+				break
+			}
+			last = address
+			err := f.follow(ctx, address)
+			f.relay.Log.Info("keeper-left", zap.String("keeper", address), zap.Error(err))
+			if !serve.Pause(ctx, moveTick) {
+				break
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// candidates returns the keepers in the order in which they are tried: random, and the last one at the end.
+func (f *feed) candidates(last string) []string {
+	f.mu.Lock()
+	list := slices.Concat(f.keepers, f.relay.Seeds())
+	f.mu.Unlock()
+	slices.Sort(list)
+	list = slices.Compact(list)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b string) int {
+		switch {
+		case a == last && b != last:
+			return 1
+		case b == last && a != last:
+			return -1
+		}
+		return 0
+	})
+	if len(list) == 0 {
+		serve.Pause(f.relay.ctx, proofInterval)
+	}
+	return list
+}
+
+// follow takes states and lists from a keeper until its confirmations stop.
+func (f *feed) follow(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l, err := wire.Dial(ctx, f.name, address, f.relay.PeerKey, f)
+	if err != nil {
+		return err
+	}
+	server := linkServer{link: l, done: make(chan error, 1)}
+	go server.run(ctx)
+	f.mu.Lock()
+	f.link = l
+	f.mu.Unlock()
+	defer l.Close()
+	f.relay.Log.Info("keeper-followed", zap.String("keeper", address))
+	f.report()
+	for {
+		if err := f.confirm(ctx, l); err != nil {
+			return err
+		}
+		t := time.NewTimer(proofInterval)
+		select {
+		case err := <-server.done:
+			t.Stop()
+			return err
+		case <-t.C:
+		}
+	}
+}
+
+// linkServer runs a link that was dialled.
+type linkServer struct {
+	link *wire.Link
+	done chan error
+}
+
+func (s *linkServer) run(ctx context.Context) { s.done <- s.link.Serve(ctx) }
+
+// confirm asks the keeper which state a quorum holds now.
+func (f *feed) confirm(ctx context.Context, l *wire.Link) error {
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+	var u wire.State
+	if err := l.Call(ctx, wire.KindPosition, "", wire.Position{Revision: f.version.Load()}, &u); err != nil {
+		if ctx.Err() != nil {
+			return errStale
+		}
+		return err
+	}
+	f.mu.Lock()
+	f.confirmed = f.relay.Clock.Now()
+	f.mu.Unlock()
+	return f.apply(u)
+}
+
+// HandleFrame handles one frame from the keeper.
+func (f *feed) HandleFrame(l *wire.Link, fr wire.Frame) {
+	var err error
+	switch fr.Kind {
+	case wire.KindState:
+		var u wire.State
+		if u, err = wire.Decode[wire.State](fr); err == nil {
+			err = f.apply(u)
+		}
+	case wire.KindEndpoints:
+		var list place.List
+		if list, err = wire.Decode[place.List](fr); err == nil {
+			f.take(list)
+		}
+	case wire.KindKeepers:
+		var k wire.Keepers
+		if k, err = wire.Decode[wire.Keepers](fr); err == nil {
+			f.learn(k)
+		}
+	}
+	if err != nil {
+		f.relay.Log.Warn("frame-refused", zap.String("keeper", l.Name), zap.String("kind", string(fr.Kind)), zap.Error(err))
+	}
+}
+
+// apply puts a state in force unless a later one is.
+func (f *feed) apply(u wire.State) error {
+	if len(u.Document) == 0 {
+		return nil
+	}
+	s, err := f.relay.Decode(u.Document)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held := f.relay.index.Load(); held != nil && held.State.Version >= s.Version {
+		return nil
+	}
+	f.relay.index.Store(state.NewIndex(s))
+	f.version.Store(s.Version)
+	f.relay.Log.Info("state-in-force", zap.Uint64("version", s.Version), zap.Int("routes", len(s.Routes)),
+		zap.Int("accounts", len(s.Accounts)))
+	f.soon()
+	return nil
+}
+
+// take puts a list of endpoints in force unless a later reading is.
+func (f *feed) take(list place.List) {
+	began := f.relay.Clock.Now().Add(-list.Age)
+	f.mu.Lock()
+	newer := began.After(f.listed)
+	if newer {
+		f.listed = began
+	}
+	f.mu.Unlock()
+	if !newer {
+		return
+	}
+	f.relay.placed(func(t *place.Table, _ time.Time) { t.Update(list.Endpoints) })
+}
+
+func (f *feed) learn(k wire.Keepers) {
+	f.mu.Lock()
+	f.keepers = k.Addresses
+	f.mu.Unlock()
+	f.relay.mu.Lock()
+	f.relay.relays = k.Relays
+	f.relay.mu.Unlock()
+	f.relay.Log.Info("keepers-known", zap.Strings("keepers", k.Addresses), zap.Int("relays", k.Relays))
+}
+
+// soon makes the next report leave at once.
+func (f *feed) soon() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loopReport reports to the keeper.
+func (f *feed) loopReport(ctx context.Context) error {
+	for {
+		t := time.NewTimer(reportInterval)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-f.wake:
+			t.Stop()
+		case <-t.C:
+		}
+		f.report()
+	}
+}
+
+func (f *feed) report() {
+	ready := f.relay.Ready()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.link == nil {
+		return
+	}
+	// Two reports of one millisecond must differ, too.
+	f.sent = max(f.sent+1, f.relay.since().Milliseconds())
+	r := wire.Report{
+		Name: f.name, Address: f.relay.Front, Domain: f.relay.Domain, Revision: f.version.Load(), SentMS: f.sent,
+		Fresh: ready && f.relay.Clock.Now().Sub(f.confirmed) < freshFor, Draining: !ready,
+		InFlight: f.relay.drain.open(),
+	}
+	if err := f.link.Post(wire.KindReport, "", r); err != nil {
+		f.relay.Log.Debug("report-lost", zap.String("keeper", f.link.Name), zap.Error(err))
+	}
+}
+
+// loopList reads the platform's list itself while no keeper sends it.
+func (f *feed) loopList(ctx context.Context) error {
+	for serve.Pause(ctx, listTick) {
+		f.mu.Lock()
+		age := f.relay.Clock.Now().Sub(f.listed)
+		f.mu.Unlock()
+		if age < ownListAge || f.relay.since() < ownListAge {
+			continue
+		}
+		f.readList(ctx)
+	}
+	return ctx.Err()
+}
+
+func (f *feed) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ownListTimeout)
+	defer cancel()
+	began := f.relay.Clock.Now()
+	endpoints, err := f.relay.List.Read(ctx)
+	if err != nil {
+		f.relay.Log.Warn("list-not-read", zap.Error(err))
+		return
+	}
+	f.relay.Log.Info("list-read", zap.Int("endpoints", len(endpoints)), zap.String("reason", "no keeper sends it"))
+	f.take(place.List{Endpoints: endpoints, Reader: f.name, Age: f.relay.Clock.Now().Sub(began)})
+}
--- /dev/null
+++ b/io/relay/watch.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiweir/core/place"
+	"wasabiweir/io/serve"
+)
+
+const (
+	// eventSilence is the silence of a running stream after which its engine is asked. Events come every 30 ms, and every
+	// 200 ms while the engine reads a prompt.
+	eventSilence = 220 * time.Millisecond
+	// startSilence is the silence of a stream without an event after which its engine is asked; a prompt takes a second.
+	startSilence = 400 * time.Millisecond
+	// askTimeout bounds a question to an engine; it answers without a slot, within a few milliseconds.
+	askTimeout = 120 * time.Millisecond
+	// askAgain is the time after which an engine that answered is asked again.
+	askAgain = 150 * time.Millisecond
+	// deafSilence is the silence of a running stream, of an engine that answers, after which the stream goes to the holder
+	// of its copy: what is left of the usual pause of 700 ms is enough to resume.
+	deafSilence = 520 * time.Millisecond
+	// aheadBy is the number of events by which an engine must be ahead of the stream to prove that its connection is dead;
+	// reports are some hundred milliseconds old, so that one event may be on its way.
+	aheadBy = 2
+)
+
+// watcher asks silent engines whether they live, once for all streams of an engine.
+type watcher struct {
+	relay *Relay
+
+	mu      sync.Mutex
+	engines map[string]*question
+}
+
+// question is the latest question to one engine.
+type question struct {
+	asked  time.Time
+	done   chan struct{}
+	alive  bool
+	report Report
+	err    error
+}
+
+func (w *watcher) prepare(r *Relay) {
+	w.relay = r
+	w.engines = map[string]*question{}
+}
+
+// ask returns the answer of an engine; one that is at most askAgain old is shared.
+func (w *watcher) ask(ctx context.Context, e place.Endpoint) *question {
+	w.mu.Lock()
+	now := w.relay.Clock.Now()
+	q := w.engines[e.ID]
+	if q == nil || now.Sub(q.asked) > askAgain {
+		for id, old := range w.engines {
+			if now.Sub(old.asked) > time.Minute {
+				delete(w.engines, id)
+			}
+		}
+		q = &question{asked: now, done: make(chan struct{})}
+		w.engines[e.ID] = q
+		go w.run(q, e)
+	}
+	w.mu.Unlock()
+	select {
+	case <-q.done:
+	case <-ctx.Done():
+	}
+	return q
+}
+
+func (w *watcher) run(q *question, e place.Endpoint) {
+	defer close(q.done)
+	ctx, cancel := context.WithTimeout(w.relay.ctx, askTimeout)
+	defer cancel()
+	q.report, q.err = w.relay.Engines.Inspect(ctx, e.Address)
+	q.alive = q.err == nil
+	w.relay.meter.count("engine-questions", answer(q.alive))
+	if q.alive {
+		return
+	}
+	var suspended time.Duration
+	w.relay.placed(func(t *place.Table, now time.Time) { suspended = t.Failed(e.ID, now) })
+	w.relay.pool.drop(e.ID)
+	w.relay.Log.Info("engine-silent", zap.String("endpoint", e.ID), zap.String("domain", e.Domain),
+		zap.Duration("suspended", suspended), zap.Error(q.err))
+}
+
+func answer(alive bool) string {
+	if alive {
+		return "alive"
+	}
+	return "dead"
+}
+
+// run watches a leg until it ends.
+func (w *watch) run(ctx context.Context) {
+	for {
+		silence := w.silence()
+		limit := startSilence
+		if w.got.Load() > 1 {
+			limit = eventSilence
+		}
+		if silence < limit {
+			if !serve.Pause(ctx, limit-silence) {
+				return
+			}
+			continue
+		}
+		q := w.gen.relay.watcher.ask(ctx, w.leg.endpoint)
+		if ctx.Err() != nil {
+			return
+		}
+		if cause := w.judge(q); cause != "" {
+			w.cause.Store(&cause)
+			_ = w.conn.Close()
+			return
+		}
+		if !serve.Pause(ctx, askAgain) {
+			return
+		}
+	}
+}
+
+func (w *watch) silence() time.Duration { return w.gen.relay.since() - time.Duration(w.last.Load()) }
+
+// judge returns why the leg is to end, or nothing.
+func (w *watch) judge(q *question) string {
+	silence := w.silence()
+	if silence < eventSilence {
+		return ""
+	}
+	if !q.alive {
+		return "the engine does not answer"
+	}
+	// The header of the answer counts as the first thing heard.
+	got := w.got.Load() - 1
+	if got < 1 {
+		return ""
+	}
+	if made, ok := q.report.Events[w.gen.id]; ok && int64(made) >= got+aheadBy && silence > eventSilence+askAgain {
+		return "the engine is ahead of its connection"
+	}
+	if silence >= deafSilence && w.leg.held {
+		return "no event although the engine answers"
+	}
+	return ""
+}
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -17,16 +17,25 @@
 
 // Listen opens the listener for clients and the one for the system's processes.
 func Listen(front, back string) (clients, peers net.Listener, err error) {
-	if clients, err = net.Listen("tcp", front); err != nil {
-		return nil, nil, fmt.Errorf("listen for clients: %w", err)
+	if clients, err = ListenOne(front); err != nil {
+		return nil, nil, fmt.Errorf("clients: %w", err)
 	}
-	if peers, err = net.Listen("tcp", back); err != nil {
+	if peers, err = ListenOne(back); err != nil {
 		_ = clients.Close()
-		return nil, nil, fmt.Errorf("listen for peers: %w", err)
+		return nil, nil, fmt.Errorf("peers: %w", err)
 	}
 	return clients, peers, nil
 }
 
+// ListenOne opens the listener of an address.
+func ListenOne(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return l, nil
+}
+
 // Loop adds a loop that runs until ctx ends or another part of the group stops.
 func Loop(ctx context.Context, g *run.Group, loop func(context.Context) error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/store/folder.go
+++ b/io/store/folder.go
@@ -28,6 +28,8 @@
 type Folder struct {
 	// Path is the folder, which is created if it does not exist.
 	Path string
+	// FirstID is the disk id that a new folder gets; a random one if it is empty.
+	FirstID string
 
 	mu       sync.Mutex
 	identity identity
@@ -137,7 +139,11 @@
 			return &CorruptError{File: filepath.Join(f.Path, identityFile), Reason: "it is missing beside stored state"}
 		}
 	}
-	return f.save(identity{DiskID: uuid.NewString()})
+	id := f.FirstID
+	if id == "" {
+		id = uuid.NewString()
+	}
+	return f.save(identity{DiskID: id})
 }
 
 func (f *Folder) save(id identity) error {
--- a/io/wire/frame.go
+++ b/io/wire/frame.go
@@ -32,6 +32,11 @@
 	KindRouters Kind = "routers"
 	KindShares  Kind = "shares"
 
+	// From a keeper to a relay, or between keepers.
+	KindState     Kind = "state"
+	KindEndpoints Kind = "endpoints"
+	KindKeepers   Kind = "keepers"
+
 	// Between routers.
 	KindJournal      Kind = "journal"
 	KindJournalReply Kind = "journal-reply"
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -54,3 +54,20 @@
 	// Leaving are the endpoints that the platform's instance list shows as leaving.
 	Leaving []string `cbor:"2,keyasint,omitempty"`
 }
+
+// State tells a relay which state is in force at a keeper.
+type State struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// Any is false while no state was ever put.
+	Any bool `cbor:"2,keyasint,omitempty"`
+	// Document is empty if the relay has the version.
+	Document []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Keepers is what a keeper tells relays about the system.
+type Keepers struct {
+	// Addresses are the peer addresses of the keepers.
+	Addresses []string `cbor:"1,keyasint"`
+	// Relays is the number of relays that report.
+	Relays int `cbor:"2,keyasint"`
+}
