Divide engines among the relays, and judge silent and restarted engines by what they say

Change: each relay prefers an equal part of the engines; events are compared by id; an engine is asked after a reset and suspended until the list shows its successor if it is down; a 421 counts against its failure domain and costs no pause; a member that starts campaigns early, which pre-vote makes harmless. Ruled out: lost links between relay and engine (none in the logs).

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -18,6 +18,9 @@
 	copyCost = 0.02
 	// jitter spreads the choices of relays that know the same; it is less than one prompt.
 	jitter = 0.25
+	// foreignCost is the cost of an endpoint that another relay prefers. It is less than one prompt: relays do not see each
+	// other's prompts, and two of them rarely meet while each one has an idle endpoint of its own.
+	foreignCost = 0.6
 	// suspectCost keeps requests off a failure domain of which several endpoints have just failed.
 	suspectCost = 4.0
 )
@@ -27,6 +30,9 @@
 	// failure in a row.
 	firstSuspension   = 400 * time.Millisecond
 	longestSuspension = 2 * time.Second
+	// downSuspension is how long a model engine that is down gets nothing: it restarts under another id, which the list
+	// shows about two seconds after the crash.
+	downSuspension = 2500 * time.Millisecond
 	// suspectFor is how long a failure counts against its failure domain.
 	suspectFor = 1500 * time.Millisecond
 	// suspectShare is the part of a domain's endpoints whose failure makes the others suspect.
@@ -41,6 +47,9 @@
 	Rand *rand.Rand
 
 	rows table.Table[string, row]
+	// index is this relay's place among all relays; -1 if it has none.
+	index  int
+	relays int
 }
 
 // row is one endpoint with what this process knows of it.
@@ -60,6 +69,8 @@
 	gone bool
 	load Load
 	at   time.Time // when load arrived
+	// owned says that this relay prefers the endpoint.
+	owned bool
 }
 
 // Load is what an endpoint says of itself.
@@ -92,6 +103,43 @@
 		}
 		return true
 	})
+	t.divide()
+}
+
+// Divide tells the table this relay's place among all relays, each of which prefers an equal part of the endpoints.
+func (t *Table) Divide(index, relays int) {
+	t.index, t.relays = index, relays
+	t.divide()
+}
+
+// divide deals the endpoints of each service out to the relays, one failure domain after the other, so that each relay
+// gets some of every domain.
+func (t *Table) divide() {
+	type key struct{ service, domain string }
+	order := map[key]int{}
+	domains := map[string]map[string]int{}
+	t.rows.Each(func(_ string, r *row) bool {
+		if domains[r.Service] == nil {
+			domains[r.Service] = map[string]int{}
+		}
+		if d := domains[r.Service]; r.listed {
+			if _, ok := d[r.Domain]; !ok {
+				d[r.Domain] = len(d)
+			}
+		}
+		return true
+	})
+	t.rows.Each(func(_ string, r *row) bool {
+		r.owned = false
+		if !r.listed || t.relays == 0 || t.index < 0 {
+			return true
+		}
+		k := key{r.Service, r.Domain}
+		position := order[k]*len(domains[r.Service]) + domains[r.Service][r.Domain]
+		order[k]++
+		r.owned = position%t.relays == t.index
+		return true
+	})
 }
 
 // Want is what a request asks of an endpoint.
@@ -152,7 +200,11 @@
 	if !w.Model {
 		return r.plainCost(now)
 	}
-	return readingCost*float64(r.reading) + runningCost*float64(r.running) + copyCost*float64(r.copies)
+	cost := readingCost*float64(r.reading) + runningCost*float64(r.running) + copyCost*float64(r.copies)
+	if !r.owned && w.NotDomain == "" {
+		cost += foreignCost
+	}
+	return cost
 }
 
 // plainCost is the number of requests before a new one, in units of the endpoint's slots.
@@ -260,16 +312,20 @@
 }
 
 // Failed records that the endpoint could not be reached, broke off or fell silent, and returns for how long it gets
-// nothing. Failures that were noticed during a suspension are those of the same crash.
-func (t *Table) Failed(id string, now time.Time) time.Duration {
+// nothing. Down says that it is certainly not running and comes back under another id. Failures that were noticed during
+// a suspension are those of the same crash.
+func (t *Table) Failed(id string, down bool, now time.Time) time.Duration {
 	r := t.rows.Get(id)
 	if r == nil {
 		return 0
 	}
-	if now.Before(r.until) {
+	pause := min(longestSuspension, firstSuspension<<min(r.failures, 8))
+	if down {
+		pause = downSuspension
+	}
+	if now.Before(r.until) && !down {
 		return r.until.Sub(now)
 	}
-	pause := min(longestSuspension, firstSuspension<<min(r.failures, 8))
 	r.failures++
 	r.failed, r.until = now, now.Add(pause)
 	return pause
@@ -282,9 +338,11 @@
 	}
 }
 
-// Gone records that another endpoint has the address.
-func (t *Table) Gone(id string) {
+// Gone records that another endpoint has the address, which tells of a restart.
+func (t *Table) Gone(id string, now time.Time) {
 	if r := t.rows.Get(id); r != nil {
 		r.gone = true
+		r.failures++
+		r.failed = now
 	}
 }
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -129,6 +129,8 @@
 	}
 	n.hard = saved.Hard
 	n.follow(n.term, ID{})
+	// After a start nobody may lead; a group that has a leader refuses the pre-vote, so that an early one does no harm.
+	n.timeout = n.ElectionTicks/5 + n.rng.IntN(n.ElectionTicks/2+1)
 	return nil
 }
 
--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -103,10 +103,12 @@
 	s.mu.Lock()
 	for _, i := range s.table.Instances(s.keeper.Clock.Now()) {
 		if i.Live && !i.Leaving {
-			now.Relays++
+			now.Relays = append(now.Relays, i.Report.Address)
 		}
 	}
 	s.mu.Unlock()
+	slices.Sort(now.Relays)
+	now.Relays = slices.Compact(now.Relays)
 	s.keeper.feeds.sendKeepers(now)
 }
 
@@ -123,7 +125,7 @@
 }
 
 func sameKeepers(a, b wire.Keepers) bool {
-	return a.Relays == b.Relays && slices.Equal(a.Addresses, b.Addresses)
+	return slices.Equal(a.Relays, b.Relays) && slices.Equal(a.Addresses, b.Addresses)
 }
 
 // members returns the peer addresses of the group's members.
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -235,9 +235,10 @@
 	f.keepers = k.Addresses
 	f.mu.Unlock()
 	f.relay.mu.Lock()
-	f.relay.relays = k.Relays
+	f.relay.relays = len(k.Relays)
+	f.relay.table.Divide(slices.Index(k.Relays, f.relay.Front), len(k.Relays))
 	f.relay.mu.Unlock()
-	f.relay.Log.Info("keepers-known", zap.Strings("keepers", k.Addresses), zap.Int("relays", k.Relays))
+	f.relay.Log.Info("keepers-known", zap.Strings("keepers", k.Addresses), zap.Int("relays", len(k.Relays)))
 }
 
 // soon makes the next report leave at once.
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -69,6 +69,7 @@
 			return
 		case out.cause == common.RetryConnect && out.verdict == notRun:
 			// Nothing has arrived anywhere, so that the next send is no extra one.
+		case out.cause == common.RetryLeaving && q.relay.spend(q.service):
 		case out.verdict == notRun:
 			refused++
 			if refused > maxRefused || !q.pause(refusedPause<<refused) || !q.relay.spend(q.service) {
@@ -135,13 +136,19 @@
 		case out.verdict == answered:
 			t.Served(e.ID)
 		case out.cause == common.RetryLeaving:
-			t.Gone(e.ID)
+			t.Gone(e.ID, now)
 		case out.cause == common.RetryRefused:
 			t.Full(e.ID, fullPause, now)
-		case !gone && (out.cause == common.RetryConnect || out.cause == common.RetryReset):
-			suspended = t.Failed(e.ID, now)
+		case !gone && out.cause == common.RetryConnect:
+			suspended = t.Failed(e.ID, q.route.Kind == state.Stream, now)
+		case !gone && out.cause == common.RetryReset && q.route.Kind != state.Stream:
+			suspended = t.Failed(e.ID, false, now)
 		}
 	})
+	if !gone && out.cause == common.RetryReset && q.route.Kind == state.Stream {
+		// An engine that crashed resets its connections, but so does one that only lost an answer.
+		q.relay.watcher.check(e)
+	}
 	if out.verdict != answered {
 		q.log.Info("send-failed", zap.String("endpoint", e.ID), zap.String("address", e.Address),
 			zap.String("domain", e.Domain), zap.String("cause", string(out.cause)), zap.Bool("may-have-run", out.verdict == unknown),
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -85,6 +85,7 @@
 		}
 		switch {
 		case out.cause == common.RetryConnect && out.verdict == notRun:
+		case out.cause == common.RetryLeaving && q.relay.spend(q.service):
 		case out.verdict == notRun:
 			if refused++; !g.wrote && refused > maxRefused || !q.pause(refusedPause<<min(refused, maxRefused)) {
 				g.giveUp(common.ReasonOverloaded)
@@ -261,6 +262,7 @@
 		w.heard()
 		if !w.read {
 			w.read = true
+			g.resumed(l)
 			g.relay.placed(func(t *place.Table, _ time.Time) {
 				if !l.from {
 					t.Read(l.endpoint.ID)
@@ -269,6 +271,7 @@
 			})
 			g.holder, g.held, g.beganRun = l.holder, l.held, true
 		}
+		w.at.Store(e.id)
 		if e.id >= 0 && e.id <= g.last {
 			continue
 		}
@@ -285,6 +288,14 @@
 	}
 }
 
+// resumed logs how long the caller had no event before the first one of a leg.
+func (g *generation) resumed(l leg) {
+	if g.events > 0 {
+		g.log.Info("stream-goes-on", zap.String("endpoint", l.endpoint.ID), zap.Bool("from-copy", l.from),
+			zap.Duration("pause", g.relay.Clock.Now().Sub(g.lastAt)))
+	}
+}
+
 // framed reports whether the end of the answer can be told from a connection that was cut.
 func framed(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
 
@@ -343,12 +354,15 @@
 	cause atomic.Pointer[string]
 	// read says that the first event has arrived; only the reader uses it.
 	read bool
-	// got counts the events that arrived.
+	// got counts the header of the answer and the events that arrived, and at is the id of the last event.
 	got atomic.Int64
+	at  atomic.Int64
 }
 
 // heard records that bytes arrived.
 func (w *watch) heard() {
-	w.last.Store(int64(w.gen.relay.since()))
+	now := w.gen.relay.since()
+	w.last.Store(int64(now))
 	w.got.Add(1)
+	w.gen.relay.watcher.heard(w.leg.endpoint.ID, now)
 }
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -14,11 +14,13 @@
 const (
 	// eventSilence is the silence of a running stream after which its engine is asked. Events come every 30 ms, and every
 	// 200 ms while the engine reads a prompt.
-	eventSilence = 220 * time.Millisecond
+	eventSilence = 300 * time.Millisecond
 	// startSilence is the silence of a stream without an event after which its engine is asked; a prompt takes a second.
 	startSilence = 400 * time.Millisecond
 	// askTimeout bounds a question to an engine; it answers without a slot, within a few milliseconds.
 	askTimeout = 120 * time.Millisecond
+	// sharedSilence is the time for which an event of any stream proves that its engine lives.
+	sharedSilence = 200 * time.Millisecond
 	// askAgain is the time after which an engine that answered is asked again.
 	askAgain = 150 * time.Millisecond
 	// deafSilence is the silence of a running stream, of an engine that answers, after which the stream goes to the holder
@@ -35,6 +37,8 @@
 
 	mu      sync.Mutex
 	engines map[string]*question
+	// events is when each engine's last event arrived on any stream, as time since the start of the process.
+	events map[string]time.Duration
 }
 
 // question is the latest question to one engine.
@@ -49,24 +53,27 @@
 func (w *watcher) prepare(r *Relay) {
 	w.relay = r
 	w.engines = map[string]*question{}
+	w.events = map[string]time.Duration{}
 }
 
-// ask returns the answer of an engine; one that is at most askAgain old is shared.
-func (w *watcher) ask(ctx context.Context, e place.Endpoint) *question {
+// heard records that bytes of the engine arrived.
+func (w *watcher) heard(id string, now time.Duration) {
 	w.mu.Lock()
-	now := w.relay.Clock.Now()
-	q := w.engines[e.ID]
-	if q == nil || now.Sub(q.asked) > askAgain {
-		for id, old := range w.engines {
-			if now.Sub(old.asked) > time.Minute {
-				delete(w.engines, id)
-			}
-		}
-		q = &question{asked: now, done: make(chan struct{})}
-		w.engines[e.ID] = q
-		go w.run(q, e)
-	}
+	w.events[id] = now
 	w.mu.Unlock()
+}
+
+// lately reports whether the engine was heard on any stream lately.
+func (w *watcher) lately(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, ok := w.events[id]
+	return ok && w.relay.since()-at < sharedSilence
+}
+
+// ask returns the answer of an engine; one that is at most askAgain old is shared.
+func (w *watcher) ask(ctx context.Context, e place.Endpoint) *question {
+	q := w.check(e)
 	select {
 	case <-q.done:
 	case <-ctx.Done():
@@ -74,6 +81,35 @@
 	return q
 }
 
+// check asks an engine and does not wait; an engine that does not answer is suspended.
+func (w *watcher) check(e place.Endpoint) *question {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.relay.Clock.Now()
+	q := w.engines[e.ID]
+	if q != nil && now.Sub(q.asked) <= askAgain {
+		return q
+	}
+	w.forget(now)
+	q = &question{asked: now, done: make(chan struct{})}
+	w.engines[e.ID] = q
+	go w.run(q, e)
+	return q
+}
+
+// forgetAfter is the age of a question after which it is dropped; ids of engines change with each of their restarts.
+const forgetAfter = time.Minute
+
+// forget drops old questions; mu is held.
+func (w *watcher) forget(now time.Time) {
+	for id, old := range w.engines {
+		if now.Sub(old.asked) > forgetAfter {
+			delete(w.engines, id)
+			delete(w.events, id)
+		}
+	}
+}
+
 func (w *watcher) run(q *question, e place.Endpoint) {
 	defer close(q.done)
 	ctx, cancel := context.WithTimeout(w.relay.ctx, askTimeout)
@@ -85,7 +121,7 @@
 		return
 	}
 	var suspended time.Duration
-	w.relay.placed(func(t *place.Table, now time.Time) { suspended = t.Failed(e.ID, now) })
+	w.relay.placed(func(t *place.Table, now time.Time) { suspended = t.Failed(e.ID, true, now) })
 	w.relay.pool.drop(e.ID)
 	w.relay.Log.Info("engine-silent", zap.String("endpoint", e.ID), zap.String("domain", e.Domain),
 		zap.Duration("suspended", suspended), zap.Error(q.err))
@@ -112,6 +148,12 @@
 			}
 			continue
 		}
+		if silence < deafSilence && w.gen.relay.watcher.lately(w.leg.endpoint.ID) {
+			if !serve.Pause(ctx, askAgain/2) {
+				return
+			}
+			continue
+		}
 		q := w.gen.relay.watcher.ask(ctx, w.leg.endpoint)
 		if ctx.Err() != nil {
 			return
@@ -143,7 +185,7 @@
 	if got < 1 {
 		return ""
 	}
-	if made, ok := q.report.Events[w.gen.id]; ok && int64(made) >= got+aheadBy && silence > eventSilence+askAgain {
+	if made, ok := q.report.Events[w.gen.id]; ok && int64(made) >= w.at.Load()+aheadBy && silence > eventSilence+askAgain {
 		return "the engine is ahead of its connection"
 	}
 	if silence >= deafSilence && w.leg.held {
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -68,6 +68,6 @@
 type Keepers struct {
 	// Addresses are the peer addresses of the keepers.
 	Addresses []string `cbor:"1,keyasint"`
-	// Relays is the number of relays that report.
-	Relays int `cbor:"2,keyasint"`
+	// Relays are the addresses of the relays that callers may use, in order.
+	Relays []string `cbor:"2,keyasint"`
 }
