Find the engine that keeps a resumed prompt, and hold requests for the first state and list

Change: a caller's resume asks the engines once for what they keep (shared for 1.5 s) and goes there; requests wait up to 500 ms for the first state and list; the list is read at the start; new streams are sent elsewhere from the signal on.

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -256,6 +256,18 @@
 	return r != nil && r.takes(now)
 }
 
+// Takers returns the endpoints of the service that may get requests now.
+func (t *Table) Takers(service string, now time.Time) []Endpoint {
+	var out []Endpoint
+	t.rows.Each(func(_ string, r *row) bool {
+		if r.Service == service && r.takes(now) {
+			out = append(out, r.Endpoint)
+		}
+		return true
+	})
+	return out
+}
+
 // Any reports whether the list has an endpoint of the service that is not draining.
 func (t *Table) Any(service string) bool {
 	found := false
--- a/io/keeper/lists.go
+++ b/io/keeper/lists.go
@@ -34,7 +34,7 @@
 
 func (s *lists) loop(ctx context.Context) error {
 	failing := false
-	for serve.Pause(ctx, listInterval) {
+	for next := time.Duration(0); serve.Pause(ctx, next); next = listInterval {
 		if !s.due() {
 			continue
 		}
--- a/io/keeper/peers.go
+++ b/io/keeper/peers.go
@@ -21,21 +21,18 @@
 
 	mu     sync.Mutex
 	ctx    context.Context
-	dialed map[string]*wire.Peer
+	byName map[string]*wire.Peer
 }
 
 func (p *peers) prepare(ctx context.Context) {
 	p.ctx = ctx
-	p.dialed = map[string]*wire.Peer{}
+	p.byName = map[string]*wire.Peer{}
 	p.dial()
 }
 
 // known returns the peer addresses of the seeds and of the group's members.
 func (p *peers) known() []string {
-	names := slices.Clone(p.keeper.Seeds())
-	for _, id := range p.keeper.group.members() {
-		names = append(names, id)
-	}
+	names := slices.Concat(p.keeper.Seeds(), p.keeper.group.members())
 	slices.Sort(names)
 	return slices.Compact(names)
 }
@@ -53,22 +50,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, name := range known {
-		if name == p.keeper.Peer || p.dialed[name] != nil {
+		if name == p.keeper.Peer || p.byName[name] != nil {
 			continue
 		}
 		peer := &wire.Peer{
 			Self: p.keeper.Peer, Address: name, Key: p.keeper.PeerKey, Handler: p.keeper, Log: p.keeper.Log,
 		}
-		p.dialed[name] = peer
+		p.byName[name] = peer
 		peer.Start(p.ctx)
 		p.keeper.Log.Info("peer-known", zap.String("peer", name))
 	}
-	for name, peer := range p.dialed {
+	for name, peer := range p.byName {
 		if slices.Contains(known, name) {
 			continue
 		}
 		peer.Stop()
-		delete(p.dialed, name)
+		delete(p.byName, name)
 		p.keeper.Log.Info("peer-forgotten", zap.String("peer", name))
 	}
 }
@@ -77,7 +74,7 @@
 func (p *peers) link(name string) *wire.Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if peer := p.dialed[name]; peer != nil {
+	if peer := p.byName[name]; peer != nil {
 		return peer.Link()
 	}
 	return nil
@@ -88,7 +85,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []*wire.Link
-	for _, peer := range p.dialed {
+	for _, peer := range p.byName {
 		if l := peer.Link(); l != nil {
 			out = append(out, l)
 		}
--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -28,7 +28,6 @@
 	table member.Table
 	// links are the relays that are connected to this keeper.
 	links map[*wire.Link]wire.Report
-	sent  wire.Keepers
 }
 
 func (s *roster) prepare(k *Keeper) {
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -40,10 +40,8 @@
 	maxForeign = 2
 )
 
-var (
-	errUnread  = eris.New("the connection has bytes that belong to no request")
-	errForeign = eris.New("the answer belongs to another request")
-)
+// errForeign is returned when no answer to the request comes, only ones to others.
+var errForeign = eris.New("the answer belongs to another request")
 
 // conn is one connection to an endpoint; it carries one request at a time.
 type conn struct {
--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -67,11 +67,12 @@
 	return min(answerLives*d.relay.AddressLife+drainMargin, d.relay.StopGrace/2)
 }
 
-// refuses reports whether new requests are refused by now.
-func (d *drain) refuses() bool {
+// refuses reports whether new requests are refused by now. A stream lasts about as long as the whole stop and would be cut
+// off; its caller starts it elsewhere at once.
+func (d *drain) refuses(stream bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.since.IsZero() && d.relay.Clock.Now().Sub(d.since) > d.window()
+	return !d.since.IsZero() && (stream || d.relay.Clock.Now().Sub(d.since) > d.window())
 }
 
 // run waits for the signal and then for the last answer.
--- a/io/relay/event.go
+++ b/io/relay/event.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"strconv"
 
@@ -45,7 +46,7 @@
 			if err == nil {
 				break
 			}
-			if err != bufio.ErrBufferFull {
+			if !errors.Is(err, bufio.ErrBufferFull) {
 				return e, fmt.Errorf("read an event: %w", err)
 			}
 		}
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -35,6 +35,9 @@
 	listTick = 500 * time.Millisecond
 	// ownListTimeout bounds one reading by the relay itself.
 	ownListTimeout = 900 * time.Millisecond
+	// startHold bounds how long a request waits for the first state and list after a start: an eighth of the usual objective
+	// of a stream, within which the keepers have a leader even if all processes were killed together.
+	startHold = 500 * time.Millisecond
 	// firstListWait is how long a list may be missing before the relay counts as ready without one.
 	firstListWait = 3 * time.Second
 )
@@ -55,6 +58,38 @@
 	listed    time.Time // when the reading of the present list began
 	sent      int64
 	version   atomic.Uint64
+	// begun is closed once the relay has a state and a list.
+	begun chan struct{}
+	once  sync.Once
+}
+
+// awaitStart waits until the relay has a state and a list, for startHold at the most.
+func (f *feed) awaitStart(ctx context.Context) {
+	select {
+	case <-f.begun:
+		return
+	default:
+	}
+	t := time.NewTimer(startHold)
+	defer t.Stop()
+	select {
+	case <-f.begun:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// checkBegun ends the wait of awaitStart once both have arrived.
+func (f *feed) checkBegun() {
+	f.mu.Lock()
+	listed := !f.listed.IsZero()
+	f.mu.Unlock()
+	if listed && f.relay.index.Load() != nil {
+		f.once.Do(func() {
+			close(f.begun)
+			f.soon()
+		})
+	}
 }
 
 func (f *feed) prepare(r *Relay) {
@@ -62,6 +97,7 @@
 	// Each start is another relay to the keepers, so that no step of the clock makes a new one look old.
 	f.name = r.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	f.wake = make(chan struct{}, 1)
+	f.begun = make(chan struct{})
 }
 
 // known reports whether a list of endpoints has arrived.
@@ -198,6 +234,7 @@
 	if len(u.Document) == 0 {
 		return nil
 	}
+	defer f.checkBegun()
 	s, err := f.relay.Decode(u.Document)
 	if err != nil {
 		return err
@@ -228,6 +265,7 @@
 		return
 	}
 	f.relay.placed(func(t *place.Table, _ time.Time) { t.Update(list.Endpoints) })
+	f.checkBegun()
 }
 
 func (f *feed) learn(k wire.Keepers) {
--- a/io/relay/front.go
+++ b/io/relay/front.go
@@ -26,6 +26,8 @@
 	collectBytes = 128 << 10
 	// soon is when a caller should come back that was refused before any endpoint was tried.
 	soon = 200 * time.Millisecond
+	// elsewhere is when a caller should come back that another relay would serve now.
+	elsewhere = 20 * time.Millisecond
 	// afterCrash is when a caller should come back if no endpoint of the service takes requests: crashed ones restart in
 	// about a second.
 	afterCrash = 700 * time.Millisecond
@@ -90,10 +92,11 @@
 
 // admit finds the route and the client account, or refuses the request.
 func (q *request) admit() bool {
-	if q.relay.drain.refuses() {
+	if q.relay.drain.refuses(false) {
 		q.refuse(http.StatusServiceUnavailable, common.ReasonDraining, soon)
 		return false
 	}
+	q.relay.feed.awaitStart(q.ctx)
 	q.index = q.relay.index.Load()
 	if q.index == nil {
 		q.refuse(http.StatusServiceUnavailable, common.ReasonNoConfiguration, soon)
@@ -113,6 +116,10 @@
 		q.refuse(http.StatusNotFound, common.ReasonUnknownService, 0)
 		return false
 	}
+	if q.relay.drain.refuses(q.route.Kind == state.Stream) {
+		q.refuse(http.StatusServiceUnavailable, common.ReasonDraining, elsewhere)
+		return false
+	}
 	key := q.r.Header.Get(q.relay.Names.Key)
 	if q.index.NeedsKey(q.route) {
 		a := q.index.Account(key)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -24,6 +24,8 @@
 // Inspector asks model engines what they do; an answer needs no slot of the engine.
 type Inspector interface {
 	Inspect(ctx context.Context, address string) (Report, error)
+	// Kept returns the ids of the parts of prompts that an engine keeps in its memory.
+	Kept(ctx context.Context, address string) (map[string]bool, error)
 }
 
 // Report is what a model engine says of itself, as of some hundred milliseconds ago.
@@ -59,6 +61,10 @@
 	From   string
 	// Load is what the endpoint says of its load.
 	Load string
+	// Prompt names the parts of a request's prompt, and LastPart returns the id of the last one, which belongs to the
+	// request itself.
+	Prompt   string
+	LastPart func(value string) string
 	// System are further headers that only the system may set; they are removed from what callers send.
 	System []string
 	// ParseLoad reads the value of Load.
@@ -100,6 +106,7 @@
 	feed    feed
 	pool    pool
 	watcher watcher
+	finder  finder
 	drain   drain
 	meter   meter
 	ctx     context.Context
@@ -137,6 +144,7 @@
 	r.meter.prepare(r.Metrics)
 	r.pool.prepare(r)
 	r.watcher.prepare(r)
+	r.finder.prepare(r)
 	r.feed.prepare(r)
 	r.drain.prepare(r)
 	var g run.Group
@@ -147,7 +155,7 @@
 	server := &http.Server{
 		Handler: r, MaxHeaderBytes: headerCap, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 	}
-	serve.HTTP(&g, server, serve.Limit(front, callerConnections), func() bool { return true })
+	serve.HTTP(&g, server, serve.Limit(front, callerConnections), func() bool { return r.drain.open() == 0 })
 	for _, s := range r.Servers {
 		l, err := serve.ListenOne(s.Address)
 		if err != nil {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -40,6 +40,8 @@
 	held   bool
 	// began says that the present run has sent an event, so that its holder may have a copy.
 	beganRun bool
+	// kept are the ids of endpoints that still have the prompt of a stream that the caller resumes.
+	kept []string
 	// events counts the events that were passed on, and resumes the sends after an interruption.
 	events  int
 	resumes int
@@ -54,16 +56,34 @@
 	endpoint place.Endpoint
 	// from is true if the endpoint goes on from the copy that it holds.
 	from bool
+	// kept is true if the endpoint still has the prompt.
+	kept bool
 	// holder gets the copy of this leg's run.
 	holder place.Endpoint
 	held   bool
 }
 
+// reads reports whether the endpoint reads the prompt.
+func (l *leg) reads() bool { return !l.from && !l.kept }
+
+// keeper returns an endpoint that still has the prompt.
+func (g *generation) keeper(t *place.Table, now time.Time) (place.Endpoint, bool) {
+	for _, id := range g.kept {
+		if !g.tried[id] && t.Usable(id, now) {
+			return t.Get(id)
+		}
+	}
+	return place.Endpoint{}, false
+}
+
 // serveStream forwards a stream, event by event, and goes on at another endpoint when one fails.
 func (q *request) serveStream() {
 	g := &generation{request: q}
 	if id, err := strconv.ParseInt(q.r.Header.Get(q.relay.Names.LastEvent), 10, 64); err == nil {
 		g.last, g.fromCaller = id, true
+		n := &q.relay.Names
+		g.kept = q.relay.finder.find(q.ctx, q.service, n.LastPart(q.header.Get(n.Prompt)))
+		q.log.Info("stream-resumed-by-caller", zap.Int64("last-event", id), zap.Strings("prompt-at", g.kept))
 	}
 	refused := 0
 	for {
@@ -127,6 +147,8 @@
 	g.relay.placed(func(t *place.Table, now time.Time) {
 		if g.held && g.beganRun && !g.tried[g.holder.ID] && t.Usable(g.holder.ID, now) {
 			l.endpoint, l.from, ok = g.holder, true, true
+		} else if l.endpoint, ok = g.keeper(t, now); ok {
+			l.kept = true
 		} else if l.endpoint, ok = t.Choose(place.Want{Service: g.service, Model: true, Not: g.tried}, now); !ok && g.wrote {
 			// Endpoints that refused may have room by now, and those that crashed may be back.
 			clear(g.tried)
@@ -135,7 +157,7 @@
 		if !ok {
 			return
 		}
-		t.Began(l.endpoint.ID, !l.from)
+		t.Began(l.endpoint.ID, l.reads())
 		if s := g.index.Service(g.service); s != nil && s.Model != nil && s.Model.Backups {
 			l.holder, l.held = t.Holder(l.endpoint, map[string]bool{l.endpoint.ID: true}, now)
 			if l.held {
@@ -199,7 +221,7 @@
 // unplace takes a leg off the table.
 func (g *generation) unplace(l leg, w *watch) {
 	g.relay.placed(func(t *place.Table, _ time.Time) {
-		if !l.from && !w.read {
+		if l.reads() && !w.read {
 			t.Read(l.endpoint.ID)
 		}
 		if l.held {
@@ -210,7 +232,7 @@
 
 // receiveStream reads the header of the answer and passes its events on.
 func (g *generation) receiveStream(l leg, c *conn, w *watch) result {
-	res, err := c.answer(g.r.Method, g.relay.Names.RequestID, g.id)
+	res, err := c.answer(g.r.Method, g.relay.Names.RequestID, g.id) //nolint:bodyclose // the body ends with the connection
 	if err != nil {
 		return result{verdict: unknown, cause: common.RetryReset, err: err}
 	}
@@ -264,7 +286,7 @@
 			w.read = true
 			g.resumed(l)
 			g.relay.placed(func(t *place.Table, _ time.Time) {
-				if !l.from {
+				if l.reads() {
 					t.Read(l.endpoint.ID)
 				}
 				t.Served(l.endpoint.ID)
