Ask for another copy of a run when the holder of its copy is lost

Change: a guard of each stream looks at its holder and, when that is down, asks the engine for a copy on another one, again each second; an engine that answers is only left for a holder that lives; fullness and failure are kept apart. Ruled out: moving the stream itself, which risks a sound run.

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -65,6 +65,8 @@
 	until    time.Time
 	failures int
 	failed   time.Time
+	// full is when a refusal for lack of room stops counting.
+	full time.Time
 	// gone says that the endpoint denied its identity: another one has the address.
 	gone bool
 	load Load
@@ -193,9 +195,12 @@
 
 // takes reports whether the endpoint may get requests now.
 func (r *row) takes(now time.Time) bool {
-	return r.listed && !r.Draining && !r.gone && !now.Before(r.until)
+	return r.lives(now) && !r.Draining && !now.Before(r.full)
 }
 
+// lives reports whether the endpoint is not known to be down.
+func (r *row) lives(now time.Time) bool { return r.listed && !r.gone && !now.Before(r.until) }
+
 func (r *row) cost(w Want, now time.Time) float64 {
 	if !w.Model {
 		return r.plainCost(now)
@@ -250,10 +255,10 @@
 	return r.Endpoint, true
 }
 
-// Usable reports whether the endpoint is not known to be down, gone or leaving.
-func (t *Table) Usable(id string, now time.Time) bool {
+// Lives reports whether the endpoint is not known to be down or gone; it may be leaving or full.
+func (t *Table) Lives(id string, now time.Time) bool {
 	r := t.rows.Get(id)
-	return r != nil && r.takes(now)
+	return r != nil && r.lives(now)
 }
 
 // Takers returns the endpoints of the service that may get requests now.
@@ -312,7 +317,7 @@
 // Served records an answer of the endpoint.
 func (t *Table) Served(id string) {
 	if r := t.rows.Get(id); r != nil {
-		r.failures, r.until = 0, time.Time{}
+		r.failures, r.until, r.full = 0, time.Time{}, time.Time{}
 	}
 }
 
@@ -345,8 +350,8 @@
 
 // Full records that the endpoint refused a request because it is full, so that it gets nothing for the pause.
 func (t *Table) Full(id string, pause time.Duration, now time.Time) {
-	if r := t.rows.Get(id); r != nil && now.Add(pause).After(r.until) {
-		r.until = now.Add(pause)
+	if r := t.rows.Get(id); r != nil {
+		r.full = now.Add(pause)
 	}
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -26,8 +27,14 @@
 	Inspect(ctx context.Context, address string) (Report, error)
 	// Kept returns the ids of the parts of prompts that an engine keeps in its memory.
 	Kept(ctx context.Context, address string) (map[string]bool, error)
+	// Copy makes the engine at the address copy the memory of a request's run, which goes on, to the engine at the target.
+	// It returns the name of the copy.
+	Copy(ctx context.Context, address, requestID, target string) (string, error)
 }
 
+// ErrNoRun is returned by Copy when the engine does not run the request.
+var ErrNoRun = eris.New("the engine does not run the request")
+
 // Report is what a model engine says of itself, as of some hundred milliseconds ago.
 type Report struct {
 	// Events is the number of events that each run has made, by the id of its request.
@@ -69,8 +76,9 @@
 	System []string
 	// ParseLoad reads the value of Load.
 	ParseLoad func(value string) (place.Load, bool)
-	// CopyOf returns the value of From for the copy of a request's run that the endpoint at the address holds.
-	CopyOf func(address, requestID string) string
+	// CopyOf returns the value of From for a copy: by the address of the holder and the request's id if the engine sent the
+	// copy as the run grew, and by the address of the source and the copy's name if it was asked for.
+	CopyOf func(address, name string) string
 }
 
 // Relay is one relay process; its exported fields are set before Run.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -35,18 +35,16 @@
 	fromCaller bool
 	// wrote says that the answer's header has left.
 	wrote bool
-	// holder has, or was to get, a copy of the run's memory.
-	holder place.Endpoint
-	held   bool
-	// began says that the present run has sent an event, so that its holder may have a copy.
-	beganRun bool
+	// copies knows where a copy of the run's memory is.
+	copies copies
 	// kept are the ids of endpoints that still have the prompt of a stream that the caller resumes.
 	kept []string
 	// events counts the events that were passed on, and resumes the sends after an interruption.
 	events  int
 	resumes int
-	// lastAt is when the last event was passed on.
-	lastAt time.Time
+	// firstIn is the time to the first event, and lastAt is when the last one was passed on.
+	firstIn time.Duration
+	lastAt  time.Time
 	// longest is the longest pause between two events.
 	longest time.Duration
 }
@@ -54,8 +52,8 @@
 // leg is one send of a stream to one endpoint.
 type leg struct {
 	endpoint place.Endpoint
-	// from is true if the endpoint goes on from the copy that it holds.
-	from bool
+	// from is how the endpoint is told to go on from the copy that it holds; empty if it does not.
+	from string
 	// kept is true if the endpoint still has the prompt.
 	kept bool
 	// holder gets the copy of this leg's run.
@@ -64,12 +62,12 @@
 }
 
 // reads reports whether the endpoint reads the prompt.
-func (l *leg) reads() bool { return !l.from && !l.kept }
+func (l *leg) reads() bool { return l.from == "" && !l.kept }
 
 // keeper returns an endpoint that still has the prompt.
 func (g *generation) keeper(t *place.Table, now time.Time) (place.Endpoint, bool) {
 	for _, id := range g.kept {
-		if !g.tried[id] && t.Usable(id, now) {
+		if !g.tried[id] && t.Lives(id, now) {
 			return t.Get(id)
 		}
 	}
@@ -145,8 +143,8 @@
 
 func (g *generation) place() (l leg, ok bool) {
 	g.relay.placed(func(t *place.Table, now time.Time) {
-		if g.held && g.beganRun && !g.tried[g.holder.ID] && t.Usable(g.holder.ID, now) {
-			l.endpoint, l.from, ok = g.holder, true, true
+		if b := g.copies.get(); b.any && !g.tried[b.holder.ID] && t.Lives(b.holder.ID, now) {
+			l.endpoint, l.from, ok = b.holder, b.from, true
 		} else if l.endpoint, ok = g.keeper(t, now); ok {
 			l.kept = true
 		} else if l.endpoint, ok = t.Choose(place.Want{Service: g.service, Model: true, Not: g.tried}, now); !ok && g.wrote {
@@ -189,13 +187,13 @@
 	if l.held {
 		o.header.Set(n.Backup, l.holder.Address)
 	}
-	if l.from {
-		o.header.Set(n.From, n.CopyOf(l.endpoint.Address, g.id))
+	if l.from != "" {
+		o.header.Set(n.From, l.from)
 	}
 	if g.wrote {
 		g.resumes++
 		g.log.Info("stream-resumed", zap.String("endpoint", l.endpoint.ID), zap.String("domain", l.endpoint.Domain),
-			zap.Bool("from-copy", l.from), zap.Int64("last-event", g.last), zap.Duration("pause", began.Sub(g.lastAt)))
+			zap.Bool("from-copy", l.from != ""), zap.Int64("last-event", g.last), zap.Duration("pause", began.Sub(g.lastAt)))
 	}
 	sent, err := c.write(o)
 	if err != nil {
@@ -208,7 +206,7 @@
 	w.conn = c
 	w.last.Store(int64(g.relay.since()))
 	go w.run(ctx)
-	out := g.receiveStream(l, c, w)
+	out := g.receiveStream(ctx, l, c, w)
 	if out.verdict != answered {
 		_ = c.Close()
 		if cause := w.cause.Load(); cause != nil {
@@ -231,7 +229,7 @@
 }
 
 // receiveStream reads the header of the answer and passes its events on.
-func (g *generation) receiveStream(l leg, c *conn, w *watch) result {
+func (g *generation) receiveStream(ctx context.Context, l leg, c *conn, w *watch) result {
 	res, err := c.answer(g.r.Method, g.relay.Names.RequestID, g.id) //nolint:bodyclose // the body ends with the connection
 	if err != nil {
 		return result{verdict: unknown, cause: common.RetryReset, err: err}
@@ -239,7 +237,7 @@
 	w.heard()
 	g.loaded(l.endpoint.ID, res.Header)
 	if res.Header.Get(g.relay.Names.NotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest ||
-		l.from && res.StatusCode == http.StatusServiceUnavailable {
+		l.from != "" && res.StatusCode == http.StatusServiceUnavailable {
 		cause := common.RetryRefused
 		if res.StatusCode == http.StatusMisdirectedRequest {
 			cause = common.RetryLeaving
@@ -258,11 +256,11 @@
 		_ = c.Close()
 		return result{verdict: answered, res: res, body: body}
 	}
-	return g.forward(l, c, res, w)
+	return g.forward(ctx, l, c, res, w)
 }
 
 // forward passes whole events on as they arrive.
-func (g *generation) forward(l leg, c *conn, res *http.Response, w *watch) result {
+func (g *generation) forward(ctx context.Context, l leg, c *conn, res *http.Response, w *watch) result {
 	if !g.wrote {
 		copyHeader(g.w.Header(), res.Header)
 		g.w.WriteHeader(http.StatusOK)
@@ -271,7 +269,6 @@
 	}
 	flusher := http.NewResponseController(g.w)
 	s := &events{br: bufio.NewReaderSize(res.Body, readBuffer)}
-	g.beganRun = l.from && g.beganRun
 	for {
 		e, err := s.next()
 		if errors.Is(err, io.EOF) && len(s.buf) == 0 && framed(res) {
@@ -291,7 +288,9 @@
 				}
 				t.Served(l.endpoint.ID)
 			})
-			g.holder, g.held, g.beganRun = l.holder, l.held, true
+			g.copies.set(backup{holder: l.holder, from: g.relay.Names.CopyOf(l.holder.Address, g.id), any: l.held})
+			k := &guard{gen: g, leg: l}
+			go k.run(ctx)
 		}
 		w.at.Store(e.id)
 		if e.id >= 0 && e.id <= g.last {
@@ -313,7 +312,7 @@
 // resumed logs how long the caller had no event before the first one of a leg.
 func (g *generation) resumed(l leg) {
 	if g.events > 0 {
-		g.log.Info("stream-goes-on", zap.String("endpoint", l.endpoint.ID), zap.Bool("from-copy", l.from),
+		g.log.Info("stream-goes-on", zap.String("endpoint", l.endpoint.ID), zap.Bool("from-copy", l.from != ""),
 			zap.Duration("pause", g.relay.Clock.Now().Sub(g.lastAt)))
 	}
 }
@@ -325,7 +324,8 @@
 func (g *generation) passed(e event) {
 	now := g.relay.Clock.Now()
 	if g.events == 0 {
-		g.relay.meter.first.RecordDuration(now.Sub(g.began))
+		g.firstIn = now.Sub(g.began)
+		g.relay.meter.first.RecordDuration(g.firstIn)
 	} else if pause := now.Sub(g.lastAt); pause > g.longest {
 		g.longest = pause
 	}
@@ -345,7 +345,7 @@
 	g.relay.meter.pause.RecordDuration(g.longest)
 	g.log.Info("stream-ended", zap.String("route", g.route.Name), zap.String("endpoint", l.endpoint.ID),
 		zap.Int("events", g.events), zap.Int64("last-event", g.last), zap.Int("resumes", g.resumes), zap.Int("sends", g.sends),
-		zap.Duration("longest-pause", g.longest), zap.Duration("took", g.relay.Clock.Now().Sub(g.began)))
+		zap.Duration("first", g.firstIn), zap.Duration("longest-pause", g.longest), zap.Duration("took", g.relay.Clock.Now().Sub(g.began)))
 }
 
 // giveUp ends a stream for which nothing more can be tried. The connection of one that has begun is reset, so that it
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -188,7 +188,7 @@
 	if made, ok := q.report.Events[w.gen.id]; ok && int64(made) >= w.at.Load()+aheadBy && silence > eventSilence+askAgain {
 		return "the engine is ahead of its connection"
 	}
-	if silence >= deafSilence && w.leg.held {
+	if b := w.gen.copies.get(); silence >= deafSilence && b.any && w.gen.relay.lives(b.holder.ID) {
 		return "no event although the engine answers"
 	}
 	return ""
