--- /dev/null
+++ b/core/state/state_test.go
@@ -0,0 +1,149 @@
+package state
+
+import (
+	"errors"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "wasabiweir/core/prop" // fixes the seed
+)
+
+// valid returns a state with two services, two routes and two client accounts.
+func valid() *State {
+	return &State{
+		Version: 3,
+		Routes: []Route{
+			{Name: "a", Host: "one.example", Prefix: "/a/", Timeout: time.Second, Shares: []Share{{"s", 1}}},
+			{Name: "ab", Host: "one.example", Prefix: "/a/b/", Timeout: time.Second, Shares: []Share{{"s", 9}, {"t", 1}}, Public: true},
+		},
+		Services: []Service{{Name: "s"}, {Name: "t"}},
+		Accounts: []Account{{Name: "x", Keys: []string{"k1", "k2"}}, {Name: "y", Keys: []string{"k3"}}},
+	}
+}
+
+// Guards against each kind of invalid state that the platform names being acknowledged.
+func TestInvalidStates(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(s *State)
+		want   error
+	}{
+		"unknown service":          {func(s *State) { s.Routes[0].Shares[0].Service = "none" }, ErrUnknownService},
+		"same host and prefix":     {func(s *State) { s.Routes[1].Prefix = "/a/" }, ErrSamePlace},
+		"weights that add up to 0": {func(s *State) { s.Routes[1].Shares = []Share{{"s", 0}, {"t", 0}} }, ErrNoWeight},
+		"timeout of 0":             {func(s *State) { s.Routes[0].Timeout = 0 }, ErrNoTimeout},
+		"shared key":               {func(s *State) { s.Accounts[1].Keys = []string{"k2"} }, ErrSharedKey},
+		"prefix without slash":     {func(s *State) { s.Routes[0].Prefix = "/a" }, ErrPrefix},
+		"negative weight":          {func(s *State) { s.Routes[1].Shares[1].Weight = -1 }, ErrNegative},
+	} {
+		s := valid()
+		if err := s.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		c.change(s)
+		if err := s.Validate(); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
+
+func TestIndex(t *testing.T) {
+	x := NewIndex(valid())
+	for _, c := range []struct{ host, path, want string }{
+		{"one.example", "/a/x", "a"}, {"one.example", "/a/b/x", "ab"}, {"ONE.example:80", "/a/b/", "ab"},
+		{"one.example", "/a", ""}, {"one.example", "/b/", ""}, {"two.example", "/a/", ""},
+	} {
+		got := ""
+		if r := x.Route(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("route of %s%s is %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+	if a := x.Account("k3"); a == nil || a.Name != "y" {
+		t.Errorf("account of k3 is %+v, want y", a)
+	}
+	if x.Account("") != nil || x.Account("k4") != nil {
+		t.Error("an unknown key has an account")
+	}
+	if !x.NeedsKey(x.Route("one.example", "/a/")) || x.NeedsKey(x.Route("one.example", "/a/b/")) {
+		t.Error("want a key on the first route only")
+	}
+}
+
+// Guards against a service of weight 0 that gets requests, and one of the last that gets none.
+func TestPickFollowsWeights(t *testing.T) {
+	r := Route{Shares: []Share{{"zero", 0}, {"nine", 9}, {"one", 1}}}
+	count := map[string]int{}
+	for i := range 1000 {
+		count[r.Pick(float64(i)/1000)]++
+	}
+	if count["zero"] != 0 || count["nine"] != 900 || count["one"] != 100 {
+		t.Errorf("draws gave %v, want 900 and 100", count)
+	}
+	if got := r.Pick(math.Nextafter(1, 0)); got != "one" {
+		t.Errorf("the highest draw gives %q, want one", got)
+	}
+}
+
+// Guards against a lower version, or other content under the version in force, that takes effect, in any order of
+// arrival and across snapshots.
+func TestHighestVersionWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Machine
+		first := map[uint64]string{}
+		var top uint64
+		for range rapid.IntRange(1, 40).Draw(t, "entries") {
+			e := Entry{
+				Version:  rapid.Uint64Range(1, 12).Draw(t, "version"),
+				Document: []byte(rapid.StringMatching(`[a-z]{1,8}`).Draw(t, "document")),
+			}
+			data, err := e.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			out := m.Apply(data)
+			if e.Version > top {
+				top = e.Version
+				first[top] = string(e.Document)
+			}
+			held, ok := m.Held()
+			if !ok || held.Version != top || string(held.Document) != first[top] || out.Version != top {
+				t.Fatalf("held version %d %q after %d, want %d %q", held.Version, held.Document, e.Version, top, first[top])
+			}
+			if rapid.Bool().Draw(t, "restart") {
+				saved, err := m.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				m = Machine{}
+				if err := m.Restore(saved); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
+
+func TestUnreadableEntryChangesNothing(t *testing.T) {
+	var m Machine
+	e := Entry{Version: 1, Document: []byte("one")}
+	data, err := e.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Apply(data)
+	if out := m.Apply([]byte("garbage")); out.Err == nil || out.Changed || out.Version != 1 {
+		t.Errorf("outcome of an unreadable entry is %+v", out)
+	}
+	if err := m.Restore([]byte("garbage")); err == nil || !strings.Contains(err.Error(), "restore") {
+		t.Errorf("restore of garbage: %v", err)
+	}
+	if held, ok := m.Held(); !ok || held.Version != 1 {
+		t.Errorf("held %+v, want version 1", held)
+	}
+}
--- a/io/keeper/frames.go
+++ b/io/keeper/frames.go
@@ -66,7 +66,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return struct{}{}, k.group.current().Admit(ctx, req.ID)
+		return k.group.join(ctx, req), nil
 	case wire.KindPosition:
 		p, err := wire.Decode[wire.Position](f)
 		if err != nil {
--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -137,6 +137,8 @@
 		g.keeper.Log.Warn("raft-message-refused", zap.Error(err))
 		return
 	}
+	// A process that joins knows only seeds, and the leader that writes to it needs not be one.
+	g.keeper.peers.learn(l.Name)
 	r := g.current()
 	for _, m := range messages {
 		r.Step(m)
@@ -146,6 +148,36 @@
 // joinRequest asks the leader to make the process a voter.
 type joinRequest struct {
 	ID raft.ID `cbor:"id"`
+	// Forwarded says that another keeper has passed the request on.
+	Forwarded bool `cbor:"forwarded,omitempty"`
+}
+
+// joinReply names the members, so that a process which knows only seeds can reach the leader.
+type joinReply struct {
+	Members []string `cbor:"members"`
+	// Refused is why the process is not a voter yet; empty if the step was made.
+	Refused string `cbor:"refused,omitempty"`
+}
+
+// join makes the step on the leader, or passes the request on to it.
+func (g *group) join(ctx context.Context, req joinRequest) joinReply {
+	reply := joinReply{Members: g.members()}
+	r := g.current()
+	err := r.Admit(ctx, req.ID)
+	if leader, is := raft.IsNotLeader(err); is {
+		l := g.keeper.peers.link(leader.Name)
+		if l != nil && !req.Forwarded {
+			req.Forwarded = true
+			var further joinReply
+			if err = l.Call(ctx, wire.KindJoin, groupName, req, &further); err == nil {
+				return further
+			}
+		}
+	}
+	if err != nil {
+		reply.Refused = err.Error()
+	}
+	return reply
 }
 
 // loopJoin asks for membership while this process does not vote or hears no leader, which is also how a process learns
@@ -164,12 +196,14 @@
 func (g *group) askJoin(ctx context.Context, id raft.ID) {
 	for _, l := range g.keeper.peers.links() {
 		call, cancel := context.WithTimeout(ctx, joinTimeout)
-		err := l.Call(call, wire.KindJoin, groupName, joinRequest{ID: id}, &struct{}{})
+		var reply joinReply
+		err := l.Call(call, wire.KindJoin, groupName, joinRequest{ID: id}, &reply)
 		cancel()
-		if err == nil {
+		g.keeper.peers.learn(reply.Members...)
+		if err == nil && reply.Refused == "" {
 			return
 		}
-		g.keeper.Log.Debug("join-refused", zap.String("member", l.Name), zap.Error(err))
+		g.keeper.Log.Debug("join-refused", zap.String("member", l.Name), zap.String("reason", reply.Refused), zap.Error(err))
 	}
 }
 
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -105,10 +106,10 @@
 	err := g.Run()
 	cancel()
 	k.work.Wait()
-	k.Log.Info("keeper-stopped", zap.Error(err))
 	if errors.Is(err, context.Canceled) {
-		return nil
+		err = nil
 	}
+	k.Log.Info("keeper-stopped", zap.Error(err))
 	return err
 }
 
@@ -117,7 +118,11 @@
 	if err != nil {
 		return fmt.Errorf("open a listener: %w", err)
 	}
-	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	server := &http.Server{
+		Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		// Links are connections that the server has handed over and does not close; they end with the context.
+		BaseContext: func(net.Listener) context.Context { return k.ctx },
+	}
 	serve.HTTP(g, server, serve.Limit(l, connections), func() bool { return true })
 	return nil
 }
--- a/io/keeper/peers.go
+++ b/io/keeper/peers.go
@@ -22,17 +22,45 @@
 	mu     sync.Mutex
 	ctx    context.Context
 	byName map[string]*wire.Peer
+	// told are keepers of which this one learned from others, until the group's log names it as a member.
+	told map[string]bool
+}
+
+// learn takes the addresses of keepers that another one named, or that have sent messages of the log.
+func (p *peers) learn(names ...string) {
+	p.mu.Lock()
+	fresh := false
+	for _, name := range names {
+		if name != p.keeper.Peer && p.byName[name] == nil {
+			p.told[name] = true
+			fresh = true
+		}
+	}
+	p.mu.Unlock()
+	if fresh {
+		p.dial()
+	}
 }
 
 func (p *peers) prepare(ctx context.Context) {
 	p.ctx = ctx
 	p.byName = map[string]*wire.Peer{}
+	p.told = map[string]bool{}
 	p.dial()
 }
 
 // known returns the peer addresses of the seeds and of the group's members.
 func (p *peers) known() []string {
-	names := slices.Concat(p.keeper.Seeds(), p.keeper.group.members())
+	members := p.keeper.group.members()
+	p.mu.Lock()
+	if slices.Contains(members, p.keeper.Peer) {
+		clear(p.told)
+	}
+	for name := range p.told {
+		members = append(members, name)
+	}
+	p.mu.Unlock()
+	names := slices.Concat(p.keeper.Seeds(), members)
 	slices.Sort(names)
 	return slices.Compact(names)
 }
--- a/io/relay/front.go
+++ b/io/relay/front.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -108,7 +109,7 @@
 		return false
 	}
 	if q.r.ContentLength > limits.BodyBytes {
-		q.refuse(http.StatusRequestEntityTooLarge, common.ReasonBodyTooLarge, 0)
+		q.refuseBody(limits.BodyBytes)
 		return false
 	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
@@ -167,7 +168,7 @@
 	data, err := io.ReadAll(io.LimitReader(body, collectBytes+1))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		q.refuse(http.StatusRequestEntityTooLarge, common.ReasonBodyTooLarge, 0)
+		q.refuseBody(limit)
 		return false
 	}
 	if err != nil {
@@ -220,7 +221,7 @@
 	}
 }
 
-// statusTexts are the bodies of refusals: each reason has its own text in the log and the counter.
+// refusalType is the type of a refusal's body, which names the reason.
 const refusalType = "text/plain; charset=utf-8"
 
 // refuse answers for the system itself; 429 and 503 promise that the request has not run. A positive time says when the
@@ -246,6 +247,19 @@
 	_, _ = io.WriteString(q.w, string(reason)+"\n")
 }
 
+// refuseBody refuses a body over the limit and takes in as much again, because a connection that is closed with unread
+// bytes is reset and the caller may lose the answer.
+func (q *request) refuseBody(limit int64) {
+	q.w.Header().Set("Connection", "close")
+	q.refuse(http.StatusRequestEntityTooLarge, common.ReasonBodyTooLarge, 0)
+	if err := http.NewResponseController(q.w).Flush(); err != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, q.r.Body, limit); err != nil && !errors.Is(err, io.EOF) {
+		q.log.Debug("refused-body-not-read", zap.Error(err))
+	}
+}
+
 // fail ends a request for which nothing more can be tried.
 func (q *request) fail(reason common.Reason, again time.Duration) {
 	switch {
@@ -265,10 +279,9 @@
 // copyHeader copies an endpoint's headers to the caller's answer.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range oneHop {
-		to.Del(name)
+		if !slices.Contains(oneHop, name) {
+			to[name] = values
+		}
 	}
 	if _, ok := to["Content-Type"]; !ok {
 		// Without an entry, net/http would add a type that the endpoint did not state.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -178,10 +178,10 @@
 	serve.Loop(ctx, &g, r.pool.loop)
 	g.Add(func() error { return r.drain.run(stop) }, func(error) {})
 	err = g.Run()
-	r.Log.Info("relay-stopped", zap.Error(err))
 	if errors.Is(err, errDrained) {
-		return nil
+		err = nil
 	}
+	r.Log.Info("relay-stopped", zap.Error(err))
 	return err
 }
 
