Ask reading engines less often, free copies, dial briefly, and serve metrics and a log that never blocks

Change: a stream without an event asks every 400 ms; copies are freed at the end of their stream; dials between the system's processes take 300 ms at most. A failed try, taken back: going on from the holder's copy before the first event. Holders refused each one (503): a run has no copy before its first token.

--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -53,8 +53,12 @@
 func TestIndex(t *testing.T) {
 	x := NewIndex(valid())
 	for _, c := range []struct{ host, path, want string }{
-		{"one.example", "/a/x", "a"}, {"one.example", "/a/b/x", "ab"}, {"ONE.example:80", "/a/b/", "ab"},
-		{"one.example", "/a", ""}, {"one.example", "/b/", ""}, {"two.example", "/a/", ""},
+		{"one.example", "/a/x", "a"},
+		{"one.example", "/a/b/x", "ab"},
+		{"ONE.example:80", "/a/b/", "ab"},
+		{"one.example", "/a", ""},
+		{"one.example", "/b/", ""},
+		{"two.example", "/a/", ""},
 	} {
 		got := ""
 		if r := x.Route(c.host, c.path); r != nil {
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +17,7 @@
 	"wasabiweir/io/logs"
 	"wasabiweir/io/metric"
 	"wasabiweir/io/relay"
+	"wasabiweir/io/serve"
 	"wasabiweir/io/wall"
 	"wasabiweir/platform"
 )
@@ -36,22 +39,30 @@
 	log      *zap.Logger
 	metrics  *metric.Scope
 	signals  *signals
+	out      *logs.Async
+	// metricsPort is the port of the metrics; 0 means none.
+	metricsPort int
 }
 
 // platformFlags are the settings that the platform's file does not have.
 type platformFlags struct {
 	level   *string
-	metrics *string
+	metrics *int
 }
 
+// maxPort is the highest port number.
+const maxPort = 65535
+
 func bindPlatformFlags(set *flags.Set) *platformFlags {
 	f := &platformFlags{level: level(set)}
-	f.metrics = set.String("metrics", "", "port for the metrics, on the instance's address; empty means none")
+	f.metrics = set.Int("metrics-port", 0, "port for the metrics, on the instance's address; 0 means none")
+	set.Check("metrics-port", "between 0 and 65535", func() bool { return *f.metrics >= 0 && *f.metrics <= maxPort })
 	return f
 }
 
 func startPlatform(e *environ, role string, f *platformFlags) (*platformProcess, error) {
-	log, err := logs.New(e.stdout, *f.level)
+	out := logs.NewAsync(e.stdout)
+	log, err := logs.New(out, *f.level)
 	if err != nil {
 		return nil, fmt.Errorf("build logger: %w", err)
 	}
@@ -64,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platformProcess{settings: settings, live: live, metrics: metric.New(role)}
+	p := &platformProcess{settings: settings, live: live, metrics: metric.New(role), out: out, metricsPort: *f.metrics}
 	p.log = log.With(zap.String("node", settings.Name))
 	live.Log = p.log
 	p.signals = &signals{log: p.log}
@@ -72,17 +83,53 @@
 }
 
 // run runs the process until a signal ends it, beside the watch of the settings file.
-func (p *platformProcess) run(ctx context.Context, serve func(context.Context) error) error {
+func (p *platformProcess) run(ctx context.Context, work func(context.Context) error) error {
+	defer p.out.Flush()
 	defer func() { _ = p.metrics.Close() }()
 	return p.signals.run(ctx, func(ctx context.Context) error {
 		watch, cancel := context.WithCancel(ctx)
 		defer cancel()
 		w := &settingsWatch{live: p.live, log: p.log}
 		go w.run(watch)
-		return serve(ctx)
+		d := &droppedLines{process: p}
+		go d.run(watch)
+		return work(ctx)
 	})
 }
 
+// droppedInterval is the time between two reports of dropped log lines.
+const droppedInterval = time.Second
+
+// droppedLines counts the log lines that were dropped.
+type droppedLines struct{ process *platformProcess }
+
+func (d *droppedLines) run(ctx context.Context) {
+	var told int64
+	counter := d.process.metrics.Counter("log-lines-dropped")
+	for serve.Pause(ctx, droppedInterval) {
+		if now := d.process.out.Dropped(); now > told {
+			counter.Inc(now - told)
+			d.process.log.Warn("log-lines-dropped", zap.Int64("lines", now-told))
+			told = now
+		}
+	}
+}
+
+// metricsHandler serves the metrics.
+func (p *platformProcess) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.metrics)
+	return mux
+}
+
+// metricsAddress returns where the metrics are served, or nothing.
+func (p *platformProcess) metricsAddress() string {
+	if p.metricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.metricsPort))
+}
+
 // settingsWatch takes over changes of the settings file beside a process.
 type settingsWatch struct {
 	live *platform.Live
@@ -123,6 +170,9 @@
 			Clock: wall.Clock{}, Log: p.log, Metrics: p.metrics,
 		}
 		r.Servers = []relay.Server{{Address: s.Readiness, Handler: platform.Readiness(r.Ready)}}
+		if at := p.metricsAddress(); at != "" {
+			r.Servers = append(r.Servers, relay.Server{Address: at, Handler: p.metricsHandler()})
+		}
 		return p.run(ctx, r.Run)
 	}
 }
@@ -143,6 +193,9 @@
 			{Address: s.Operators, Handler: platform.Operators(k, p.log)},
 			{Address: s.Directory, Handler: platform.Directory(k, min(addressLife, s.Bounds.MaxAddressLife))},
 		}
+		if at := p.metricsAddress(); at != "" {
+			k.Servers = append(k.Servers, keeper.Server{Address: at, Handler: p.metricsHandler()})
+		}
 		return p.run(ctx, k.Run)
 	}
 }
--- a/io/keeper/peers.go
+++ b/io/keeper/peers.go
@@ -82,7 +82,8 @@
 			continue
 		}
 		peer := &wire.Peer{
-			Self: p.keeper.Peer, Address: name, Key: p.keeper.PeerKey, Handler: p.keeper, Log: p.keeper.Log,
+			Self: p.keeper.Peer, Address: name, Key: p.keeper.PeerKey, Handler: p.keeper,
+			DialTimeout: wire.ShortDial, Log: p.keeper.Log,
 		}
 		p.byName[name] = peer
 		peer.Start(p.ctx)
--- a/io/relay/copy.go
+++ b/io/relay/copy.go
@@ -26,6 +26,8 @@
 	holder place.Endpoint
 	// from is how the holder is told to go on from the copy.
 	from string
+	// name is the copy's name at its source if it was asked for.
+	name string
 	any  bool
 }
 
@@ -58,7 +60,7 @@
 
 // run watches the holder until the leg ends.
 func (k *guard) run(ctx context.Context) {
-	defer k.release()
+	defer k.end()
 	next := time.Time{}
 	for serve.Pause(ctx, copyTick) {
 		now := k.gen.relay.Clock.Now()
@@ -106,6 +108,7 @@
 	if k.asked.from == "" {
 		g.log.Info("copy-made", zap.String("from", k.leg.endpoint.ID), zap.String("to", k.asked.holder.ID))
 	}
+	k.asked.name = name
 	k.asked.from = g.relay.Names.CopyOf(k.leg.endpoint.Address, name)
 	g.copies.set(k.asked)
 	return true
@@ -120,6 +123,20 @@
 	k.asked = backup{}
 }
 
+// end frees the copy that was asked for, unless the stream goes on from it.
+func (k *guard) end() {
+	name := k.asked.name
+	k.release()
+	if name == "" || !k.gen.over.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(k.gen.relay.ctx, copyTimeout)
+	defer cancel()
+	if err := k.gen.relay.Engines.Drop(ctx, k.leg.endpoint.Address, name); err != nil {
+		k.gen.log.Debug("copy-not-freed", zap.String("from", k.leg.endpoint.ID), zap.Error(err))
+	}
+}
+
 // lives reports whether an endpoint is not known to be down.
 func (r *Relay) lives(id string) (ok bool) {
 	r.placed(func(t *place.Table, now time.Time) { ok = t.Lives(id, now) })
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -153,7 +153,9 @@
 func (f *feed) follow(ctx context.Context, address string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l, err := wire.Dial(ctx, f.name, address, f.relay.PeerKey, f)
+	dial, done := context.WithTimeout(ctx, wire.ShortDial)
+	l, err := wire.Dial(dial, f.name, address, f.relay.PeerKey, f)
+	done()
 	if err != nil {
 		return err
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -30,6 +30,8 @@
 	// Copy makes the engine at the address copy the memory of a request's run, which goes on, to the engine at the target.
 	// It returns the name of the copy.
 	Copy(ctx context.Context, address, requestID, target string) (string, error)
+	// Drop frees a copy that the engine at the address was asked for.
+	Drop(ctx context.Context, address, name string) error
 }
 
 // ErrNoRun is returned by Copy when the engine does not run the request.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -37,6 +37,8 @@
 	wrote bool
 	// copies knows where a copy of the run's memory is.
 	copies copies
+	// over says that the stream has ended or its caller has left, so that no copy is needed any more.
+	over atomic.Bool
 	// kept are the ids of endpoints that still have the prompt of a stream that the caller resumes.
 	kept []string
 	// events counts the events that were passed on, and resumes the sends after an interruption.
@@ -181,7 +183,7 @@
 	defer stop()
 	o := g.outbound(l.endpoint, g.relay.Clock.Now())
 	n := &g.relay.Names
-	if g.last > 0 || g.fromCaller {
+	if g.last > 0 || g.fromCaller || l.from != "" {
 		o.header.Set(n.LastEvent, strconv.FormatInt(g.last, 10))
 	}
 	if l.held {
@@ -207,6 +209,7 @@
 	w.last.Store(int64(g.relay.since()))
 	go w.run(ctx)
 	out := g.receiveStream(ctx, l, c, w)
+	g.over.Store(out.verdict == answered || g.ctx.Err() != nil)
 	if out.verdict != answered {
 		_ = c.Close()
 		if cause := w.cause.Load(); cause != nil {
@@ -288,7 +291,7 @@
 				}
 				t.Served(l.endpoint.ID)
 			})
-			g.copies.set(backup{holder: l.holder, from: g.relay.Names.CopyOf(l.holder.Address, g.id), any: l.held})
+			g.copies.set(g.sent(l))
 			k := &guard{gen: g, leg: l}
 			go k.run(ctx)
 		}
@@ -317,6 +320,11 @@
 	}
 }
 
+// sent returns the copy that the engine of a leg sends as its run grows.
+func (g *generation) sent(l leg) backup {
+	return backup{holder: l.holder, from: g.relay.Names.CopyOf(l.holder.Address, g.id), any: l.held}
+}
+
 // framed reports whether the end of the answer can be told from a connection that was cut.
 func framed(res *http.Response) bool { return res.ContentLength >= 0 || len(res.TransferEncoding) > 0 }
 
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -23,6 +23,8 @@
 	sharedSilence = 200 * time.Millisecond
 	// askAgain is the time after which an engine that answered is asked again.
 	askAgain = 150 * time.Millisecond
+	// startAgain is the same for a stream without an event: its objective leaves time for a second prompt elsewhere.
+	startAgain = 400 * time.Millisecond
 	// deafSilence is the silence of a running stream, of an engine that answers, after which the stream goes to the holder
 	// of its copy: what is left of the usual pause of 700 ms is enough to resume.
 	deafSilence = 520 * time.Millisecond
@@ -138,9 +140,9 @@
 func (w *watch) run(ctx context.Context) {
 	for {
 		silence := w.silence()
-		limit := startSilence
+		limit, again := startSilence, startAgain
 		if w.got.Load() > 1 {
-			limit = eventSilence
+			limit, again = eventSilence, askAgain
 		}
 		if silence < limit {
 			if !serve.Pause(ctx, limit-silence) {
@@ -163,7 +165,7 @@
 			_ = w.conn.Close()
 			return
 		}
-		if !serve.Pause(ctx, askAgain) {
+		if !serve.Pause(ctx, again) {
 			return
 		}
 	}
--- a/io/wire/peer.go
+++ b/io/wire/peer.go
@@ -21,6 +21,9 @@
 
 	nameHeader = "Wasabiweir-Name"
 	dialLimit  = time.Second
+	// ShortDial bounds a dial within a region, where a round trip takes a few milliseconds: a machine without power answers
+	// nothing, and others may be up already.
+	ShortDial = 300 * time.Millisecond
 	// firstRedial and lastRedial bound the delay between dials of a peer that can not be reached.
 	firstRedial = 50 * time.Millisecond
 	lastRedial  = time.Second
@@ -36,8 +39,10 @@
 	Key     string
 	Handler Handler
 	// Up is called with each new link before its first frame is read; it may be nil.
-	Up  func(l *Link)
-	Log *zap.Logger
+	Up func(l *Link)
+	// DialTimeout bounds one dial; zero means a second.
+	DialTimeout time.Duration
+	Log         *zap.Logger
 
 	link   atomic.Pointer[Link]
 	cancel context.CancelFunc
@@ -97,7 +102,13 @@
 }
 
 func (p *Peer) connect(ctx context.Context) error {
-	l, err := Dial(ctx, p.Self, p.Address, p.Key, p.Handler)
+	timeout := p.DialTimeout
+	if timeout == 0 {
+		timeout = dialLimit
+	}
+	dial, cancel := context.WithTimeout(ctx, timeout)
+	l, err := Dial(dial, p.Self, p.Address, p.Key, p.Handler)
+	cancel()
 	if err != nil {
 		return err
 	}
