--- a/io/relay/front.go
+++ b/io/relay/front.go
@@ -71,6 +71,7 @@
 		tried: map[string]bool{},
 	}
 	q.log = r.Log.With(zap.String("request", q.id))
+	r.callers.arrived(req.Context())
 	r.drain.enter()
 	defer r.drain.leave()
 	if r.drain.begun() {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -118,6 +118,7 @@
 	watcher watcher
 	finder  finder
 	drain   drain
+	callers callers
 	meter   meter
 	ctx     context.Context
 
@@ -157,6 +158,7 @@
 	r.finder.prepare(r)
 	r.feed.prepare(r)
 	r.drain.prepare(r)
+	r.callers.prepare(r)
 	var g run.Group
 	front, err := serve.ListenOne(r.Front)
 	if err != nil {
@@ -164,6 +166,7 @@
 	}
 	server := &http.Server{
 		Handler: r, MaxHeaderBytes: headerCap, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		ConnState: r.callers.track, ConnContext: r.callers.accepted,
 	}
 	serve.HTTP(&g, server, serve.Limit(front, callerConnections), func() bool { return r.drain.open() == 0 })
 	for _, s := range r.Servers {
@@ -178,6 +181,7 @@
 	serve.Loop(ctx, &g, r.feed.loopReport)
 	serve.Loop(ctx, &g, r.feed.loopList)
 	serve.Loop(ctx, &g, r.pool.loop)
+	serve.Loop(ctx, &g, r.callers.loop)
 	g.Add(func() error { return r.drain.run(stop) }, func(error) {})
 	err = g.Run()
 	if errors.Is(err, errDrained) {
