--- a/core/place/endpoint.go
+++ b/core/place/endpoint.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+)
 
 // Endpoint is one entry of the platform's list.
 type Endpoint struct {
@@ -17,10 +21,23 @@
 
 // List is one reading of the platform's list.
 type List struct {
-	Endpoints []Endpoint `cbor:"1,keyasint"`
-	// Reader is the process that read the list, and Number counts its readings.
-	Reader string `cbor:"2,keyasint"`
-	Number uint64 `cbor:"3,keyasint"`
+	// Endpoints is empty if the receiver was sent the same content before.
+	Endpoints []Endpoint `cbor:"1,keyasint,omitempty"`
+	// Content identifies the endpoints and their states.
+	Content uint64 `cbor:"2,keyasint"`
 	// Age is how long ago the reading began, at the time of sending.
-	Age time.Duration `cbor:"4,keyasint"`
+	Age time.Duration `cbor:"3,keyasint"`
 }
+
+// NewList returns a reading that began the age ago.
+func NewList(endpoints []Endpoint, age time.Duration) List {
+	h := fnv.New64a()
+	for i := range endpoints {
+		e := &endpoints[i]
+		fmt.Fprintf(h, "%q %q %q %q %v %d\n", e.ID, e.Service, e.Address, e.Domain, e.Draining, e.Slots)
+	}
+	return List{Endpoints: endpoints, Content: h.Sum64(), Age: age}
+}
+
+// Without returns the list without its endpoints, for a receiver that has the content.
+func (l List) Without() List { return List{Content: l.Content, Age: l.Age} }
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -33,6 +33,9 @@
 	// downSuspension is how long a model engine that is down gets nothing: it restarts under another id, which the list
 	// shows about two seconds after the crash.
 	downSuspension = 2500 * time.Millisecond
+	// goneFor is how long an endpoint whose address another one has gets nothing: longer than the list shows an entry of a
+	// crashed endpoint. One that starts again under its id is used again afterwards.
+	goneFor = 10 * time.Second
 	// suspectFor is how long a failure counts against its failure domain.
 	suspectFor = 1500 * time.Millisecond
 	// suspectShare is the part of a domain's endpoints whose failure makes the others suspect.
@@ -67,8 +70,8 @@
 	failed   time.Time
 	// full is when a refusal for lack of room stops counting.
 	full time.Time
-	// gone says that the endpoint denied its identity: another one has the address.
-	gone bool
+	// gone is until when the endpoint gets nothing because another one has its address.
+	gone time.Time
 	load Load
 	at   time.Time // when load arrived
 	// owned says that this relay prefers the endpoint.
@@ -199,7 +202,7 @@
 }
 
 // lives reports whether the endpoint is not known to be down.
-func (r *row) lives(now time.Time) bool { return r.listed && !r.gone && !now.Before(r.until) }
+func (r *row) lives(now time.Time) bool { return r.listed && !now.Before(r.gone) && !now.Before(r.until) }
 
 func (r *row) cost(w Want, now time.Time) float64 {
 	if !w.Model {
@@ -358,7 +361,7 @@
 // Gone records that another endpoint has the address, which tells of a restart.
 func (t *Table) Gone(id string, now time.Time) {
 	if r := t.rows.Get(id); r != nil {
-		r.gone = true
+		r.gone = now.Add(goneFor)
 		r.failures++
 		r.failed = now
 	}
--- a/io/keeper/feeds.go
+++ b/io/keeper/feeds.go
@@ -49,7 +49,9 @@
 	s.mu.Unlock()
 	if !known {
 		s.keeper.Log.Info("relay-connected", zap.String("relay", l.Name), zap.Uint64("version", p.Revision))
-		s.keeper.lists.sendTo(l)
+		if err := s.keeper.lists.sendTo(l); err != nil {
+			return wire.State{}, err
+		}
 	}
 	if err := s.keeper.confirm(ctx); err != nil {
 		return wire.State{}, err
--- a/io/keeper/lists.go
+++ b/io/keeper/lists.go
@@ -26,10 +26,11 @@
 type lists struct {
 	keeper *Keeper
 
-	mu     sync.Mutex
-	list   place.List
-	began  time.Time // when the reading of list began
-	number uint64
+	mu    sync.Mutex
+	list  place.List
+	began time.Time // when the reading of list began
+	// sent is the content that each link was sent last.
+	sent map[*wire.Link]uint64
 }
 
 func (s *lists) loop(ctx context.Context) error {
@@ -67,12 +68,12 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	s.number++
-	list := place.List{Endpoints: endpoints, Reader: s.keeper.Peer, Number: s.number, Age: s.keeper.Clock.Now().Sub(began)}
-	s.mu.Unlock()
-	s.take(list)
-	s.keeper.peers.post(wire.KindEndpoints, list)
+	s.take(place.NewList(endpoints, s.keeper.Clock.Now().Sub(began)))
+	for _, l := range s.keeper.peers.links() {
+		if err := s.sendTo(l); err != nil {
+			s.keeper.Log.Debug("list-not-sent", zap.String("peer", l.Name), zap.Error(err))
+		}
+	}
 	return nil
 }
 
@@ -81,6 +82,11 @@
 	began := s.keeper.Clock.Now().Add(-list.Age)
 	s.mu.Lock()
 	newer := began.After(s.began)
+	if len(list.Endpoints) == 0 && list.Content == s.list.Content {
+		list.Endpoints = s.list.Endpoints
+	}
+	// A list without endpoints whose content is not the present one followed another reader's; the next one has them.
+	newer = newer && (len(list.Endpoints) > 0 || list.Content == place.NewList(nil, 0).Content)
 	if newer {
 		s.list, s.began = list, began
 	}
@@ -88,19 +94,31 @@
 	if !newer {
 		return
 	}
-	s.keeper.feeds.each(func(l *wire.Link, _ *feed) error { return l.Post(wire.KindEndpoints, "", list) })
+	s.keeper.feeds.each(func(l *wire.Link, _ *feed) error { return s.sendTo(l) })
 }
 
-// sendTo sends the present list to a relay that has just connected.
-func (s *lists) sendTo(l *wire.Link) {
+// sendTo sends the present list over a link, without the endpoints if it has carried the same content before.
+func (s *lists) sendTo(l *wire.Link) error {
 	s.mu.Lock()
-	list, began := s.list, s.began
-	s.mu.Unlock()
-	if began.IsZero() {
-		return
+	defer s.mu.Unlock()
+	if s.began.IsZero() {
+		return nil
+	}
+	if s.sent == nil {
+		s.sent = map[*wire.Link]uint64{}
 	}
-	list.Age = s.keeper.Clock.Now().Sub(began)
-	if err := l.Post(wire.KindEndpoints, "", list); err != nil {
-		s.keeper.Log.Debug("list-not-sent", zap.String("relay", l.Name), zap.Error(err))
+	list := s.list
+	list.Age = s.keeper.Clock.Now().Sub(s.began)
+	if content, ok := s.sent[l]; ok && content == list.Content {
+		return l.Post(wire.KindEndpoints, "", list.Without())
+	}
+	for other := range s.sent {
+		select {
+		case <-other.Done():
+			delete(s.sent, other)
+		default:
+		}
 	}
+	s.sent[l] = list.Content
+	return l.Post(wire.KindEndpoints, "", list)
 }
--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -16,8 +16,8 @@
 const (
 	// rosterInterval is the time between two looks for relays that were lost.
 	rosterInterval = 200 * time.Millisecond
-	// relayLiveFor is how long a relay without a report is handed out: five reports at two a second.
-	relayLiveFor = 2500 * time.Millisecond
+	// relayLiveFor is how long a relay without a report is handed out: three reports. One whose link ends is not.
+	relayLiveFor = 3500 * time.Millisecond
 )
 
 // roster knows the relays. Each keeper forwards the reports of the relays that are connected to it.
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -25,8 +25,8 @@
 	proofTimeout = 1100 * time.Millisecond
 	// freshFor is how long a confirmation counts in the relay's reports.
 	freshFor = 3 * time.Second
-	// reportInterval is the time between two reports.
-	reportInterval = 500 * time.Millisecond
+	// reportInterval is the time between two reports without news.
+	reportInterval = time.Second
 	// moveTick is the pause before another keeper is dialled.
 	moveTick = 50 * time.Millisecond
 	// ownListAge is the age of the list after which the relay reads the platform's list itself.
@@ -56,6 +56,7 @@
 	link      *wire.Link
 	confirmed time.Time
 	listed    time.Time // when the reading of the present list began
+	content   uint64    // what identifies its endpoints
 	sent      int64
 	version   atomic.Uint64
 	// begun is closed once the relay has a state and a list.
@@ -258,12 +259,14 @@
 func (f *feed) take(list place.List) {
 	began := f.relay.Clock.Now().Add(-list.Age)
 	f.mu.Lock()
-	newer := began.After(f.listed)
+	same := !f.listed.IsZero() && list.Content == f.content
+	// A list without endpoints that is not the present one belongs to another keeper's feed.
+	newer := began.After(f.listed) && (same || len(list.Endpoints) > 0)
 	if newer {
-		f.listed = began
+		f.listed, f.content = began, list.Content
 	}
 	f.mu.Unlock()
-	if !newer {
+	if !newer || same {
 		return
 	}
 	f.relay.placed(func(t *place.Table, _ time.Time) { t.Update(list.Endpoints) })
@@ -348,5 +351,5 @@
 		return
 	}
 	f.relay.Log.Info("list-read", zap.Int("endpoints", len(endpoints)), zap.String("reason", "no keeper sends it"))
-	f.take(place.List{Endpoints: endpoints, Reader: f.name, Age: f.relay.Clock.Now().Sub(began)})
+	f.take(place.NewList(endpoints, f.relay.Clock.Now().Sub(began)))
 }
--- a/io/wire/peer.go
+++ b/io/wire/peer.go
@@ -21,6 +21,9 @@
 
 	nameHeader = "Wasabiweir-Name"
 	dialLimit  = time.Second
+	// compressFrom is the size of a message in bytes from which it is compressed: configurations and lists shrink to a
+	// tenth, messages of the log and of streams are shorter.
+	compressFrom = 1024
 	// ShortDial bounds a dial within a region, where a round trip takes a few milliseconds: a machine without power answers
 	// nothing, and others may be up already.
 	ShortDial = 300 * time.Millisecond
@@ -127,7 +130,10 @@
 	header := http.Header{nameHeader: {self}, "Authorization": {"Bearer " + key}}
 	// Each dial uses a transport of its own: a pooled connection may have gone silent for good.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPHeader: header, HTTPClient: client}) //nolint:bodyclose // the library closes the body of the upgrade response
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+		HTTPHeader: header, HTTPClient: client,
+		CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressFrom,
+	}) //nolint:bodyclose // the library closes the body of the upgrade response
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
@@ -153,7 +159,9 @@
 		http.Error(w, "wrong peer key", http.StatusUnauthorized)
 		return
 	}
-	conn, err := websocket.Accept(w, r, nil)
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressFrom,
+	})
 	if err != nil {
 		s.Log.Warn("peer-refused", zap.String("remote", r.RemoteAddr), zap.Error(err))
 		return
