Take no stream as whole that ended before its first event, and prefer engines of the relay's own domain

The relays of a failure domain now divide its engines among them, and all relays divide all engines as a second choice, because most bytes between zones are those of streams.

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -21,6 +21,8 @@
 	// foreignCost is the cost of an endpoint that another relay prefers. It is less than one prompt: relays do not see each
 	// other's prompts, and two of them rarely meet while each one has an idle endpoint of its own.
 	foreignCost = 0.6
+	// farCost is the cost of a preferred endpoint in another failure domain, where each stream crosses between domains.
+	farCost = 0.35
 	// suspectCost keeps requests off a failure domain of which several endpoints have just failed.
 	suspectCost = 4.0
 )
@@ -50,9 +52,20 @@
 	Rand *rand.Rand
 
 	rows table.Table[string, row]
-	// index is this relay's place among all relays; -1 if it has none.
-	index  int
-	relays int
+	part Part
+}
+
+// Turn is a relay's place in a round; Index is -1 if it has none.
+type Turn struct{ Index, Of int }
+
+// has reports whether the position is the relay's.
+func (t Turn) has(position int) bool { return t.Index >= 0 && t.Of > 0 && position%t.Of == t.Index }
+
+// Part is a relay's place among all relays, and among those of its failure domain.
+type Part struct {
+	All    Turn
+	Near   Turn
+	Domain string
 }
 
 // row is one endpoint with what this process knows of it.
@@ -74,8 +87,8 @@
 	gone time.Time
 	load Load
 	at   time.Time // when load arrived
-	// owned says that this relay prefers the endpoint.
-	owned bool
+	// bias is the cost that this relay's part gives the endpoint.
+	bias float64
 }
 
 // Load is what an endpoint says of itself.
@@ -111,9 +124,10 @@
 	t.divide()
 }
 
-// Divide tells the table this relay's place among all relays, each of which prefers an equal part of the endpoints.
-func (t *Table) Divide(index, relays int) {
-	t.index, t.relays = index, relays
+// Divide tells the table this relay's place. The relays of a failure domain divide its endpoints among them, and all
+// relays divide all endpoints, for the time in which a relay's own domain has none.
+func (t *Table) Divide(p Part) {
+	t.part = p
 	t.divide()
 }
 
@@ -135,14 +149,20 @@
 		return true
 	})
 	t.rows.Each(func(_ string, r *row) bool {
-		r.owned = false
-		if !r.listed || t.relays == 0 || t.index < 0 {
+		r.bias = foreignCost
+		if !r.listed {
 			return true
 		}
 		k := key{r.Service, r.Domain}
 		position := order[k]*len(domains[r.Service]) + domains[r.Service][r.Domain]
+		near := r.Domain == t.part.Domain && t.part.Near.has(order[k])
 		order[k]++
-		r.owned = position%t.relays == t.index
+		switch {
+		case near:
+			r.bias = 0
+		case t.part.All.has(position):
+			r.bias = farCost
+		}
 		return true
 	})
 }
@@ -202,15 +222,17 @@
 }
 
 // lives reports whether the endpoint is not known to be down.
-func (r *row) lives(now time.Time) bool { return r.listed && !now.Before(r.gone) && !now.Before(r.until) }
+func (r *row) lives(now time.Time) bool {
+	return r.listed && !now.Before(r.gone) && !now.Before(r.until)
+}
 
 func (r *row) cost(w Want, now time.Time) float64 {
 	if !w.Model {
 		return r.plainCost(now)
 	}
 	cost := readingCost*float64(r.reading) + runningCost*float64(r.running) + copyCost*float64(r.copies)
-	if !r.owned && w.NotDomain == "" {
-		cost += foreignCost
+	if w.NotDomain == "" {
+		cost += r.bias
 	}
 	return cost
 }
--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -70,29 +71,36 @@
 	return ctx.Err()
 }
 
-// dropClosed reports a relay whose link ended as draining, until it reports again over another link: a process that was
-// killed closes its link at once, and callers should not wait for the end of relayLiveFor.
+// dropClosed takes relays whose link ended out of the answers, until they report again over another link: a process that
+// was killed closes its link at once, and callers should not wait for the end of relayLiveFor.
 func (s *roster) dropClosed() {
-	var lost []wire.Report
+	var closed []*wire.Link
 	s.mu.Lock()
-	for l, r := range s.links {
+	for l := range s.links {
 		select {
 		case <-l.Done():
-			delete(s.links, l)
-			// The next report of the relay, over any link, is newer than this one.
-			r.SentMS, r.Draining = r.SentMS+1, true
-			if s.table.Report(r.Member(), s.keeper.Clock.Now()) {
-				lost = append(lost, r)
-			}
+			closed = append(closed, l)
 		default:
 		}
 	}
 	s.mu.Unlock()
-	for _, r := range lost {
-		s.keeper.Log.Info("relay-lost", zap.String("relay", r.Name))
+	for _, l := range closed {
+		s.lose(l)
 	}
-	if len(lost) > 0 {
-		s.keeper.peers.post(wire.KindReports, lost)
+}
+
+// lose reports the relay behind a link that ended as draining. Its next report, over any link, is newer; one that has
+// arrived over another keeper already wins.
+func (s *roster) lose(l *wire.Link) {
+	s.mu.Lock()
+	r, ok := s.links[l]
+	delete(s.links, l)
+	r.SentMS, r.Draining = r.SentMS+1, true
+	lost := ok && s.table.Report(r.Member(), s.keeper.Clock.Now())
+	s.mu.Unlock()
+	if lost {
+		s.keeper.Log.Info("relay-lost", zap.String("relay", r.Name))
+		s.keeper.peers.post(wire.KindReports, []wire.Report{r})
 	}
 }
 
@@ -102,11 +110,11 @@
 	s.mu.Lock()
 	for _, i := range s.table.Instances(s.keeper.Clock.Now()) {
 		if i.Live && !i.Leaving {
-			now.Relays = append(now.Relays, i.Report.Address)
+			now.Relays = append(now.Relays, wire.RelayAt{Address: i.Report.Address, Domain: i.Report.Domain})
 		}
 	}
 	s.mu.Unlock()
-	slices.Sort(now.Relays)
+	slices.SortFunc(now.Relays, func(a, b wire.RelayAt) int { return strings.Compare(a.Address, b.Address) })
 	now.Relays = slices.Compact(now.Relays)
 	s.keeper.feeds.sendKeepers(now)
 }
--- a/io/relay/event.go
+++ b/io/relay/event.go
@@ -15,6 +15,7 @@
 
 var (
 	errEventSize = eris.New("an event of the stream is too large")
+	errNoEvent   = eris.New("the stream ended before its first event")
 	errGap       = eris.New("the stream does not go on behind the last event")
 )
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -274,6 +274,9 @@
 	s := &events{br: bufio.NewReaderSize(res.Body, readBuffer)}
 	for {
 		e, err := s.next()
+		if errors.Is(err, io.EOF) && g.last == 0 {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) && len(s.buf) == 0 && framed(res) {
 			g.relay.pool.release(c, res)
 			return result{verdict: answered, res: res}
