Give a newcomer the place of a voter that is gone

Cause: a replaced machine's successor joined beside the voter that was gone; until its removal 6 s later the group had an even size, and with three keepers the loss of one more in that time would have stopped it for good. Change: a learner is promoted while all voters answer, or in the place of one that has been silent for 2.5 s; in between it waits.

--- a/core/form/form.go
+++ b/core/form/form.go
@@ -58,3 +58,32 @@
 	}
 	return worst, !worst.IsZero()
 }
+
+const (
+	// quietAfter is the silence from which a voter may be gone: several heartbeats.
+	quietAfter = 700 * time.Millisecond
+	// DisplacedAfter is the silence after which a newcomer takes a voter's place; a restart takes less.
+	DisplacedAfter = 2500 * time.Millisecond
+)
+
+// Displaced returns the voter whose place a learner takes, or none if the group grows by it. It reports wait while a voter
+// may be gone but is not silent for long enough: a newcomer beside a voter that is gone would raise the quorum, and the
+// loss of one more member could stop the group.
+func Displaced(m raft.Members, leader raft.ID, silent func(raft.ID) time.Duration) (gone raft.ID, wait bool) {
+	var longest time.Duration
+	for _, id := range m.Voters {
+		if id == leader {
+			continue
+		}
+		if s := silent(id); s > longest {
+			gone, longest = id, s
+		}
+	}
+	switch {
+	case longest < quietAfter:
+		return raft.ID{}, false
+	case longest < DisplacedAfter:
+		return raft.ID{}, true
+	}
+	return gone, false
+}
--- a/core/form/form_test.go
+++ b/core/form/form_test.go
@@ -70,3 +70,30 @@
 		}
 	}
 }
+
+// Guards against a group that a newcomer makes larger while a voter is gone: with four voters of which one is gone, the
+// loss of another one stops it.
+func TestDisplaced(t *testing.T) {
+	id := func(name string) raft.ID { return raft.ID{Name: name, Disk: "1"} }
+	m := raft.Members{Voters: []raft.ID{id("a"), id("b"), id("c")}, Learners: []raft.ID{id("n")}}
+	for _, c := range []struct {
+		name   string
+		silent time.Duration
+		gone   string
+		wait   bool
+	}{
+		{"all answer", 200 * time.Millisecond, "", false},
+		{"one may be gone", time.Second, "", true},
+		{"one is gone", DisplacedAfter, "b", false},
+	} {
+		gone, wait := Displaced(m, id("a"), func(x raft.ID) time.Duration {
+			if x == id("b") || x == id("a") {
+				return c.silent
+			}
+			return 0
+		})
+		if gone.Name != c.gone || wait != c.wait {
+			t.Errorf("%s: %q, wait %v", c.name, gone.Name, wait)
+		}
+	}
+}
--- a/io/wire/peer.go
+++ b/io/wire/peer.go
@@ -130,10 +130,11 @@
 	header := http.Header{nameHeader: {self}, "Authorization": {"Bearer " + key}}
 	// Each dial uses a transport of its own: a pooled connection may have gone silent for good.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+	options := &websocket.DialOptions{
 		HTTPHeader: header, HTTPClient: client,
 		CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressFrom,
-	}) //nolint:bodyclose // the library closes the body of the upgrade response
+	}
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+Path, options) //nolint:bodyclose // the library closes the body of the upgrade response
 	if err != nil {
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
