Divide engines over all relays again, without the own domain first

At the grown size it costs far more: when a domain's engines crash, all its relays turn to the others' engines at once, and their prompts meet.

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -21,8 +21,6 @@
 	// foreignCost is the cost of an endpoint that another relay prefers. It is less than one prompt: relays do not see each
 	// other's prompts, and two of them rarely meet while each one has an idle endpoint of its own.
 	foreignCost = 0.6
-	// farCost is the cost of a preferred endpoint in another failure domain, where each stream crosses between domains.
-	farCost = 0.35
 	// suspectCost keeps requests off a failure domain of which several endpoints have just failed.
 	suspectCost = 4.0
 )
@@ -52,20 +50,9 @@
 	Rand *rand.Rand
 
 	rows table.Table[string, row]
-	part Part
-}
-
-// Turn is a relay's place in a round; Index is -1 if it has none.
-type Turn struct{ Index, Of int }
-
-// has reports whether the position is the relay's.
-func (t Turn) has(position int) bool { return t.Index >= 0 && t.Of > 0 && position%t.Of == t.Index }
-
-// Part is a relay's place among all relays, and among those of its failure domain.
-type Part struct {
-	All    Turn
-	Near   Turn
-	Domain string
+	// index is this relay's place among the relays; -1 if it has none.
+	index  int
+	relays int
 }
 
 // row is one endpoint with what this process knows of it.
@@ -124,10 +111,9 @@
 	t.divide()
 }
 
-// Divide tells the table this relay's place. The relays of a failure domain divide its endpoints among them, and all
-// relays divide all endpoints, for the time in which a relay's own domain has none.
-func (t *Table) Divide(p Part) {
-	t.part = p
+// Divide tells the table this relay's place among all relays, each of which prefers an equal part of the endpoints.
+func (t *Table) Divide(index, relays int) {
+	t.index, t.relays = index, relays
 	t.divide()
 }
 
@@ -155,13 +141,9 @@
 		}
 		k := key{r.Service, r.Domain}
 		position := order[k]*len(domains[r.Service]) + domains[r.Service][r.Domain]
-		near := r.Domain == t.part.Domain && t.part.Near.has(order[k])
 		order[k]++
-		switch {
-		case near:
+		if t.relays > 0 && t.index >= 0 && position%t.relays == t.index {
 			r.bias = 0
-		case t.part.All.has(position):
-			r.bias = farCost
 		}
 		return true
 	})
--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -110,11 +109,11 @@
 	s.mu.Lock()
 	for _, i := range s.table.Instances(s.keeper.Clock.Now()) {
 		if i.Live && !i.Leaving {
-			now.Relays = append(now.Relays, wire.RelayAt{Address: i.Report.Address, Domain: i.Report.Domain})
+			now.Relays = append(now.Relays, i.Report.Address)
 		}
 	}
 	s.mu.Unlock()
-	slices.SortFunc(now.Relays, func(a, b wire.RelayAt) int { return strings.Compare(a.Address, b.Address) })
+	slices.Sort(now.Relays)
 	now.Relays = slices.Compact(now.Relays)
 	s.keeper.feeds.sendKeepers(now)
 }
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -279,26 +279,11 @@
 	f.mu.Unlock()
 	f.relay.mu.Lock()
 	f.relay.relays = len(k.Relays)
-	f.relay.table.Divide(f.part(k.Relays))
+	f.relay.table.Divide(slices.Index(k.Relays, f.relay.Front), len(k.Relays))
 	f.relay.mu.Unlock()
 	f.relay.Log.Info("keepers-known", zap.Strings("keepers", k.Addresses), zap.Int("relays", len(k.Relays)))
 }
 
-// part returns this relay's place among all relays and among those of its failure domain.
-func (f *feed) part(relays []wire.RelayAt) place.Part {
-	p := place.Part{All: place.Turn{Index: -1}, Near: place.Turn{Index: -1}, Domain: f.relay.Domain}
-	for _, r := range relays {
-		if r.Address == f.relay.Front {
-			p.All.Index, p.Near.Index = p.All.Of, p.Near.Of
-		}
-		p.All.Of++
-		if r.Domain == f.relay.Domain {
-			p.Near.Of++
-		}
-	}
-	return p
-}
-
 // soon makes the next report leave at once.
 func (f *feed) soon() {
 	select {
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -68,12 +68,6 @@
 type Keepers struct {
 	// Addresses are the peer addresses of the keepers.
 	Addresses []string `cbor:"1,keyasint"`
-	// Relays are the relays that callers may use, in the order of their addresses.
-	Relays []RelayAt `cbor:"2,keyasint"`
-}
-
-// RelayAt is a relay's address with its failure domain.
-type RelayAt struct {
-	Address string `cbor:"1,keyasint"`
-	Domain  string `cbor:"2,keyasint"`
+	// Relays are the addresses of the relays that callers may use, in order.
+	Relays []string `cbor:"2,keyasint"`
 }
