--- a/core/place/table.go
+++ b/core/place/table.go
@@ -280,16 +280,6 @@
 	return out
 }
 
-// Any reports whether the list has an endpoint of the service that is not draining.
-func (t *Table) Any(service string) bool {
-	found := false
-	t.rows.Each(func(_ string, r *row) bool {
-		found = r.listed && !r.Draining && r.Service == service
-		return !found
-	})
-	return found
-}
-
 // Began counts a request that is sent to the endpoint; prompt says that it begins with a prompt to be read.
 func (t *Table) Began(id string, prompt bool) {
 	if r := t.rows.Get(id); r != nil {
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -64,7 +64,7 @@
 		out := q.send(e)
 		q.note(e, out)
 		switch {
-		case out.verdict == answered && !q.again(out):
+		case out.verdict == answered && !q.repeats(out):
 			q.pass(e, out)
 			return
 		case out.cause == common.RetryConnect && out.verdict == notRun:
@@ -102,8 +102,8 @@
 	return e, ok
 }
 
-// again reports whether an endpoint's own failure should be tried elsewhere: requests that may be repeated are.
-func (q *request) again(out result) bool { return out.res.StatusCode >= 500 && q.mayRepeat() }
+// repeats reports whether an endpoint's own failure should be tried elsewhere: requests that may be repeated are.
+func (q *request) repeats(out result) bool { return out.res.StatusCode >= 500 && q.mayRepeat() }
 
 // mayRepeat reports whether the request may run once more.
 func (q *request) mayRepeat() bool {
@@ -147,7 +147,7 @@
 	})
 	if !gone && out.cause == common.RetryReset && q.route.Kind == state.Stream {
 		// An engine that crashed resets its connections, but so does one that only lost an answer.
-		q.relay.watcher.check(e)
+		q.relay.prober.check(e)
 	}
 	if out.verdict != answered {
 		q.log.Info("send-failed", zap.String("endpoint", e.ID), zap.String("address", e.Address),
@@ -204,7 +204,7 @@
 	if err != nil {
 		return result{verdict: unknown, cause: common.RetryReset, err: err}
 	}
-	q.loaded(c.endpoint.ID, res.Header)
+	q.noteLoad(c.endpoint.ID, res.Header)
 	if res.Header.Get(q.relay.Names.NotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest {
 		cause := common.RetryRefused
 		if res.StatusCode == http.StatusMisdirectedRequest {
@@ -246,7 +246,7 @@
 	return nil
 }
 
-func (q *request) loaded(id string, h http.Header) {
+func (q *request) noteLoad(id string, h http.Header) {
 	if l, ok := q.relay.Names.ParseLoad(h.Get(q.relay.Names.Load)); ok {
 		q.relay.placed(func(t *place.Table, now time.Time) { t.Loaded(id, l, now) })
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -115,7 +115,7 @@
 	index   atomic.Pointer[state.Index]
 	feed    feed
 	pool    pool
-	watcher watcher
+	prober prober
 	finder  finder
 	drain   drain
 	callers callers
@@ -154,7 +154,7 @@
 	r.budgets = map[string]*place.Budget{}
 	r.meter.prepare(r.Metrics)
 	r.pool.prepare(r)
-	r.watcher.prepare(r)
+	r.prober.prepare(r)
 	r.finder.prepare(r)
 	r.feed.prepare(r)
 	r.drain.prepare(r)
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -135,7 +135,7 @@
 	}
 	until := g.relay.Clock.Now().Add(wait)
 	for {
-		if l, ok := g.place(); ok {
+		if l, ok := g.pick(); ok {
 			return l, true
 		}
 		if g.relay.Clock.Now().After(until) || !g.pause(resumeTick) {
@@ -144,7 +144,7 @@
 	}
 }
 
-func (g *generation) place() (l leg, ok bool) {
+func (g *generation) pick() (l leg, ok bool) {
 	g.relay.placed(func(t *place.Table, now time.Time) {
 		if b := g.copies.get(); b.any && !g.tried[b.holder.ID] && t.Lives(b.holder.ID, now) {
 			l.endpoint, l.from, ok = b.holder, b.from, true
@@ -173,7 +173,7 @@
 func (g *generation) run(l leg) result {
 	began := g.relay.Clock.Now()
 	w := &watch{gen: g, leg: l, from: began, wake: make(chan struct{}, 1)}
-	defer g.unplace(l, w)
+	defer g.release(l, w)
 	ctx, cancel := context.WithCancel(g.ctx)
 	defer cancel()
 	c, err := g.relay.pool.get(ctx, l.endpoint, idleFor)
@@ -220,8 +220,8 @@
 	return out
 }
 
-// unplace takes a leg off the table.
-func (g *generation) unplace(l leg, w *watch) {
+// release takes a leg off the table of endpoints.
+func (g *generation) release(l leg, w *watch) {
 	g.relay.placed(func(t *place.Table, _ time.Time) {
 		if l.reads() && !w.read {
 			t.Read(l.endpoint.ID)
@@ -239,7 +239,7 @@
 		return result{verdict: unknown, cause: common.RetryReset, err: err}
 	}
 	w.heard()
-	g.loaded(l.endpoint.ID, res.Header)
+	g.noteLoad(l.endpoint.ID, res.Header)
 	if res.Header.Get(g.relay.Names.NotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest ||
 		l.from != "" && res.StatusCode == http.StatusServiceUnavailable {
 		cause := common.RetryRefused
@@ -398,5 +398,5 @@
 	now := w.gen.relay.since()
 	w.last.Store(int64(now))
 	w.got.Add(1)
-	w.gen.relay.watcher.heard(w.leg.endpoint.ID, now)
+	w.gen.relay.prober.heard(w.leg.endpoint.ID, now)
 }
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -33,8 +33,8 @@
 	aheadBy = 2
 )
 
-// watcher asks silent engines whether they live, once for all streams of an engine.
-type watcher struct {
+// prober asks silent engines whether they live, once for all streams of an engine.
+type prober struct {
 	relay *Relay
 
 	mu      sync.Mutex
@@ -52,21 +52,21 @@
 	err    error
 }
 
-func (w *watcher) prepare(r *Relay) {
+func (w *prober) prepare(r *Relay) {
 	w.relay = r
 	w.engines = map[string]*question{}
 	w.events = map[string]time.Duration{}
 }
 
 // heard records that bytes of the engine arrived.
-func (w *watcher) heard(id string, now time.Duration) {
+func (w *prober) heard(id string, now time.Duration) {
 	w.mu.Lock()
 	w.events[id] = now
 	w.mu.Unlock()
 }
 
 // lately reports whether the engine was heard on any stream lately.
-func (w *watcher) lately(id string) bool {
+func (w *prober) lately(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at, ok := w.events[id]
@@ -74,7 +74,7 @@
 }
 
 // ask returns the answer of an engine; one that is at most askAgain old is shared.
-func (w *watcher) ask(ctx context.Context, e place.Endpoint) *question {
+func (w *prober) ask(ctx context.Context, e place.Endpoint) *question {
 	q := w.check(e)
 	select {
 	case <-q.done:
@@ -84,7 +84,7 @@
 }
 
 // check asks an engine and does not wait; an engine that does not answer is suspended.
-func (w *watcher) check(e place.Endpoint) *question {
+func (w *prober) check(e place.Endpoint) *question {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.relay.Clock.Now()
@@ -103,7 +103,7 @@
 const forgetAfter = time.Minute
 
 // forget drops old questions; mu is held.
-func (w *watcher) forget(now time.Time) {
+func (w *prober) forget(now time.Time) {
 	for id, old := range w.engines {
 		if now.Sub(old.asked) > forgetAfter {
 			delete(w.engines, id)
@@ -112,7 +112,7 @@
 	}
 }
 
-func (w *watcher) run(q *question, e place.Endpoint) {
+func (w *prober) run(q *question, e place.Endpoint) {
 	defer close(q.done)
 	ctx, cancel := context.WithTimeout(w.relay.ctx, askTimeout)
 	defer cancel()
@@ -150,13 +150,13 @@
 			}
 			continue
 		}
-		if silence < deafSilence && w.gen.relay.watcher.lately(w.leg.endpoint.ID) {
+		if silence < deafSilence && w.gen.relay.prober.lately(w.leg.endpoint.ID) {
 			if !serve.Pause(ctx, askAgain/2) {
 				return
 			}
 			continue
 		}
-		q := w.gen.relay.watcher.ask(ctx, w.leg.endpoint)
+		q := w.gen.relay.prober.ask(ctx, w.leg.endpoint)
 		if ctx.Err() != nil {
 			return
 		}
