--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -115,7 +115,7 @@
 	index   atomic.Pointer[state.Index]
 	feed    feed
 	pool    pool
-	prober prober
+	prober  prober
 	finder  finder
 	drain   drain
 	callers callers
