--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -49,10 +49,12 @@
 	longest time.Duration
 }
 
-// keeper returns an endpoint that still has the prompt.
+// keeper returns an endpoint that still has the prompt, also if an answer of it was lost. Each one is used once.
 func (g *generation) keeper(t *place.Table, now time.Time) (place.Endpoint, bool) {
-	for _, id := range g.kept {
-		if !g.tried[id] && t.Lives(id, now) {
+	for len(g.kept) > 0 {
+		id := g.kept[0]
+		g.kept = g.kept[1:]
+		if t.Lives(id, now) {
 			return t.Get(id)
 		}
 	}
@@ -64,8 +66,7 @@
 	g := &generation{request: q}
 	if id, err := strconv.ParseInt(q.r.Header.Get(q.relay.Names.LastEvent), 10, 64); err == nil {
 		g.last, g.fromCaller = id, true
-		n := &q.relay.Names
-		g.kept = q.relay.finder.find(q.ctx, q.service, n.LastPart(q.header.Get(n.Prompt)))
+		g.findPrompt()
 		q.log.Info("stream-resumed-by-caller", zap.Int64("last-event", id), zap.Strings("prompt-at", g.kept))
 	}
 	for {
@@ -121,6 +122,10 @@
 		wait = resumeWait
 	}
 	until := g.relay.Clock.Now().Add(wait)
+	if g.wrote && !g.copyLives() {
+		// An engine whose answer was lost has read the prompt all the same.
+		g.findPrompt()
+	}
 	for {
 		if l, ok := g.pick(); ok {
 			return l, true
@@ -131,6 +136,18 @@
 	}
 }
 
+// findPrompt asks the engines which of them still has the stream's prompt.
+func (g *generation) findPrompt() {
+	n := &g.relay.Names
+	g.kept = g.relay.finder.find(g.ctx, g.service, n.LastPart(g.header.Get(n.Prompt)))
+}
+
+// copyLives reports whether there is a copy at a holder that is not known to be down.
+func (g *generation) copyLives() bool {
+	b := g.copies.get()
+	return b.any && !g.tried[b.holder.ID] && g.relay.lives(b.holder.ID)
+}
+
 // pick chooses the next send and counts it in the table of endpoints.
 func (g *generation) pick() (l leg, ok bool) {
 	g.relay.placed(func(t *place.Table, now time.Time) {
