Send a long body once and whole, also on streams

Cause, found on reading the change again: a body of more than 128 KB is not collected. When an endpoint refused the request while the body was on its way, the rest of it went to the next one; and streams wrote the header only. TestLongBodies failed on both: an endpoint ran 648,401 bytes of 921,600, a stream got 504. Change: one upload for both kinds of requests; a request whose body was sent goes nowhere else, and is told 'not run' only where the endpoint said so; a connection that still uploads is never kept, decided at its release for all. Result: TestLongBodies passes, with the tests of early answers and refusals beside it.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
 	"wasabiweir/io/serve"
@@ -50,6 +51,8 @@
 	br       *bufio.Reader
 	idle     time.Time
 	keep     time.Duration
+	// uploads says that a body is sent beside the reading of the answer.
+	uploads bool
 }
 
 // pool keeps idle connections to endpoints by the endpoint's id, since an address may pass to another endpoint.
@@ -218,12 +221,27 @@
 
 // upload sends the rest of a body that was not collected, beside the reading of the answer.
 type upload struct {
+	q    *request
 	conn *conn
 	out  *outbound
-	done chan error
 }
 
-func (u *upload) run() { u.done <- u.send() }
+// run sends the body. One that can not be sent shows in the answer, or in its absence.
+func (u *upload) run() {
+	if err := u.send(); err != nil {
+		u.q.log.Info("body-not-sent", zap.String("endpoint", u.conn.endpoint.ID), zap.Error(err))
+	}
+}
+
+// upload begins to send a body that was not collected; it can be sent once only.
+func (q *request) upload(c *conn, o *outbound) {
+	if o.stream == nil {
+		return
+	}
+	c.uploads, q.uploaded = true, true
+	u := &upload{q: q, conn: c, out: o}
+	go u.run()
+}
 
 func (u *upload) send() error {
 	if u.out.length >= 0 {
@@ -286,9 +304,10 @@
 	return idleFor
 }
 
-// release keeps the connection for another request if the answer was read whole and nothing follows it.
+// release keeps the connection for another request if the answer was read whole and nothing follows it. An endpoint may
+// still read a body that is sent beside its answer; what follows on the connection would be taken for its rest.
 func (p *pool) release(c *conn, res *http.Response) {
-	if res.Close || c.br.Buffered() > 0 {
+	if res.Close || c.uploads || c.br.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
--- a/io/relay/front.go
+++ b/io/relay/front.go
@@ -53,6 +53,8 @@
 	body   []byte
 	stream io.Reader
 	length int64
+	// uploaded says that the body which was not collected was sent, so that no other endpoint can get it whole.
+	uploaded bool
 
 	// tried are the endpoints that may have run the request or refused it, by id.
 	tried map[string]bool
--- a/io/relay/leg.go
+++ b/io/relay/leg.go
@@ -67,6 +67,7 @@
 		}
 		return result{verdict: unknown, cause: common.RetryReset, err: err}
 	}
+	g.upload(c, o)
 	w.conn = c
 	w.last.Store(int64(g.relay.since()))
 	go w.run(ctx)
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -67,6 +67,9 @@
 		case out.verdict == answered && !q.repeats(out):
 			q.pass(e, out)
 			return
+		case out.verdict == notRun && q.uploaded:
+			q.fail(common.ReasonOverloaded, soon)
+			return
 		case out.cause == common.RetryConnect && out.verdict == notRun:
 			// Nothing has arrived anywhere, so that the next send is no extra one.
 		case out.cause == common.RetryLeaving && q.relay.spendRefusal(q.service):
@@ -183,12 +186,8 @@
 		}
 		return result{verdict: unknown, cause: common.RetryReset, err: err}
 	}
-	var up *upload
-	if o.stream != nil {
-		up = &upload{conn: c, out: o, done: make(chan error, 1)}
-		go up.run()
-	}
-	out := q.receive(c, up)
+	q.upload(c, o)
+	out := q.receive(c)
 	if out.verdict != answered {
 		_ = c.Close()
 		if out.verdict == unknown && ctx.Err() != nil {
@@ -199,7 +198,7 @@
 }
 
 // receive reads the answer to what was sent on the connection.
-func (q *request) receive(c *conn, up *upload) result {
+func (q *request) receive(c *conn) result {
 	res, err := c.answer(q.r.Method, q.relay.Names.RequestID, q.id)
 	if err != nil {
 		return result{verdict: unknown, cause: common.RetryReset, err: err}
@@ -210,7 +209,7 @@
 		if res.StatusCode == http.StatusMisdirectedRequest {
 			cause = common.RetryLeaving
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil || up != nil {
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			_ = c.Close()
 		} else {
 			q.relay.pool.release(c, res)
@@ -227,12 +226,7 @@
 	if len(body) > maxAnswer {
 		return result{verdict: answered, res: res, body: body, rest: c}
 	}
-	if up != nil {
-		// The endpoint may still read the body; what follows on the connection would be taken for its rest.
-		_ = c.Close()
-	} else {
-		q.relay.pool.release(c, res)
-	}
+	q.relay.pool.release(c, res)
 	return result{verdict: answered, res: res, body: body}
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -94,6 +94,8 @@
 	switch {
 	case g.ctx.Err() != nil:
 		return common.ReasonDeadline, false
+	case g.uploaded:
+		return common.ReasonEndpointFailed, false
 	case out.verdict == unknown:
 		if !g.route.Repeatable() || g.stream != nil || g.sends >= max(1, g.route.Attempts) {
 			return common.ReasonEndpointFailed, false
