--- a/io/itest/network_test.go
+++ b/io/itest/network_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"testing"
+
+	"wasabiweir/io/stand"
 )
 
 // network relays connections to control processes, counts their bytes, and can cut a control process off from the others
@@ -73,7 +75,7 @@
 
 func (c *network) listen(t testing.TB, from, to int, target string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(stand.Loopback(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/itest/process_test.go
+++ b/io/itest/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,6 +18,7 @@
 	"time"
 
 	_ "wasabiweir/io/cmds" // makes the cached result of a run depend on the code of the binary that the tests build
+	"wasabiweir/io/stand"
 )
 
 const (
@@ -114,6 +116,29 @@
 	if err := p.cmd.Process.Signal(s); err != nil {
 		p.t.Fatalf("signal %s: %v", p.name, err)
 	}
+	if s == syscall.SIGSTOP {
+		// The process stops when the thread that gets the signal is scheduled, which takes a while on a busy machine.
+		eventually(p.t, stopLimit, p.stopped)
+	}
+}
+
+// stopped returns nil once all threads of the process are stopped.
+func (p *process) stopped() error {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return err
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		// The state follows the name of the thread, which is in parentheses.
+		if fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:])); fields[0] != "T" {
+			return fmt.Errorf("%s: thread state %s", file, fields[0])
+		}
+	}
+	return nil
 }
 
 // stop sends the first signal and waits for a clean end.
@@ -160,7 +185,7 @@
 		if lastUsed++; lastUsed >= lastPort {
 			lastUsed = firstPort
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", lastUsed)
+		address := net.JoinHostPort(stand.Loopback(), strconv.Itoa(lastUsed))
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/io/itest/relay_test.go
+++ b/io/itest/relay_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"wasabiweir/io/stand"
 )
 
 // relays forward connections to the processes of a system, by the kind of process.
@@ -18,7 +20,7 @@
 		*r = relays{}
 	}
 	for _, target := range targets {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(stand.Loopback(), "0"))
 		if err != nil {
 			t.Fatal(err)
 		}
