--- a/core/form/form.go
+++ b/core/form/form.go
@@ -26,8 +26,12 @@
 }
 
 const (
-	// GoneAfter is the silence after which a voter may be removed; a restart takes less.
-	GoneAfter = 6 * time.Second
+	// quietAfter is the silence from which a voter may be gone: several heartbeats.
+	quietAfter = 700 * time.Millisecond
+	// GoneAfter is the silence after which a voter counts as gone; a restart takes less.
+	GoneAfter = 2500 * time.Millisecond
+	// KeptFor is the silence up to which a member is kept that costs the group nothing.
+	KeptFor = 6 * time.Second
 	// EnoughVoters is the size up to which a group of odd size keeps silent voters: five bear two losses.
 	EnoughVoters = 5
 )
@@ -36,19 +40,24 @@
 // only raises the quorum, and beyond EnoughVoters it only makes commits wait for more disks; in a small group of odd
 // size it may come back and costs nothing.
 func Gone(m raft.Members, leader raft.ID, silent func(raft.ID) time.Duration) (raft.ID, bool) {
-	worst, longest := raft.ID{}, GoneAfter
-	for _, id := range m.Learners {
-		if s := silent(id); s >= longest {
-			worst, longest = id, s
-		}
+	if id, ok := quietest(m.Learners, leader, silent, KeptFor); ok {
+		return id, true
 	}
-	if !worst.IsZero() {
-		return worst, true
-	}
-	if n := len(m.Voters); n <= EnoughVoters && n%2 == 1 || n <= 2 {
+	switch n := len(m.Voters); {
+	case n <= 2:
 		return raft.ID{}, false
+	case n%2 == 0:
+		return quietest(m.Voters, leader, silent, GoneAfter)
+	case n > EnoughVoters:
+		return quietest(m.Voters, leader, silent, KeptFor)
 	}
-	for _, id := range m.Voters {
+	return raft.ID{}, false
+}
+
+// quietest returns the member that has been silent for longest, if that is at least the limit.
+func quietest(ids []raft.ID, leader raft.ID, silent func(raft.ID) time.Duration, limit time.Duration) (raft.ID, bool) {
+	worst, longest := raft.ID{}, limit
+	for _, id := range ids {
 		if id == leader {
 			continue
 		}
@@ -59,31 +68,8 @@
 	return worst, !worst.IsZero()
 }
 
-const (
-	// quietAfter is the silence from which a voter may be gone: several heartbeats.
-	quietAfter = 700 * time.Millisecond
-	// DisplacedAfter is the silence after which a newcomer takes a voter's place; a restart takes less.
-	DisplacedAfter = 2500 * time.Millisecond
-)
-
-// Displaced returns the voter whose place a learner takes, or none if the group grows by it. It reports wait while a voter
-// may be gone but is not silent for long enough: a newcomer beside a voter that is gone would raise the quorum, and the
-// loss of one more member could stop the group.
-func Displaced(m raft.Members, leader raft.ID, silent func(raft.ID) time.Duration) (gone raft.ID, wait bool) {
-	var longest time.Duration
-	for _, id := range m.Voters {
-		if id == leader {
-			continue
-		}
-		if s := silent(id); s > longest {
-			gone, longest = id, s
-		}
-	}
-	switch {
-	case longest < quietAfter:
-		return raft.ID{}, false
-	case longest < DisplacedAfter:
-		return raft.ID{}, true
-	}
-	return gone, false
+// uncertain reports whether the voter that has been silent for longest may be gone or may only be slow.
+func uncertain(m raft.Members, leader raft.ID, silent func(raft.ID) time.Duration) bool {
+	id, quiet := quietest(m.Voters, leader, silent, quietAfter)
+	return quiet && silent(id) < GoneAfter
 }
--- a/core/form/form_test.go
+++ b/core/form/form_test.go
@@ -1,6 +1,7 @@
 package form
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -42,7 +43,7 @@
 		return func(x raft.ID) time.Duration {
 			for _, n := range names {
 				if x.Name == n {
-					return GoneAfter + time.Second
+					return KeptFor
 				}
 			}
 			return 0
@@ -61,6 +62,8 @@
 		{"six voters give up a silent one", voters(6), silent("f"), "f"},
 		{"seven voters give up a silent one", voters(7), silent("g"), "g"},
 		{"the leader is never given up", voters(6), silent("a"), ""},
+		{"six voters wait before they give one up", voters(6), func(raft.ID) time.Duration { return GoneAfter - time.Millisecond }, ""},
+		{"seven voters wait for longer", voters(7), func(raft.ID) time.Duration { return KeptFor - time.Millisecond }, ""},
 		{"nobody is silent", voters(6), silent(), ""},
 		{"a silent learner is given up", raft.Members{Voters: voters(3).Voters, Learners: []raft.ID{id("x")}}, silent("x"), "x"},
 	} {
@@ -73,27 +76,41 @@
 
 // Guards against a group that a newcomer makes larger while a voter is gone: with four voters of which one is gone, the
 // loss of another one stops it.
-func TestDisplaced(t *testing.T) {
+func TestPlaceOfGoneVoter(t *testing.T) {
 	id := func(name string) raft.ID { return raft.ID{Name: name, Disk: "1"} }
-	m := raft.Members{Voters: []raft.ID{id("a"), id("b"), id("c")}, Learners: []raft.ID{id("n")}}
+	n := id("n")
+	s := raft.Status{ID: id("a"), Match: map[raft.ID]uint64{n: 5}}
+	s.Members = raft.Members{Voters: []raft.ID{id("a"), id("b"), id("c")}, Learners: []raft.ID{n}}
 	for _, c := range []struct {
 		name   string
 		silent time.Duration
+		want   error
 		gone   string
-		wait   bool
 	}{
-		{"all answer", 200 * time.Millisecond, "", false},
-		{"one may be gone", time.Second, "", true},
-		{"one is gone", DisplacedAfter, "b", false},
+		{"all answer", 200 * time.Millisecond, nil, ""},
+		{"one may be gone", time.Second, ErrWaits, ""},
+		{"one is gone", GoneAfter, nil, "b"},
 	} {
-		gone, wait := Displaced(m, id("a"), func(x raft.ID) time.Duration {
+		silent := func(x raft.ID) time.Duration {
 			if x == id("b") || x == id("a") {
 				return c.silent
 			}
 			return 0
-		})
-		if gone.Name != c.gone || wait != c.wait {
-			t.Errorf("%s: %q, wait %v", c.name, gone.Name, wait)
+		}
+		change, err := Admission(s, n, silent)
+		if !errors.Is(err, c.want) || err == nil && (change.Type != raft.Promote || change.ID != n) {
+			t.Errorf("%s: %s of %s, %v; want the promotion or %v", c.name, change.Type, change.ID, err, c.want)
+		}
+		if err != nil {
+			continue
+		}
+		after, err := s.Members.Apply(change)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The removal needs no further wait.
+		if gone, _ := Gone(after, s.ID, silent); gone.Name != c.gone {
+			t.Errorf("%s: %q is removed after the promotion, want %q", c.name, gone.Name, c.gone)
 		}
 	}
 }
--- a/core/raft/errors.go
+++ b/core/raft/errors.go
@@ -10,6 +10,8 @@
 	ErrNotReady = eris.New("the leader has not committed an entry of its term")
 	// ErrLagging means that the learner is too far behind to become a voter.
 	ErrLagging = eris.New("the learner is too far behind")
+	// ErrQuorum means that the members after the change would have no quorum that answers the leader.
+	ErrQuorum = eris.New("the members after the change have no quorum that answers")
 	// ErrMember means that the membership change does not fit the current members.
 	ErrMember = eris.New("the membership change does not fit the members")
 	// ErrIdentity means that the message is addressed to another identity than this member's.
--- a/core/raft/fault_test.go
+++ b/core/raft/fault_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -116,6 +117,25 @@
 	}
 }
 
+// Guards against a removal that a leader appends although the remaining voters that still answer are no quorum: the voter
+// that it removes comes back, but the others no longer count it, and the group never recovers.
+func TestNoChangeWithoutQuorumOfTheNewMembers(t *testing.T) {
+	s := newSim(t, 5)
+	leader := s.elect()
+	others := s.followers(leader)
+	for _, p := range others[:3] {
+		s.crash(p)
+	}
+	s.run(6)
+	back := others[2]
+	if err := leader.node.ProposeConfChange(ConfChange{Type: Remove, ID: back.id}); !errors.Is(err, ErrQuorum) {
+		t.Errorf("the removal of %s with two of four remaining voters returned %v, want %v", back.id, err, ErrQuorum)
+	}
+	s.run(2 * DefaultElectionTicks)
+	s.start(back)
+	s.commit(s.elect(), "after")
+}
+
 // Guards against a paused leader that continues after a successor was elected and answers a read from its old
 // state, or commits a proposal under its old term.
 func TestPausedLeaderContinues(t *testing.T) {
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -171,7 +171,8 @@
 
 // ProposeConfChange appends a membership change. It returns NotLeaderError on a follower, ErrPending while an
 // earlier change is not committed, ErrTransfer during a transfer, ErrNotReady until the leader has committed an entry of its term, ErrLagging for
-// a learner that is too far behind, and ErrMember for a change that does not fit.
+// a learner that is too far behind, ErrMember for a change that does not fit, and ErrQuorum if the members after the change
+// have no quorum that answers: the change takes effect at once, and a voter that it removes could not help to commit it.
 func (n *Node) ProposeConfChange(c ConfChange) error {
 	if n.role != Leader {
 		return &NotLeaderError{Leader: n.leader}
@@ -192,10 +193,27 @@
 	if err != nil {
 		return fmt.Errorf("propose a membership change: %w", err)
 	}
+	if heard := n.answering(members); heard < members.Quorum() {
+		return fmt.Errorf("%d of %d voters answer: %w", heard, len(members.Voters), ErrQuorum)
+	}
 	n.appendEntry(Entry{Type: EntryMembers, Data: c.Context, Members: &members})
 	return nil
 }
 
+// answering returns the number of voters that have lately answered this leader, itself included.
+func (n *Node) answering(members Members) int {
+	// A heartbeat is answered before the one after the next is sent.
+	limit := uint64(2*n.HeartbeatTicks + 1)
+	heard := 0
+	for _, id := range members.Voters {
+		p := n.lead.peers[id]
+		if id == n.ID || p != nil && p.sent > 0 && n.now-p.sent <= limit {
+			heard++
+		}
+	}
+	return heard
+}
+
 // advanceCommit commits what a quorum has synced, if it belongs to the current term.
 func (n *Node) advanceCommit() {
 	index := n.log.members().quorumValue(func(id ID) uint64 {
--- a/core/raft/members.go
+++ b/core/raft/members.go
@@ -27,6 +27,11 @@
 	Remove
 )
 
+var changeNames = [...]string{"none", "add learner", "promote", "remove"}
+
+// String returns the name of the type.
+func (t ChangeType) String() string { return changeNames[t] }
+
 // ConfChange is a change of one member.
 type ConfChange struct {
 	// Type tells what the change does.
--- a/io/ctrl/join.go
+++ b/io/ctrl/join.go
@@ -138,7 +138,7 @@
 
 // join makes a process a voter, one step a call; the process repeats its request until it votes.
 func (g *group) join(ctx context.Context, req joinRequest) error {
-	return g.replica.Admit(ctx, req.ID)
+	return g.replica.Admit(ctx, req.ID, false)
 }
 
 // founded waits until most of the configured members vote: until then the loss of one disk could lose what a smaller
--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"wasabiweir/core/form"
@@ -164,7 +163,7 @@
 func (g *group) join(ctx context.Context, req joinRequest) joinReply {
 	reply := joinReply{Members: g.members()}
 	r := g.current()
-	err := g.admit(ctx, r, req.ID)
+	err := r.Admit(ctx, req.ID, true)
 	if leader, is := raft.IsNotLeader(err); is {
 		l := g.keeper.peers.link(leader.Name)
 		if l != nil && !req.Forwarded {
@@ -181,40 +180,6 @@
 	return reply
 }
 
-// errWaits is returned to a learner that is not promoted yet.
-var errWaits = eris.New("a voter may be gone; the newcomer takes its place when it is silent for long enough")
-
-// admit makes a step on the leader. A newcomer takes the place of a voter that is gone.
-func (g *group) admit(ctx context.Context, r *repl.Replica, id raft.ID) error {
-	s := r.Status()
-	if s.Role == raft.Leader && s.Members.IsLearner(id) && s.Match[id] > 0 {
-		gone, wait := form.Displaced(s.Members, s.ID, silence(s))
-		if wait {
-			return errWaits
-		}
-		if !gone.IsZero() && gone.Name != id.Name {
-			return g.remove(ctx, r, gone)
-		}
-	}
-	if err := r.Admit(ctx, id); err != nil {
-		return fmt.Errorf("admit %s: %w", id, err)
-	}
-	return nil
-}
-
-// silence returns how long members have not answered the leader with the status.
-func silence(s repl.Status) func(raft.ID) time.Duration {
-	return func(id raft.ID) time.Duration { return time.Duration(s.Silent[id]) * repl.DefaultInterval }
-}
-
-func (g *group) remove(ctx context.Context, r *repl.Replica, id raft.ID) error {
-	g.keeper.Log.Warn("member-removed", zap.String("member", id.String()), zap.Int("voters", len(r.Status().Members.Voters)))
-	if err := r.ConfChange(ctx, raft.ConfChange{Type: raft.Remove, ID: id}); err != nil {
-		return fmt.Errorf("remove %s: %w", id, err)
-	}
-	return nil
-}
-
 // loopJoin asks for membership while this process does not vote or hears no leader, which is also how a process learns
 // that it was removed while it was cut off.
 func (g *group) loopJoin(ctx context.Context) error {
@@ -245,21 +210,11 @@
 // loopTidy removes voters that are gone, on the leader.
 func (g *group) loopTidy(ctx context.Context) error {
 	for serve.Pause(ctx, tidyInterval) {
-		r := g.current()
-		s := r.Status()
-		if s.Role != raft.Leader {
-			continue
-		}
-		id, due := form.Gone(s.Members, s.ID, silence(s))
-		if !due {
-			continue
-		}
 		call, cancel := context.WithTimeout(ctx, joinTimeout)
-		err := g.remove(call, r, id)
-		cancel()
-		if err != nil {
-			g.keeper.Log.Warn("member-not-removed", zap.String("member", id.String()), zap.Error(err))
+		if err := g.current().RemoveGone(call); err != nil {
+			g.keeper.Log.Warn("member-not-removed", zap.Error(err))
 		}
+		cancel()
 	}
 	return ctx.Err()
 }
--- a/io/repl/replace.go
+++ b/io/repl/replace.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"wasabiweir/core/form"
 	"wasabiweir/core/raft"
 )
 
@@ -21,7 +22,7 @@
 		if s.Repaired(old, fresh) {
 			return nil
 		}
-		c, due := nextChange(s, old, fresh)
+		c, due := form.Replacement(s.Status, old, fresh)
 		var err error
 		if due {
 			err = r.ConfChange(ctx, c)
@@ -42,23 +43,5 @@
 
 func retryable(err error) bool {
 	return errors.Is(err, raft.ErrPending) || errors.Is(err, raft.ErrNotReady) || errors.Is(err, raft.ErrLagging) ||
-		errors.Is(err, raft.ErrTransfer)
-}
-
-// nextChange returns the next step of a replacement: add the learner, remove the lost voter once the learner has
-// caught up, promote the learner.
-func nextChange(s Status, old, fresh raft.ID) (raft.ConfChange, bool) {
-	m := s.Members
-	switch {
-	case !m.Has(fresh):
-		return raft.ConfChange{Type: raft.AddLearner, ID: fresh}, true
-	case s.Match[fresh] == 0 || s.Match[fresh]+raft.DefaultPromoteLag < s.Commit:
-		// A learner that never answered must not cost the group its old voter, however short the log is.
-		return raft.ConfChange{}, false
-	case m.Has(old):
-		return raft.ConfChange{Type: raft.Remove, ID: old}, true
-	case m.IsLearner(fresh):
-		return raft.ConfChange{Type: raft.Promote, ID: fresh}, true
-	}
-	return raft.ConfChange{}, false
+		errors.Is(err, raft.ErrTransfer) || errors.Is(err, raft.ErrQuorum)
 }
