Send a stream to its holder again when the holder's answer was reset

Change: the holder gets the stream again, from the copy, after 10 ms, then 20 ms; the last send that the route allows still goes elsewhere.

--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -18,6 +18,9 @@
 	// startWait bounds how long a stream without an event waits for an endpoint before it is refused: an eighth of the
 	// usual objective, within which nothing is lost to the caller.
 	startWait = 500 * time.Millisecond
+	// resetPause is the pause before a holder whose answer was reset is sent the stream again; it doubles each time. Four
+	// such pauses take a fifth of the usual bound on a pause between events.
+	resetPause = 10 * time.Millisecond
 	// resumeWait bounds how long a stream that was interrupted waits for an endpoint: crashed ones come back within it.
 	resumeWait = 3 * time.Second
 )
@@ -37,6 +40,8 @@
 	over atomic.Bool
 	// kept are the ids of endpoints that still have the prompt of a stream that the caller resumes.
 	kept []string
+	// resets counts the answers of holders that were reset before their first event.
+	resets int
 	// refused counts the endpoints that refused the stream.
 	refused int
 	// events counts the events that were passed on, and resumes the sends after an interruption.
@@ -77,6 +82,7 @@
 		}
 		out := g.run(l)
 		g.note(l.endpoint, out)
+		g.keepCopy(l, out)
 		if out.verdict == answered {
 			g.done(l, out)
 			return
@@ -89,6 +95,17 @@
 	}
 }
 
+// keepCopy leaves a holder to be sent the stream again if its answer was reset before the first event: it has the copy
+// still. The last send that the route allows goes elsewhere.
+func (g *generation) keepCopy(l leg, out result) {
+	if l.from == "" || out.cause != common.RetryReset || g.copies.get().holder.ID != l.endpoint.ID || g.sends+1 >= g.route.Attempts {
+		return
+	}
+	delete(g.tried, l.endpoint.ID)
+	g.pause(resetPause << g.resets)
+	g.resets++
+}
+
 // mayGoOn reports whether another send may follow one without a whole answer, or why not.
 func (g *generation) mayGoOn(out result) (common.Reason, bool) {
 	switch {
