Choose no holder in the failure domain that a stream has just lost

Change: the domain of a stream's last lost endpoint costs it like a suspect one, for holders and for the next engine. TestHolderIsNotInTheLostDomain.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -156,17 +156,42 @@
 	x := newTable(6)
 	x.Failed("e01", true, start)
 	for range 50 {
-		h, ok := x.Holder(Endpoint{ID: "e00", Service: "m", Domain: "d0"}, map[string]bool{"e00": true}, start)
+		h, ok := x.Holder(Endpoint{ID: "e00", Service: "m", Domain: "d0"}, "", start)
 		if !ok || h.Domain == "d0" || h.ID == "e01" {
 			t.Fatalf("holder is %+v (%v)", h, ok)
 		}
 		x.Copied(h.ID, 1)
 	}
-	if _, ok := x.Holder(Endpoint{ID: "e00", Service: "m", Domain: "d0"}, ids(x, "d1", "d2"), start); ok {
+	for id, in := range ids(x, "d1", "d2") {
+		if in {
+			x.Gone(id, start)
+		}
+	}
+	if _, ok := x.Holder(Endpoint{ID: "e00", Service: "m", Domain: "d0"}, "", start); ok {
 		t.Error("a holder in the run's own domain is chosen")
 	}
 }
 
+// Guards against a copy in the domain whose crash has just cost the stream its engine, when no other loss is known yet.
+func TestHolderIsNotInTheLostDomain(t *testing.T) {
+	x := newTable(9)
+	for range 50 {
+		h, ok := x.Holder(Endpoint{ID: "e00", Service: "m", Domain: "d0"}, "d1", start)
+		if !ok || h.Domain != "d2" {
+			t.Fatalf("holder is %+v (%v), want one in d2", h, ok)
+		}
+		x.Copied(h.ID, 1)
+	}
+	for id, in := range ids(x, "d2") {
+		if in {
+			x.Gone(id, start)
+		}
+	}
+	if h, ok := x.Holder(Endpoint{ID: "e00", Service: "m", Domain: "d0"}, "d1", start); !ok || h.Domain != "d1" {
+		t.Errorf("holder is %+v (%v), want one in d1 if there is no other", h, ok)
+	}
+}
+
 // Guards against a holder that is passed over because it refused something for lack of room, or because it leaves.
 func TestFullHolderLives(t *testing.T) {
 	x := newTable(3)
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -158,6 +158,8 @@
 	Not map[string]bool
 	// NotDomain is a failure domain to avoid if another one has an endpoint.
 	NotDomain string
+	// Lost is the failure domain in which the request has just lost an endpoint; the rest of it may go down with that one.
+	Lost string
 }
 
 // Choose returns the endpoint with the least cost, or false if none takes requests now.
@@ -170,7 +172,7 @@
 			return true
 		}
 		cost := r.cost(w, now) + jitter*t.Rand.Float64()
-		if suspect[r.Domain] {
+		if suspect[r.Domain] || w.Lost != "" && r.Domain == w.Lost {
 			cost += suspectCost
 		}
 		if w.NotDomain != "" && r.Domain == w.NotDomain {
@@ -188,9 +190,9 @@
 }
 
 // Holder returns the endpoint that should hold the copy of a run on the endpoint: one of another failure domain, or
-// false if there is none.
-func (t *Table) Holder(of Endpoint, not map[string]bool, now time.Time) (Endpoint, bool) {
-	w := Want{Service: of.Service, Model: true, Not: not, NotDomain: of.Domain}
+// false if there is none. The domain lost is avoided too, unless it is empty.
+func (t *Table) Holder(of Endpoint, lost string, now time.Time) (Endpoint, bool) {
+	w := Want{Service: of.Service, Model: true, Not: map[string]bool{of.ID: true}, NotDomain: of.Domain, Lost: lost}
 	e, ok := t.Choose(w, now)
 	if !ok || e.Domain == of.Domain {
 		return Endpoint{}, false
--- a/io/relay/copy.go
+++ b/io/relay/copy.go
@@ -88,7 +88,7 @@
 	if !k.asked.any || !g.relay.lives(k.asked.holder.ID) {
 		k.release()
 		g.relay.placed(func(t *place.Table, now time.Time) {
-			k.asked.holder, k.asked.any = t.Holder(k.leg.endpoint, map[string]bool{k.leg.endpoint.ID: true}, now)
+			k.asked.holder, k.asked.any = t.Holder(k.leg.endpoint, "", now)
 			if k.asked.any {
 				t.Copied(k.asked.holder.ID, 1)
 			}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -42,6 +42,8 @@
 	kept []string
 	// resets counts the answers of holders that were reset before their first event.
 	resets int
+	// lost is the failure domain of the last endpoint that failed.
+	lost string
 	// refused counts the endpoints that refused the stream.
 	refused int
 	// events counts the events that were passed on, and resumes the sends after an interruption.
@@ -83,6 +85,9 @@
 		out := g.run(l)
 		g.note(l.endpoint, out)
 		g.keepCopy(l, out)
+		if out.verdict == unknown {
+			g.lost = l.endpoint.Domain
+		}
 		if out.verdict == answered {
 			g.done(l, out)
 			return
@@ -174,17 +179,17 @@
 			l.endpoint, l.from, ok = b.holder, b.from, true
 		} else if l.endpoint, ok = g.keeper(t, now); ok {
 			l.kept = true
-		} else if l.endpoint, ok = t.Choose(place.Want{Service: g.service, Model: true, Not: g.tried}, now); !ok && g.wrote {
+		} else if l.endpoint, ok = t.Choose(place.Want{Service: g.service, Model: true, Not: g.tried, Lost: g.lost}, now); !ok && g.wrote {
 			// Endpoints that refused may have room by now, and those that crashed may be back.
 			clear(g.tried)
-			l.endpoint, ok = t.Choose(place.Want{Service: g.service, Model: true}, now)
+			l.endpoint, ok = t.Choose(place.Want{Service: g.service, Model: true, Lost: g.lost}, now)
 		}
 		if !ok {
 			return
 		}
 		t.Began(l.endpoint.ID, l.reads())
 		if s := g.index.Service(g.service); g.route.Resumable && s != nil && s.Model != nil && s.Model.Backups {
-			l.holder, l.held = t.Holder(l.endpoint, map[string]bool{l.endpoint.ID: true}, now)
+			l.holder, l.held = t.Holder(l.endpoint, g.lost, now)
 			if l.held {
 				t.Copied(l.holder.ID, 1)
 			}
