Leave a slow engine sooner, and only for a holder that has the copy

Cause: an engine that answers but sends no event for 520 ms was left for the holder of the copy. The holder had often crashed or started again without copies, which the list shows a second later; the prompt was read again then, at once on the slow engine. And with a sound holder, 520 ms and the start from the copy were 620 to 760 ms, over the 700 ms that routes allow.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -41,6 +41,8 @@
 type Report struct {
 	// Events is the number of events that each run has made, by the id of its request.
 	Events map[string]int
+	// Copies is the number of copies that it holds of other engines' runs.
+	Copies int
 }
 
 // Lister reads the platform's list of endpoints.
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -22,9 +22,11 @@
 	askAgain = 150 * time.Millisecond
 	// startAgain is the same for a stream without an event: its objective leaves time for a second prompt elsewhere.
 	startAgain = 400 * time.Millisecond
-	// deafSilence is the silence of a running stream, of an engine that answers, after which the stream goes to the holder
-	// of its copy: what is left of the usual pause of 700 ms is enough to resume.
-	deafSilence = 520 * time.Millisecond
+	// copyStart is the time that a stream needs to go on from its copy. An engine that answers but makes no event is left
+	// for the holder when no more than that is left of the longest pause that the route allows.
+	copyStart = 250 * time.Millisecond
+	// usualPause stands for a route that states no longest pause.
+	usualPause = 700 * time.Millisecond
 	// aheadBy is the number of events by which an engine must be ahead of the stream to prove that its connection is dead;
 	// reports are some hundred milliseconds old, so that one event may be on its way.
 	aheadBy = 2
@@ -68,7 +70,7 @@
 			}
 			continue
 		}
-		if silence < deafSilence && w.gen.relay.prober.lately(w.leg.endpoint.ID) {
+		if silence < w.patience() && w.gen.relay.prober.lately(w.leg.endpoint.ID) {
 			if !serve.Pause(ctx, askAgain/2) {
 				return
 			}
@@ -78,7 +80,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if cause := w.judge(q); cause != "" {
+		if cause := w.judge(ctx, q); cause != "" {
 			w.cause.Store(&cause)
 			_ = w.conn.Close()
 			return
@@ -91,8 +93,17 @@
 
 func (w *watch) silence() time.Duration { return w.gen.relay.since() - time.Duration(w.last.Load()) }
 
+// patience is the silence after which the stream leaves an engine that answers.
+func (w *watch) patience() time.Duration {
+	longest := w.gen.route.MaxPause
+	if longest == 0 {
+		longest = usualPause
+	}
+	return max(longest-copyStart, eventSilence+askAgain)
+}
+
 // judge returns why the leg is to end, or nothing.
-func (w *watch) judge(q *question) string {
+func (w *watch) judge(ctx context.Context, q *question) string {
 	silence := w.silence()
 	if silence < eventSilence {
 		return ""
@@ -108,8 +119,19 @@
 	if made, ok := q.report.Events[w.gen.id]; ok && int64(made) >= w.at.Load()+aheadBy && silence > eventSilence+askAgain {
 		return "the engine is ahead of its connection"
 	}
-	if b := w.gen.copies.get(); silence >= deafSilence && b.any && w.gen.relay.lives(b.holder.ID) {
+	if silence >= w.patience() && w.copyAnswers(ctx) {
 		return "no event although the engine answers"
 	}
 	return ""
 }
+
+// copyAnswers reports whether the holder of the copy answers and has copies: one that crashed lately may be listed still,
+// or may have started again without them.
+func (w *watch) copyAnswers(ctx context.Context) bool {
+	b := w.gen.copies.get()
+	if !b.any || !w.gen.relay.lives(b.holder.ID) {
+		return false
+	}
+	q := w.gen.relay.prober.ask(ctx, b.holder)
+	return ctx.Err() == nil && q.alive && q.report.Copies > 0
+}
