Choose the ports of tests in one place, outside the range that the system gives out

TestStreamOutlivesHolderAndEngine failed once at its start: the keeper acknowledged nothing for 15 s; the command had dropped its log.

--- a/io/itest/process_test.go
+++ b/io/itest/process_test.go
@@ -5,12 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -160,38 +158,11 @@
 	return strings.Join(lines[max(0, len(lines)-n):], "\n")
 }
 
-// Ports below the range from which the system picks those of outgoing connections, so that none is taken between its
-// choice and the start of a process.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var (
-	lastUsed = firstPort + os.Getpid()%(lastPort-firstPort)
-	lastMu   sync.Mutex // guards lastUsed, since some tests run side by side
-)
-
 // addresses returns n free loopback addresses.
-func addresses(t testing.TB, n int) []string {
-	t.Helper()
-	lastMu.Lock()
-	defer lastMu.Unlock()
-	var out []string
-	for tries := 0; len(out) < n; tries++ {
-		if tries > lastPort-firstPort {
-			t.Fatal("no free ports")
-		}
-		if lastUsed++; lastUsed >= lastPort {
-			lastUsed = firstPort
-		}
-		address := net.JoinHostPort(stand.Loopback(), strconv.Itoa(lastUsed))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		out = append(out, address)
+func addresses(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = stand.FreeAddress()
 	}
 	return out
 }
--- a/io/itest/system_test.go
+++ b/io/itest/system_test.go
@@ -83,7 +83,7 @@
 }
 
 func (s *system) startEndpoints(p plan) {
-	free := addresses(s.t, p.engines+1)
+	free := addresses(p.engines + 1)
 	s.models, s.plain = free[:p.engines], free[p.engines]
 	for i, a := range s.models {
 		args := append([]string{"standin", "engine", "-listen", a, "-models", "dente@1"}, p.engineArgs...)
@@ -93,7 +93,7 @@
 }
 
 func (s *system) startControls(p plan) (peers []string) {
-	free := addresses(s.t, 2*p.controls)
+	free := addresses(2 * p.controls)
 	var members []string
 	for i := range p.controls {
 		peers = append(peers, free[2*i])
@@ -116,7 +116,7 @@
 }
 
 func (s *system) startRouters(p plan, controls []string) {
-	free := addresses(s.t, 2*p.routers)
+	free := addresses(2 * p.routers)
 	for i := range p.routers {
 		name := fmt.Sprintf("router-%d", i+1)
 		s.callers = append(s.callers, free[2*i])
