--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -12,16 +12,19 @@
 	// eventSilence is the silence of a running stream after which its engine is asked. Events come every 30 ms, and every
 	// 200 ms while the engine reads a prompt.
 	eventSilence = 300 * time.Millisecond
-	// startSilence is the silence of a stream without an event after which its engine is asked; a prompt takes a second.
-	startSilence = 400 * time.Millisecond
+	// startSilence is the silence of a stream without an event after which its engine is asked; a prompt takes a second or
+	// more, and the objective leaves time for a second one elsewhere.
+	startSilence = time.Second
+	// startTick is the time between two looks, until then, whether others have lost the engine.
+	startTick = 100 * time.Millisecond
 	// askTimeout bounds a question to an engine; it answers without a slot, within a few milliseconds.
 	askTimeout = 120 * time.Millisecond
 	// sharedSilence is the time for which an event of any stream proves that its engine lives.
 	sharedSilence = 200 * time.Millisecond
 	// askAgain is the time after which an engine that answered is asked again.
 	askAgain = 150 * time.Millisecond
-	// startAgain is the same for a stream without an event: its objective leaves time for a second prompt elsewhere.
-	startAgain = 400 * time.Millisecond
+	// startAgain is the same for a stream without an event.
+	startAgain = 600 * time.Millisecond
 	// copyStart is the time that a stream needs to go on from its copy. An engine that answers but makes no event is left
 	// for the holder when no more than that is left of the longest pause that the route allows.
 	copyStart = 250 * time.Millisecond
@@ -60,12 +63,15 @@
 func (w *watch) run(ctx context.Context) {
 	for {
 		silence := w.silence()
-		limit, again := startSilence, startAgain
-		if w.got.Load() > 1 {
-			limit, again = eventSilence, askAgain
+		limit, tick, again := startSilence, startTick, startAgain
+		switch {
+		case w.got.Load() > 1:
+			limit, tick, again = eventSilence, eventSilence, askAgain
+		case silence >= eventSilence && !w.gen.relay.lives(w.leg.endpoint.ID):
+			limit = eventSilence
 		}
 		if silence < limit {
-			if !serve.Pause(ctx, limit-silence) {
+			if !serve.Pause(ctx, min(limit-silence, tick)) {
 				return
 			}
 			continue
