--- a/io/cmds/list.go
+++ b/io/cmds/list.go
@@ -16,6 +16,7 @@
 		{name: "history", summary: "List the latest revisions", bind: bindHistory},
 		{name: "load", summary: "Send load to running routers and check every answer", bind: bindLoad},
 		{name: "bench", summary: "Run the decision code on a virtual clock and print its figures", bind: bindBench},
+		{name: "report", summary: "Draw played days and waiting times as one HTML page", bind: bindReport},
 		{name: "status", summary: "Show members, routers and what is wrong", bind: bindStatus},
 	}
 }
--- a/io/relay/front.go
+++ b/io/relay/front.go
@@ -58,6 +58,8 @@
 
 	// tried are the endpoints that may have run the request or refused it, by id.
 	tried map[string]bool
+	// waited is the time to the first send.
+	waited time.Duration
 	// sends counts the sends after which the request may have run.
 	sends int
 	// ran says that an endpoint may have run the request, so that no answer may say that it has not.
@@ -176,6 +178,9 @@
 
 // outbound returns the request as it goes to the endpoint now, with the time that is left.
 func (q *request) outbound(e place.Endpoint, now time.Time) *outbound {
+	if q.waited == 0 {
+		q.waited = now.Sub(q.began)
+	}
 	h := q.header.Clone()
 	h.Set(q.relay.Names.Expect, e.ID)
 	h.Set(q.relay.Names.Deadline, strconv.FormatInt(max(1, q.deadline.Sub(now).Milliseconds()), 10))
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -267,5 +267,6 @@
 	took := q.relay.Clock.Now().Sub(q.began)
 	q.relay.meter.first.RecordDuration(took)
 	q.log.Info("request-answered", zap.Int("status", out.res.StatusCode), zap.String("route", q.route.Name),
-		zap.String("endpoint", e.ID), zap.Int("sends", q.sends), zap.Duration("took", took), zap.Error(err))
+		zap.String("endpoint", e.ID), zap.Int("sends", q.sends),
+		zap.Duration("waited", q.waited), zap.Duration("took", took), zap.Error(err))
 }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -207,7 +207,7 @@
 	g.relay.meter.pause.RecordDuration(g.longest)
 	g.log.Info("stream-ended", zap.String("route", g.route.Name), zap.String("endpoint", l.endpoint.ID),
 		zap.Int("events", g.events), zap.Int64("last-event", g.last), zap.Int("resumes", g.resumes), zap.Int("sends", g.sends),
-		zap.Duration("first", g.firstIn), zap.Duration("longest-pause", g.longest), zap.Duration("took", g.relay.Clock.Now().Sub(g.began)))
+		zap.Duration("waited", g.waited), zap.Duration("first", g.firstIn), zap.Duration("longest-pause", g.longest), zap.Duration("took", g.relay.Clock.Now().Sub(g.began)))
 }
 
 // giveUp ends a stream for which nothing more can be tried. The connection of one that has begun is reset, so that it
