Ask several keepers at a time while none proves its state

Which relays share the endpoints is learnt from the keeper that is followed only; one without a quorum named one relay of 73. Ruled out: a change acknowledged without a quorum (all acknowledgements came from the five), the relay's own delay (it applied version 43 16 ms after it had reached a keeper of the five).

--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -27,8 +27,6 @@
 	freshFor = 3 * time.Second
 	// reportInterval is the time between two reports without news.
 	reportInterval = time.Second
-	// moveTick is the pause before another keeper is dialled.
-	moveTick = 50 * time.Millisecond
 	// ownListAge is the age of the list after which the relay reads the platform's list itself.
 	ownListAge = 3 * time.Second
 	// listTick is the time between two looks at the list's age.
@@ -44,7 +42,7 @@
 
 var errStale = eris.New("the keeper has not confirmed its state in time")
 
-// feed follows one keeper.
+// feed follows one keeper and applies what it sends.
 type feed struct {
 	relay *Relay
 	name  string
@@ -53,7 +51,9 @@
 	mu      sync.Mutex
 	keepers []string
 	// link is the link to the keeper that is followed.
-	link      *wire.Link
+	link *wire.Link
+	// others is what keepers that are not followed have last said of keepers and relays.
+	others    map[*wire.Link]wire.Keepers
 	confirmed time.Time
 	listed    time.Time // when the reading of the present list began
 	content   uint64    // what identifies its endpoints
@@ -99,6 +99,7 @@
 	f.name = r.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	f.wake = make(chan struct{}, 1)
 	f.begun = make(chan struct{})
+	f.others = map[*wire.Link]wire.Keepers{}
 }
 
 // known reports whether a list of endpoints has arrived.
@@ -108,88 +109,6 @@
 	return !f.listed.IsZero() || f.relay.since() > firstListWait
 }
 
-// loop follows one keeper after another until ctx ends.
-func (f *feed) loop(ctx context.Context) error {
-	last := ""
-	for ctx.Err() == nil {
-		for _, address := range f.candidates(last) {
-			if ctx.Err() != nil {
-				break
-			}
-			last = address
-			err := f.follow(ctx, address)
-			f.relay.Log.Info("keeper-left", zap.String("keeper", address), zap.Error(err))
-			if !serve.Pause(ctx, moveTick) {
-				break
-			}
-		}
-	}
-	return ctx.Err()
-}
-
-// candidates returns the keepers in the order in which they are tried: random, and the last one at the end.
-func (f *feed) candidates(last string) []string {
-	f.mu.Lock()
-	list := slices.Concat(f.keepers, f.relay.Seeds())
-	f.mu.Unlock()
-	slices.Sort(list)
-	list = slices.Compact(list)
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b string) int {
-		switch {
-		case a == last && b != last:
-			return 1
-		case b == last && a != last:
-			return -1
-		}
-		return 0
-	})
-	if len(list) == 0 {
-		serve.Pause(f.relay.ctx, proofInterval)
-	}
-	return list
-}
-
-// follow takes states and lists from a keeper until its confirmations stop.
-func (f *feed) follow(ctx context.Context, address string) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	dial, done := context.WithTimeout(ctx, wire.ShortDial)
-	l, err := wire.Dial(dial, f.name, address, f.relay.PeerKey, f)
-	done()
-	if err != nil {
-		return err
-	}
-	server := linkServer{link: l, done: make(chan error, 1)}
-	go server.run(ctx)
-	f.mu.Lock()
-	f.link = l
-	f.mu.Unlock()
-	defer l.Close()
-	f.relay.Log.Info("keeper-followed", zap.String("keeper", address))
-	f.report()
-	for {
-		if err := f.confirm(ctx, l); err != nil {
-			return err
-		}
-		t := time.NewTimer(proofInterval)
-		select {
-		case err := <-server.done:
-			t.Stop()
-			return err
-		case <-t.C:
-		}
-	}
-}
-
-// linkServer runs a link that was dialled.
-type linkServer struct {
-	link *wire.Link
-	done chan error
-}
-
-func (s *linkServer) run(ctx context.Context) { s.done <- s.link.Serve(ctx) }
-
 // confirm asks the keeper which state a quorum holds now.
 func (f *feed) confirm(ctx context.Context, l *wire.Link) error {
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
@@ -224,7 +143,7 @@
 	case wire.KindKeepers:
 		var k wire.Keepers
 		if k, err = wire.Decode[wire.Keepers](fr); err == nil {
-			f.learn(k)
+			f.learn(l, k)
 		}
 	}
 	if err != nil {
@@ -273,10 +192,22 @@
 	f.checkBegun()
 }
 
-func (f *feed) learn(k wire.Keepers) {
+// learn takes what a keeper says of the others. Only the one that is followed tells which relays share the endpoints; one
+// that is cut off from the others misses most of them.
+func (f *feed) learn(l *wire.Link, k wire.Keepers) {
 	f.mu.Lock()
 	f.keepers = k.Addresses
+	follows := f.link == nil || f.link == l
+	if !follows {
+		f.others[l] = k
+	}
 	f.mu.Unlock()
+	if follows {
+		f.divide(k)
+	}
+}
+
+func (f *feed) divide(k wire.Keepers) {
 	f.relay.mu.Lock()
 	f.relay.relays = len(k.Relays)
 	f.relay.table.Divide(slices.Index(k.Relays, f.relay.Front), len(k.Relays))
