--- a/io/chart/page.go
+++ b/io/chart/page.go
@@ -19,12 +19,12 @@
 
 const (
 	// width is that of each plot, and rowHeight the height of a day's bar with its gap.
-	width     = 24 * vg.Centimeter
-	rowHeight = 0.7 * vg.Centimeter
+	width     = 9.5 * vg.Inch
+	rowHeight = 0.3 * vg.Inch
 	// curveHeight is the height of the distributions.
-	curveHeight = 10 * vg.Centimeter
+	curveHeight = 4 * vg.Inch
 	// axisHeight is the room for the axis, the title and the legend of the bars.
-	axisHeight = 4 * vg.Centimeter
+	axisHeight = 1.6 * vg.Inch
 	// drawnCauses is the number of causes with a colour of their own; a plot with more is hard to read.
 	drawnCauses = 8
 	// listedLosses is the number of losses that the table names.
@@ -44,13 +44,12 @@
 // Write writes the page.
 func Write(w io.Writer, title string, days []Day, series []Series) error {
 	data := struct {
-		Title         string
-		Days          []Day
-		Series        []Series
-		Bars, Curves  template.HTML
-		LossesPerDay  int
-		CausesInColor int
-	}{Title: title, Days: days, Series: series, LossesPerDay: listedLosses, CausesInColor: drawnCauses}
+		Title        string
+		Days         []Day
+		Series       []Series
+		Bars, Curves template.HTML
+		LossesPerDay int
+	}{Title: title, Days: days, Series: series, LossesPerDay: listedLosses}
 	var err error
 	if len(days) > 0 {
 		if data.Bars, err = bars(days); err != nil {
