Wait for a late answer when no other endpoint can give a better one

Cause: a request that may be repeated left its endpoint after 2.5 objectives even on its last attempt, or with no other endpoint left, and was answered 502 although the answer was on its way. Found by a test of relays that stop together, whose service takes three objectives. Change: the limit holds only while another endpoint could be sent the request next. TestSlowServiceAnswers failed before.

--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,7 +19,8 @@
 const (
 	// maxAnswer is the size up to which an answer is collected, so that one that breaks off can be asked for again.
 	maxAnswer = 512 << 10
-	// patience is the number of objectives after which a request that may be repeated goes to another endpoint.
+	// patience is the number of objectives after which a request that may be repeated goes to another endpoint, if there is
+	// one.
 	patience = 2.5
 	// refusedPause is the pause before another endpoint is tried after one refused the request; it doubles with each one.
 	refusedPause = 5 * time.Millisecond
@@ -113,6 +115,17 @@
 	return q.route.Repeatable() && q.stream == nil && q.sends < max(1, q.route.Attempts) && q.ctx.Err() == nil
 }
 
+// mayMove reports whether the request could go to another endpoint than this one next.
+func (q *request) mayMove(e place.Endpoint) (ok bool) {
+	if q.sends+1 >= max(1, q.route.Attempts) {
+		return false
+	}
+	not := maps.Clone(q.tried)
+	not[e.ID] = true
+	q.relay.placed(func(t *place.Table, now time.Time) { _, ok = t.Choose(place.Want{Service: q.service, Not: not}, now) })
+	return ok
+}
+
 func (q *request) pause(d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -162,7 +175,7 @@
 // send makes one attempt at the endpoint.
 func (q *request) send(e place.Endpoint) result {
 	ctx := q.ctx
-	if q.route.Kind == state.Safe && q.route.Objective > 0 {
+	if q.route.Kind == state.Safe && q.route.Objective > 0 && q.mayMove(e) {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(patience*float64(q.route.Objective)))
 		defer cancel()
