Replay the platform's patterns of load on the virtual clock

The fifth scenario of core/bench, waves: prompts of a second, a failure domain's engines that crash each 6.5 s by reset or silence, a burst over a crash, callers that resume together, repeat or leave.

--- a/core/bench/options.go
+++ b/core/bench/options.go
@@ -13,6 +13,7 @@
 	ScenarioCrest    = "crest"
 	ScenarioBlocking = "blocking"
 	ScenarioSlowed   = "slowed"
+	ScenarioWaves    = "waves"
 )
 
 // The deployments.
@@ -22,7 +23,7 @@
 )
 
 // Scenarios lists the scenarios.
-var Scenarios = []string{ScenarioResume, ScenarioCrest, ScenarioBlocking, ScenarioSlowed}
+var Scenarios = []string{ScenarioResume, ScenarioCrest, ScenarioBlocking, ScenarioSlowed, ScenarioWaves}
 
 // Deployments lists the deployments.
 var Deployments = []string{DeploymentAgencia, DeploymentMebelcheta}
@@ -119,6 +120,8 @@
 		r.Policies = runBlocking(o, d)
 	case ScenarioSlowed:
 		r.Policies = runSlowed(o, d)
+	case ScenarioWaves:
+		r.Policies = runWaves(o, d)
 	default:
 		return nil, eris.Errorf("unknown scenario %q", o.Scenario)
 	}
--- a/core/bench/target.go
+++ b/core/bench/target.go
@@ -39,6 +39,9 @@
 	{Scenario: ScenarioBlocking, Name: "long-throughput-ratio", Bound: 0.9, Least: true, value: at("long-throughput-ratio")},
 	{Scenario: ScenarioSlowed, Name: "completion-p99-ratio", Bound: 1.3, value: withRatio("completion-ms")},
 	{Scenario: ScenarioSlowed, Name: "extra-work-ratio", Bound: 0.03, value: at("extra-work-ratio")},
+	{Scenario: ScenarioWaves, Name: "late-ratio", Bound: 0, value: worstPattern("late-ratio")},
+	{Scenario: ScenarioWaves, Name: "resume-pause-max-ms", Bound: 700, value: worstPattern("resume-pause-ms", "max")},
+	{Scenario: ScenarioWaves, Name: "read-again-ratio", Bound: 0, value: worstPattern("read-again-ratio")},
 }
 
 func at(path ...string) func(Figures) float64 {
@@ -52,6 +55,16 @@
 	}
 }
 
+// worstPattern returns the largest value of a figure over the patterns of the waves scenario.
+func worstPattern(path ...string) func(Figures) float64 {
+	return func(f Figures) (worst float64) {
+		for _, x := range patterns {
+			worst = max(worst, f.Number(append([]string{x.name}, path...)...))
+		}
+		return worst
+	}
+}
+
 func slowestResume(f Figures) float64 {
 	const name = "resume-latency-ms"
 	return max(f.Number(name, kindReset, "max"), f.Number(name, kindSilent, "max"), f.Number(name, kindDomain, "max"))
