Open a second connection to an endpoint when the first takes 40 ms

Change: a second connection is opened beside the first after 40 ms, and the first that stands is used.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -27,6 +27,9 @@
 	// dialTimeout bounds a new connection to an endpoint; within a region one takes a few milliseconds, and an endpoint
 	// that is dark answers nothing.
 	dialTimeout = 250 * time.Millisecond
+	// dialAgain is the time after which a second connection is opened beside the first: the system sends a lost opening
+	// packet again only after a second.
+	dialAgain = 40 * time.Millisecond
 	// idleFor is how long a connection is kept if the endpoint states no time, and idleMargin is taken off the stated one.
 	idleFor    = 3 * time.Second
 	idleMargin = time.Second
@@ -57,8 +60,8 @@
 
 // pool keeps idle connections to endpoints by the endpoint's id, since an address may pass to another endpoint.
 type pool struct {
-	relay  *Relay
-	dialer net.Dialer
+	relay *Relay
+	dial  func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -67,7 +70,7 @@
 func (p *pool) prepare(r *Relay) {
 	p.relay = r
 	p.idle = map[string][]*conn{}
-	p.dialer = net.Dialer{Timeout: dialTimeout}
+	p.dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 }
 
 // get returns a connection that was idle for at most the time, or a new one.
@@ -82,13 +85,58 @@
 		}
 		_ = c.Close()
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", e.Address)
+	nc, err := p.connect(ctx, e.Address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", e.Address, err)
 	}
 	return &conn{Conn: nc, endpoint: e, br: bufio.NewReaderSize(nc, readBuffer), keep: idleFor}, nil
 }
 
+// opening is one of the connections that are opened beside each other.
+type opening struct {
+	conn net.Conn
+	err  error
+}
+
+func (o *opening) run(ctx context.Context, p *pool, address string, out chan<- *opening) {
+	o.conn, o.err = p.dial(ctx, "tcp", address)
+	out <- o
+}
+
+// connect opens a connection, and a second one if the first takes longer than one whose packets all arrive.
+func (p *pool) connect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	out := make(chan *opening, 2)
+	open := 1
+	go new(opening).run(ctx, p, address, out)
+	t := time.NewTimer(dialAgain)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			open++
+			go new(opening).run(ctx, p, address, out)
+		case o := <-out:
+			open--
+			if o.err != nil && open > 0 {
+				continue
+			}
+			cancel()
+			if open > 0 {
+				go closeLate(out)
+			}
+			return o.conn, o.err
+		}
+	}
+}
+
+// closeLate closes a connection that lost the race.
+func closeLate(out <-chan *opening) {
+	if o := <-out; o.conn != nil {
+		_ = o.conn.Close()
+	}
+}
+
 func (p *pool) take(id string, idle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
