--- a/core/histo/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package histo provides a histogram of bounded relative error for latencies.
-package histo
--- a/io/load/report.go
+++ b/io/load/report.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"wasabiweir/core/common"
-	"wasabiweir/core/histo"
 )
 
 // maxExamples is the number of violations and errors that a report shows in full.
@@ -143,19 +142,19 @@
 // group collects one kind of work.
 type group struct {
 	Group
-	firstToken, tokenGap, longestGap, resumeGap, completion histo.Histogram
+	firstToken, tokenGap, longestGap, resumeGap, completion histogram
 }
 
 // tally collects the results of a run; its zero value is ready to use.
 type tally struct {
 	mu          sync.Mutex
 	skipped     int
-	startLag    histo.Histogram
+	startLag    histogram
 	groups      map[string]*group
 	accounts    map[string]*AccountReport
 	refusals    map[common.Reason]int
 	outcomes    map[common.Outcome]int
-	refusalTime histo.Histogram
+	refusalTime histogram
 	told        map[string]common.Outcome
 	notRun      []uint64 // seeds of generations that were refused as not-run
 	doubles     int
@@ -173,7 +172,7 @@
 func (t *tally) lag(d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.startLag.Record(int64(d))
+	t.startLag.record(d)
 }
 
 func (t *tally) violation(text string) {
@@ -212,7 +211,7 @@
 		t.outcomes[r.Outcome]++
 	}
 	for _, d := range times {
-		t.refusalTime.Record(int64(d))
+		t.refusalTime.record(d)
 	}
 }
 
@@ -232,21 +231,21 @@
 	g.Reconnects += res.Reconnects
 	t.refused(res.Refusals, res.RefusalTimes)
 	if len(res.IDs) > 0 {
-		g.firstToken.Record(int64(res.FirstToken))
+		g.firstToken.record(res.FirstToken)
 	}
 	for _, d := range res.Gaps {
-		g.tokenGap.Record(int64(d))
+		g.tokenGap.record(d)
 	}
 	if len(res.Gaps) > 0 {
-		g.longestGap.Record(int64(slices.Max(res.Gaps)))
+		g.longestGap.record(slices.Max(res.Gaps))
 	}
 	for _, d := range res.ResumeGaps {
-		g.resumeGap.Record(int64(d))
+		g.resumeGap.record(d)
 	}
 	switch res.Status {
 	case StatusComplete:
 		acc.Complete++
-		g.completion.Record(int64(res.Completion))
+		g.completion.record(res.Completion)
 		if res.FirstToken <= wait {
 			g.InTime++
 		}
@@ -272,7 +271,7 @@
 	t.told[res.Key] = res.Outcome
 	if res.Outcome == common.OutcomeDone {
 		acc.Complete++
-		g.completion.Record(int64(res.Completion))
+		g.completion.record(res.Completion)
 		return
 	}
 	if res.Refusal != nil {
@@ -282,20 +281,11 @@
 	t.failed(res.Err)
 }
 
-// summary returns the figures of a histogram of nanoseconds.
-func summary(h *histo.Histogram) Latency {
-	ms := func(v int64) float64 { return float64(v) / float64(time.Millisecond) }
-	return Latency{
-		Count: h.Count(), MeanMS: h.Mean() / float64(time.Millisecond), MaxMS: ms(h.Max()),
-		P50MS: ms(h.Quantile(0.5)), P95MS: ms(h.Quantile(0.95)), P99MS: ms(h.Quantile(0.99)),
-	}
-}
-
 func (t *tally) report() *Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &Report{
-		Skipped: t.skipped, StartLag: summary(&t.startLag), RefusalTime: summary(&t.refusalTime),
+		Skipped: t.skipped, StartLag: t.startLag.summary(), RefusalTime: t.refusalTime.summary(),
 		Groups: make(map[string]Group), Accounts: make(map[string]AccountReport),
 		Refusals: t.refusals, Outcomes: t.outcomes,
 		DoubleExecutions: t.doubles, FalseNotRun: t.falseNotRun,
@@ -305,11 +295,11 @@
 	}
 	for name, g := range t.groups {
 		out := g.Group
-		out.FirstToken = summary(&g.firstToken)
-		out.TokenGap = summary(&g.tokenGap)
-		out.LongestGap = summary(&g.longestGap)
-		out.ResumeGap = summary(&g.resumeGap)
-		out.Completion = summary(&g.completion)
+		out.FirstToken = g.firstToken.summary()
+		out.TokenGap = g.tokenGap.summary()
+		out.LongestGap = g.longestGap.summary()
+		out.ResumeGap = g.resumeGap.summary()
+		out.Completion = g.completion.summary()
 		r.Groups[name] = out
 	}
 	for name, a := range t.accounts {
