Send requests in one function, for plain answers and streams

The opening of a connection and the write stood twice (plain.go and leg.go). Keepers that were asked beside another one are not logged as left.

--- a/io/relay/follow.go
+++ b/io/relay/follow.go
@@ -119,9 +119,14 @@
 	f.report()
 }
 
-// leave closes the link to a keeper, if there is one.
+// leave gives a keeper up.
 func (f *feed) leave(t *track, address string, err error) {
 	f.relay.Log.Info("keeper-left", zap.String("keeper", address), zap.Error(err))
+	f.drop(t)
+}
+
+// drop closes a link to a keeper, if there is one.
+func (f *feed) drop(t *track) {
 	if t == nil {
 		return
 	}
@@ -161,6 +166,11 @@
 				cancel()
 				continue
 			}
+			if winner != nil && p.track != now {
+				// It was asked for nothing: another one answered first.
+				f.drop(p.track)
+				continue
+			}
 			f.leave(p.track, p.address, p.err)
 			serve.Pause(ctx, moveTick)
 		}
--- a/io/relay/leg.go
+++ b/io/relay/leg.go
@@ -37,37 +37,16 @@
 	defer g.release(l, w)
 	ctx, cancel := context.WithCancel(g.ctx)
 	defer cancel()
-	c, err := g.relay.pool.get(ctx, l.endpoint, idleFor)
-	if err != nil {
-		return result{verdict: notRun, cause: common.RetryConnect, err: err}
+	c, stop, failed := g.open(ctx, l.endpoint, idleFor, func(h http.Header) { g.address(l, h) })
+	if failed != nil {
+		return *failed
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	o := g.outbound(l.endpoint, g.relay.Clock.Now())
-	n := &g.relay.Names
-	if g.last > 0 || g.fromCaller || l.from != "" {
-		o.header.Set(n.LastEvent, strconv.FormatInt(g.last, 10))
-	}
-	if l.held {
-		o.header.Set(n.Backup, l.holder.Address)
-	}
-	if l.from != "" {
-		o.header.Set(n.From, l.from)
-	}
 	if g.wrote {
 		g.resumes++
 		g.log.Info("stream-resumed", zap.String("endpoint", l.endpoint.ID), zap.String("domain", l.endpoint.Domain),
 			zap.Bool("from-copy", l.from != ""), zap.Int64("last-event", g.last), zap.Duration("pause", began.Sub(g.lastAt)))
 	}
-	sent, err := c.write(o)
-	if err != nil {
-		_ = c.Close()
-		if !sent {
-			return result{verdict: notRun, cause: common.RetryConnect, err: err}
-		}
-		return result{verdict: unknown, cause: common.RetryReset, err: err}
-	}
-	g.upload(c, o)
 	w.conn = c
 	w.last.Store(int64(g.relay.since()))
 	go w.run(ctx)
@@ -82,6 +61,20 @@
 	return out
 }
 
+// address sets the headers that say where the stream goes on, and from and to which copies.
+func (g *generation) address(l leg, h http.Header) {
+	n := &g.relay.Names
+	if g.last > 0 || g.fromCaller || l.from != "" {
+		h.Set(n.LastEvent, strconv.FormatInt(g.last, 10))
+	}
+	if l.held {
+		h.Set(n.Backup, l.holder.Address)
+	}
+	if l.from != "" {
+		h.Set(n.From, l.from)
+	}
+}
+
 // release takes a leg off the table of endpoints.
 func (g *generation) release(l leg, w *watch) {
 	g.relay.placed(func(t *place.Table, _ time.Time) {
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -184,22 +184,11 @@
 	if !q.route.Repeatable() {
 		idle = unsafeIdle
 	}
-	c, err := q.relay.pool.get(ctx, e, idle)
-	if err != nil {
-		return result{verdict: notRun, cause: common.RetryConnect, err: err}
+	c, stop, failed := q.open(ctx, e, idle, nil)
+	if failed != nil {
+		return *failed
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	o := q.outbound(e, q.relay.Clock.Now())
-	sent, err := c.write(o)
-	if err != nil {
-		_ = c.Close()
-		if !sent {
-			return result{verdict: notRun, cause: common.RetryConnect, err: err}
-		}
-		return result{verdict: unknown, cause: common.RetryReset, err: err}
-	}
-	q.upload(c, o)
 	out := q.receive(c)
 	if out.verdict != answered {
 		_ = c.Close()
@@ -210,6 +199,30 @@
 	return out
 }
 
+// open sends the request to the endpoint, with the headers that set adds, if it is not nil. The connection is closed when
+// ctx ends, until stop is called. It returns the outcome if the request could not be sent.
+func (q *request) open(ctx context.Context, e place.Endpoint, idle time.Duration, set func(http.Header)) (c *conn, stop func() bool, failed *result) {
+	c, err := q.relay.pool.get(ctx, e, idle)
+	if err != nil {
+		return nil, nil, &result{verdict: notRun, cause: common.RetryConnect, err: err}
+	}
+	o := q.outbound(e, q.relay.Clock.Now())
+	if set != nil {
+		set(o.header)
+	}
+	stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if sent, err := c.write(o); err != nil {
+		stop()
+		_ = c.Close()
+		if !sent {
+			return nil, nil, &result{verdict: notRun, cause: common.RetryConnect, err: err}
+		}
+		return nil, nil, &result{verdict: unknown, cause: common.RetryReset, err: err}
+	}
+	q.upload(c, o)
+	return c, stop, nil
+}
+
 // receive reads the answer to what was sent on the connection.
 func (q *request) receive(c *conn) result {
 	res, err := c.answer(q.r.Method, q.relay.Names.RequestID, q.id)
