--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -107,15 +107,16 @@
 func (p *pool) connect(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	out := make(chan *opening, 2)
+	first, second := &opening{}, &opening{}
 	open := 1
-	go new(opening).run(ctx, p, address, out)
+	go first.run(ctx, p, address, out)
 	t := time.NewTimer(dialAgain)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
 			open++
-			go new(opening).run(ctx, p, address, out)
+			go second.run(ctx, p, address, out)
 		case o := <-out:
 			open--
 			if o.err != nil && open > 0 {
@@ -123,16 +124,19 @@
 			}
 			cancel()
 			if open > 0 {
-				go closeLate(out)
+				late := &lateClose{out: out}
+				go late.run()
 			}
 			return o.conn, o.err
 		}
 	}
 }
 
-// closeLate closes a connection that lost the race.
-func closeLate(out <-chan *opening) {
-	if o := <-out; o.conn != nil {
+// lateClose closes the connection that lost the race.
+type lateClose struct{ out <-chan *opening }
+
+func (l *lateClose) run() {
+	if o := <-l.out; o.conn != nil {
 		_ = o.conn.Close()
 	}
 }
