--- a/io/relay/follow.go
+++ b/io/relay/follow.go
@@ -156,29 +156,28 @@
 	}
 	t := time.NewTimer(askNext)
 	defer t.Stop()
-	for open > 0 {
+	for open > 0 || winner == nil && len(next) > 0 && ctx.Err() == nil {
 		select {
 		case <-t.C:
+			if winner == nil && ctx.Err() == nil && open < maxAsked && len(next) > 0 {
+				ask(&proof{feed: f, address: next[0]})
+				next = next[1:]
+			}
+			t.Reset(askNext)
 		case p := <-out:
 			open--
-			if p.err == nil && winner == nil {
+			switch {
+			case p.err == nil && winner == nil:
 				winner = p.track
 				cancel()
-				continue
-			}
-			if winner != nil && p.track != now {
+			case winner != nil && p.track != now:
 				// It was asked for nothing: another one answered first.
 				f.drop(p.track)
-				continue
+			default:
+				f.leave(p.track, p.address, p.err)
+				t.Reset(moveTick)
 			}
-			f.leave(p.track, p.address, p.err)
-			serve.Pause(ctx, moveTick)
-		}
-		if winner == nil && ctx.Err() == nil && open < maxAsked && len(next) > 0 {
-			ask(&proof{feed: f, address: next[0]})
-			next = next[1:]
 		}
-		t.Reset(askNext)
 	}
 	return winner
 }
