--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -18,9 +18,11 @@
 	// startWait bounds how long a stream without an event waits for an endpoint before it is refused: an eighth of the
 	// usual objective, within which nothing is lost to the caller.
 	startWait = 500 * time.Millisecond
-	// resetPause is the pause before a holder whose answer was reset is sent the stream again; it doubles each time. Four
-	// such pauses take a fifth of the usual bound on a pause between events.
+	// resetPause is the pause before a holder whose answer was reset is sent the stream again; it doubles each time.
 	resetPause = 10 * time.Millisecond
+	// maxResets is the number of resets after which a holder is given up; the pauses until then take a fifth of the usual
+	// bound on a pause between events.
+	maxResets = 4
 	// resumeWait bounds how long a stream that was interrupted waits for an endpoint: crashed ones come back within it.
 	resumeWait = 3 * time.Second
 )
@@ -103,7 +105,10 @@
 // keepCopy leaves a holder to be sent the stream again if its answer was reset before the first event: it has the copy
 // still. The last send that the route allows goes elsewhere.
 func (g *generation) keepCopy(l leg, out result) {
-	if l.from == "" || out.cause != common.RetryReset || g.copies.get().holder.ID != l.endpoint.ID || g.sends+1 >= g.route.Attempts {
+	if l.from == "" || out.cause != common.RetryReset || g.copies.get().holder.ID != l.endpoint.ID {
+		return
+	}
+	if g.resets >= maxResets || g.sends+1 >= g.route.Attempts {
 		return
 	}
 	delete(g.tried, l.endpoint.ID)
