--- a/io/chart/page.go
+++ b/io/chart/page.go
@@ -25,8 +25,10 @@
 	curveHeight = 4 * vg.Inch
 	// axisHeight is the room for the axis, the title and the legend of the bars.
 	axisHeight = 1.6 * vg.Inch
-	// drawnCauses is the number of causes with a colour of their own; a plot with more is hard to read.
-	drawnCauses = 8
+	// drawnCauses is the number of causes with a colour of their own, as many as the library has.
+	drawnCauses = 7
+	// legendRoom is the part of the axis behind the longest bar that the legend takes.
+	legendRoom = 0.5
 	// listedLosses is the number of losses that the table names.
 	listedLosses = 3
 	// shortest is the least duration on the logarithmic axis.
@@ -122,6 +124,7 @@
 		}
 	}
 	p.NominalY(names...)
+	p.X.Max *= 1 + legendRoom
 	return render(p, rowHeight*vg.Length(len(days))+axisHeight)
 }
 
@@ -133,7 +136,7 @@
 	p.Y.Label.Text = "part at most as long"
 	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 	p.Y.Min, p.Y.Max = 0, 1
-	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.Left = false
 	for n, s := range series {
 		points := make(plotter.XYs, len(s.Values))
 		for i, v := range s.Values {
