Ask whether another endpoint is left without choosing one

Cause: each safe request chose an endpoint twice, the second time only to learn whether there is one: with a copy of the set of tried endpoints, the count of failures in all domains, and a draw for each endpoint. Change: place.Table.Any stops at the first that fits, by the check that Choose uses (row.fits); an endpoint is marked as tried when it is chosen. Behaviour stays: TestSlowServiceAnswers, TestAnyAgreesWithChoose.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -375,3 +375,25 @@
 	}
 	t.Logf("%d lost, %d denied, %d in all windows", lost, denied, len(spent))
 }
+
+// Guards against an answer that differs from whether an endpoint can be chosen.
+func TestAnyAgreesWithChoose(t *testing.T) {
+	x := newTable(3)
+	for _, c := range []struct {
+		want Want
+		any  bool
+	}{
+		{Want{Service: "m"}, true},
+		{Want{Service: "m", Not: map[string]bool{"e00": true, "e01": true}}, true},
+		{Want{Service: "m", Not: map[string]bool{"e00": true, "e01": true, "e02": true}}, false},
+		{Want{Service: "other"}, false},
+	} {
+		if _, ok := x.Choose(c.want, start); ok != c.any || x.Any(c.want, start) != c.any {
+			t.Errorf("%+v: chosen %v, any %v, want %v", c.want, ok, x.Any(c.want, start), c.any)
+		}
+	}
+	x.Failed("e00", true, start)
+	if x.Any(Want{Service: "m", Not: map[string]bool{"e01": true, "e02": true}}, start) {
+		t.Error("an endpoint that is down counts")
+	}
+}
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -167,8 +167,8 @@
 	var best *row
 	var least float64
 	suspect := t.suspects(w.Service, now)
-	t.rows.Each(func(id string, r *row) bool {
-		if r.Service != w.Service || w.Not[id] || !r.takes(now) {
+	t.rows.Each(func(_ string, r *row) bool {
+		if !r.fits(w, now) {
 			return true
 		}
 		cost := r.cost(w, now) + jitter*t.Rand.Float64()
@@ -189,6 +189,15 @@
 	return best.Endpoint, true
 }
 
+// Any reports whether Choose would return an endpoint.
+func (t *Table) Any(w Want, now time.Time) (found bool) {
+	t.rows.Each(func(_ string, r *row) bool {
+		found = r.fits(w, now)
+		return !found
+	})
+	return found
+}
+
 // Holder returns the endpoint that should hold the copy of a run on the endpoint: one of another failure domain, or
 // false if there is none. The domain lost is avoided too, unless it is empty.
 func (t *Table) Holder(of Endpoint, lost string, now time.Time) (Endpoint, bool) {
@@ -200,6 +209,11 @@
 	return e, true
 }
 
+// fits reports whether the endpoint may get the request now.
+func (r *row) fits(w Want, now time.Time) bool {
+	return r.Service == w.Service && !w.Not[r.ID] && r.takes(now)
+}
+
 // takes reports whether the endpoint may get requests now.
 func (r *row) takes(now time.Time) bool {
 	return r.lives(now) && !r.Draining && !now.Before(r.full)
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -102,6 +101,7 @@
 		w := place.Want{Service: q.service, Not: q.tried}
 		if e, ok = t.Choose(w, now); ok {
 			t.Began(e.ID, false)
+			q.tried[e.ID] = true
 		}
 	})
 	return e, ok
@@ -115,14 +115,12 @@
 	return q.route.Repeatable() && q.stream == nil && q.sends < max(1, q.route.Attempts) && q.ctx.Err() == nil
 }
 
-// mayMove reports whether the request could go to another endpoint than this one next.
-func (q *request) mayMove(e place.Endpoint) (ok bool) {
+// mayMove reports whether the request could go to another endpoint next.
+func (q *request) mayMove() (ok bool) {
 	if q.sends+1 >= max(1, q.route.Attempts) {
 		return false
 	}
-	not := maps.Clone(q.tried)
-	not[e.ID] = true
-	q.relay.placed(func(t *place.Table, now time.Time) { _, ok = t.Choose(place.Want{Service: q.service, Not: not}, now) })
+	q.relay.placed(func(t *place.Table, now time.Time) { ok = t.Any(place.Want{Service: q.service, Not: q.tried}, now) })
 	return ok
 }
 
@@ -175,7 +173,7 @@
 // send makes one attempt at the endpoint.
 func (q *request) send(e place.Endpoint) result {
 	ctx := q.ctx
-	if q.route.Kind == state.Safe && q.route.Objective > 0 && q.mayMove(e) {
+	if q.route.Kind == state.Safe && q.route.Objective > 0 && q.mayMove() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(patience*float64(q.route.Objective)))
 		defer cancel()
