--- a/core/config/follower_test.go
+++ b/core/config/follower_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"wasabiweir/core/prop"
+
 	"wasabiweir/core/object"
 
 	"pgregory.net/rapid"
@@ -86,9 +88,9 @@
 		r.sent = state{}
 	}
 	after, digest := r.follower.Position()
-	failIf(r.t, after < before, "revision %d after %d", after, before)
-	failIf(r.t, r.follower.state.graph != nil && (r.truth[after] != digest || r.follower.state.graph.Digest() != digest), "revision %d has another digest than the log", after)
-	failIf(r.t, r.follower.proven != proven && after < r.floor, "fresh at revision %d, but %d was committed before the connection", after, r.floor)
+	prop.FailIf(r.t, after < before, "revision %d after %d", after, before)
+	prop.FailIf(r.t, r.follower.state.graph != nil && (r.truth[after] != digest || r.follower.state.graph.Digest() != digest), "revision %d has another digest than the log", after)
+	prop.FailIf(r.t, r.follower.proven != proven && after < r.floor, "fresh at revision %d, but %d was committed before the connection", after, r.floor)
 	if full := r.follower.Unstored(); full != nil && rapid.Bool().Draw(r.t, "sync") {
 		r.disk = full
 		r.follower.Stored(full)
@@ -110,7 +112,7 @@
 	if revision, _ := r.follower.Reported(); stores && revision < reported {
 		r.t.Fatalf("revision %d after a restart, %d was reported", revision, reported)
 	}
-	failIf(r.t, r.follower.Fresh(r.now) || !stores && r.follower.Graph() != nil, "fresh or serving after a restart without a proof")
+	prop.FailIf(r.t, r.follower.Fresh(r.now) || !stores && r.follower.Graph() != nil, "fresh or serving after a restart without a proof")
 	r.attach(r.current)
 }
 
@@ -173,10 +175,10 @@
 			}
 			now := time.Unix(1000, 0)
 			f.Attach("c1", now)
-			failIf(t, (f.Graph() != nil) != kept || f.Fresh(now), "kept copy %v: serves %v, fresh %v", kept, f.Graph() != nil, f.Fresh(now))
+			prop.FailIf(t, (f.Graph() != nil) != kept || f.Fresh(now), "kept copy %v: serves %v, fresh %v", kept, f.Graph() != nil, f.Fresh(now))
 			revision, digest := f.Position()
 			u := m.Update(revision, digest, Proof{Term: 3, Index: 600, Confirmed: 1})
-			failIf(t, (u.Delta != nil) != (kept && revisions > 500), "kept copy %v, history %d: delta %v", kept, revisions, u.Delta != nil)
+			prop.FailIf(t, (u.Delta != nil) != (kept && revisions > 500), "kept copy %v, history %d: delta %v", kept, revisions, u.Delta != nil)
 			if v := f.Step("c1", &u, now); v != VerdictApplied || (f.Graph() != nil) != kept {
 				t.Fatalf("verdict %s, serves %v before the proof advanced", v, f.Graph() != nil)
 			}
@@ -185,7 +187,7 @@
 			if v := f.Step("c1", &u, later); v != VerdictCurrent || f.Graph().Digest() != m.Digest() || !f.Fresh(later) {
 				t.Fatalf("verdict %s after the proof advanced", v)
 			}
-			failIf(t, f.Stalled(later.Add(time.Second)) || !f.Stalled(later.Add(2*time.Second)) || f.Fresh(later.Add(4*time.Second)), "the proof does not age as specified")
+			prop.FailIf(t, f.Stalled(later.Add(time.Second)) || !f.Stalled(later.Add(2*time.Second)) || f.Fresh(later.Add(4*time.Second)), "the proof does not age as specified")
 		}
 	}
 }
@@ -233,7 +235,7 @@
 	f.Attach("c1", now)
 	step("c1", Proof{Term: 3, Index: 9, Confirmed: 1})
 	step("c1", Proof{Term: 3, Index: 9, Confirmed: 2})
-	failIf(t, !f.Fresh(now), "not fresh after a proof that advanced")
+	prop.FailIf(t, !f.Fresh(now), "not fresh after a proof that advanced")
 	now = now.Add(DefaultFreshFor)
 	for i, stale := range []Proof{{Term: 2, Index: 9}, {Term: 3, Index: 8}} {
 		connection := fmt.Sprint("s", i)
@@ -242,6 +244,6 @@
 			stale.Confirmed++
 			step(connection, stale)
 		}
-		failIf(t, f.Fresh(now) || f.Stalled(now), "fresh by %+v", stale)
+		prop.FailIf(t, f.Fresh(now) || f.Stalled(now), "fresh by %+v", stale)
 	}
 }
--- a/core/config/machine_test.go
+++ b/core/config/machine_test.go
@@ -8,25 +8,12 @@
 
 	"wasabiweir/core/object"
 
-	_ "wasabiweir/core/prop"
+	"wasabiweir/core/prop"
 
 	"pgregory.net/rapid"
 )
 
-type failer interface {
-	Helper()
-	Fatalf(string, ...any)
-}
-
-// failIf fails the test with the message if the condition holds.
-func failIf(t failer, failed bool, format string, args ...any) {
-	t.Helper()
-	if failed {
-		t.Fatalf(format, args...)
-	}
-}
-
-func encode(t failer, e Entry) []byte {
+func encode(t prop.Failer, e Entry) []byte {
 	t.Helper()
 	data, err := e.Encode()
 	if err != nil {
@@ -41,7 +28,7 @@
 	return Entry{Author: "ana", Change: object.Change{RequestID: id, BaseRevision: base, Put: object.Graph{Accounts: accounts}}}
 }
 
-func restored(t failer, m *Machine) *Machine {
+func restored(t prop.Failer, m *Machine) *Machine {
 	t.Helper()
 	data, err := m.Snapshot()
 	if err != nil {
@@ -55,11 +42,11 @@
 	return out
 }
 
-func sameState(t failer, a, b *Machine) {
+func sameState(t prop.Failer, a, b *Machine) {
 	t.Helper()
 	x, errX := a.Snapshot()
 	y, errY := b.Snapshot()
-	failIf(t, errX != nil || errY != nil || !bytes.Equal(x, y), "replicas differ at revisions %d and %d", a.Revision(), b.Revision())
+	prop.FailIf(t, errX != nil || errY != nil || !bytes.Equal(x, y), "replicas differ at revisions %d and %d", a.Revision(), b.Revision())
 }
 
 // drawEntry returns an entry on a base near the revision, often one that was sent before.
@@ -112,16 +99,16 @@
 					t.Fatalf("%s accepted on base %d after %q", out.RequestID, e.Change.BaseRevision, w)
 				}
 				winners[e.Change.BaseRevision], accepted[string(data)] = out.RequestID, true
-				failIf(t, out.Revision != revision+1 || len(a.Graph().Validate()) > 0, "revision %d after %d, findings %v", out.Revision, revision, a.Graph().Validate())
+				prop.FailIf(t, out.Revision != revision+1 || len(a.Graph().Validate()) > 0, "revision %d after %d, findings %v", out.Revision, revision, a.Graph().Validate())
 			case out.Status == StatusConflict && out.Winner != e.Change.BaseRevision+1:
 				t.Fatalf("conflict names winner %d", out.Winner)
 			}
 			if out.Repeat || out.Status != StatusAccepted {
-				failIf(t, a.Digest() != before || a.Revision() != revision, "outcome %+v altered the state", out)
+				prop.FailIf(t, a.Digest() != before || a.Revision() != revision, "outcome %+v altered the state", out)
 			}
-			failIf(t, a.Digest() != a.Graph().Digest(), "the digest is not that of the graph")
+			prop.FailIf(t, a.Digest() != a.Graph().Digest(), "the digest is not that of the graph")
 			requests, revisions := len(a.requests.order), len(a.history.records)
-			failIf(t, requests > limits.Requests || requests != len(a.requests.byID) || revisions > limits.Revisions, "%d requests, %d revisions", requests, revisions)
+			prop.FailIf(t, requests > limits.Requests || requests != len(a.requests.byID) || revisions > limits.Revisions, "%d requests, %d revisions", requests, revisions)
 			if rapid.IntRange(0, 5).Draw(t, "restore") == 0 {
 				b = restored(t, b)
 			}
@@ -136,9 +123,9 @@
 	m.Apply(encode(t, put("setup", 0, "vets", 1)))
 	first := m.Apply(encode(t, put("ana-1", 1, "vets", 2)))
 	second := m.Apply(encode(t, put("rui-1", 1, "vets", 3)))
-	failIf(t, first.Status != StatusAccepted || first.Revision != 2, "first operator got %+v", first)
+	prop.FailIf(t, first.Status != StatusAccepted || first.Revision != 2, "first operator got %+v", first)
 	want := []object.Difference{{Ref: object.Ref{Kind: object.KindAccount, Name: "vets"}, Change: object.DiffChanged, Fields: []string{"weight"}}}
-	failIf(t, second.Status != StatusConflict || second.Winner != 2 || !reflect.DeepEqual(second.Differences, want), "second operator got %+v", second)
+	prop.FailIf(t, second.Status != StatusConflict || second.Winner != 2 || !reflect.DeepEqual(second.Differences, want), "second operator got %+v", second)
 	if w := m.Graph().Accounts["vets"].Weight; w != 2 {
 		t.Fatalf("weight %v after the conflict, want the winner's", w)
 	}
@@ -159,9 +146,9 @@
 		m.Apply(encode(t, put(fmt.Sprint("other-", i), i, "farms", float64(i))))
 	}
 	out := m.Apply(lost)
-	failIf(t, out.Status != StatusConflict || !out.Forgotten || m.Revision() != 6, "resend after the history ended got %+v", out)
+	prop.FailIf(t, out.Status != StatusConflict || !out.Forgotten || m.Revision() != 6, "resend after the history ended got %+v", out)
 	reused := m.Apply(encode(t, put("other-5", 6, "vets", 9)))
-	failIf(t, reused.Status != StatusReused, "another change with the same request id got %+v", reused)
+	prop.FailIf(t, reused.Status != StatusReused, "another change with the same request id got %+v", reused)
 }
 
 // Guards against a dry run that alters the state or judges otherwise than the change, and against a wrong diff.
--- a/core/ledger/machine_test.go
+++ b/core/ledger/machine_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"wasabiweir/core/common"
-	_ "wasabiweir/core/prop"
+	"wasabiweir/core/prop"
 
 	"github.com/google/uuid"
 	"pgregory.net/rapid"
@@ -28,20 +28,7 @@
 	return id.String()
 }
 
-type failer interface {
-	Helper()
-	Fatalf(string, ...any)
-}
-
-// failIf fails the test with the message if the condition holds.
-func failIf(t failer, failed bool, format string, args ...any) {
-	t.Helper()
-	if failed {
-		t.Fatalf(format, args...)
-	}
-}
-
-func apply(t failer, m *Machine, c Command) Result {
+func apply(t prop.Failer, m *Machine, c Command) Result {
 	t.Helper()
 	data, err := c.Encode()
 	if err != nil {
@@ -50,7 +37,7 @@
 	return m.Apply(data)
 }
 
-func snapshotOf(t failer, m *Machine) []byte {
+func snapshotOf(t prop.Failer, m *Machine) []byte {
 	t.Helper()
 	data, err := m.Snapshot()
 	if err != nil {
@@ -159,8 +146,8 @@
 	if other := apply(r.t, r.b, c); !reflect.DeepEqual(out, other) {
 		r.t.Fatalf("results %+v and %+v differ", out, other)
 	}
-	failIf(r.t, r.a.Now().Before(before) || !bytes.Equal(snapshotOf(r.t, r.a), snapshotOf(r.t, r.b)), "the time went back or the replicas differ")
-	failIf(r.t, out.Verdict == VerdictSwept && (len(out.IDs) > 0) != slices.Contains(due, c.Op), "%s changed %d records, due were %v", c.Op, len(out.IDs), due)
+	prop.FailIf(r.t, r.a.Now().Before(before) || !bytes.Equal(snapshotOf(r.t, r.a), snapshotOf(r.t, r.b)), "the time went back or the replicas differ")
+	prop.FailIf(r.t, out.Verdict == VerdictSwept && (len(out.IDs) > 0) != slices.Contains(due, c.Op), "%s changed %d records, due were %v", c.Op, len(out.IDs), due)
 	if c.Op == OpForget {
 		for _, id := range out.IDs {
 			r.forgotten[id.Key.String()] = true
@@ -192,7 +179,7 @@
 func (r *ledgerRun) check() {
 	for _, rec := range r.a.records {
 		n := r.sends[rec.ID.Key.String()]
-		failIf(r.t, rec.State == StateNotRun && n > 0 || rec.State == StateDone && n != 1, "key %s is recorded as %s and was sent %d times", rec.ID.Key, rec.State, n)
+		prop.FailIf(r.t, rec.State == StateNotRun && n > 0 || rec.State == StateDone && n != 1, "key %s is recorded as %s and was sent %d times", rec.ID.Key, rec.State, n)
 	}
 }
 
@@ -259,7 +246,7 @@
 func wantVerdict(t *testing.T, m *Machine, c Command, verdict Verdict, reason common.Reason, outcome common.Outcome) Result {
 	t.Helper()
 	out := apply(t, m, c)
-	failIf(t, out.Verdict != verdict || out.Reason != reason || out.Outcome != outcome, "%s at %d got %+v, want %s %s %s", c.Op, c.TimeMS, out, verdict, reason, outcome)
+	prop.FailIf(t, out.Verdict != verdict || out.Reason != reason || out.Outcome != outcome, "%s at %d got %+v, want %s %s %s", c.Op, c.TimeMS, out, verdict, reason, outcome)
 	return out
 }
 
@@ -328,7 +315,7 @@
 		wantVerdict(t, m, claimOf(keyAt(start, i), 9), VerdictGranted, "", "")
 	}
 	wantVerdict(t, m, claimOf(keyAt(start, 5), 9), VerdictRefused, common.ReasonOverloaded, common.OutcomeNotRun)
-	failIf(t, m.bytes != 4*RecordBytes || m.Len() != 4, "%d bytes counted for %d records", m.bytes, m.Len())
+	prop.FailIf(t, m.bytes != 4*RecordBytes || m.Len() != 4, "%d bytes counted for %d records", m.bytes, m.Len())
 }
 
 // Guards against a delayed claim of an attempt that ended, which would take the key from the callers who still wait, and
--- a/core/member/divide_test.go
+++ b/core/member/divide_test.go
@@ -6,26 +6,13 @@
 	"time"
 
 	"wasabiweir/core/codec"
-	_ "wasabiweir/core/prop"
+	"wasabiweir/core/prop"
 
 	"pgregory.net/rapid"
 )
 
 var t0 = time.UnixMilli(1_800_000_000_000)
 
-type failer interface {
-	Helper()
-	Fatalf(string, ...any)
-}
-
-// failIf fails the test with the message if the condition holds.
-func failIf(t failer, failed bool, format string, args ...any) {
-	t.Helper()
-	if failed {
-		t.Fatalf(format, args...)
-	}
-}
-
 // node is a router with a clock of its own offset and speed.
 type node struct {
 	name   string
@@ -217,12 +204,12 @@
 		if cut := parts()[0] == floor; cut != (i >= 4) {
 			t.Fatalf("the router that is cut off has %d after %d s", parts()[0], i+1)
 		}
-		failIf(t, r.sum("vets") > Whole, "the parts %v are above the limit", parts())
+		prop.FailIf(t, r.sum("vets") > Whole, "the parts %v are above the limit", parts())
 	}
 	if want := [4]int64{floor, floor + Whole/2, floor, floor}; parts() != want {
 		t.Fatalf("parts %v after the lease, want %v", parts(), want)
 	}
-	failIf(t, r.current.Divide(r.names, r.now.Add(999*time.Millisecond)) != nil, "shares move more than once a second")
+	prop.FailIf(t, r.current.Divide(r.names, r.now.Add(999*time.Millisecond)) != nil, "shares move more than once a second")
 }
 
 // Guards against floors that stay too high or too low when routers are added and removed, or that are raised before the
@@ -239,10 +226,10 @@
 				cut = "r0"
 			}
 			r.second(demand, cut)
-			failIf(t, r.sum("vets") > Whole, "the parts are above the limit: %d", r.sum("vets"))
+			prop.FailIf(t, r.sum("vets") > Whole, "the parts are above the limit: %d", r.sum("vets"))
 		}
 		for _, n := range r.nodes {
-			failIf(t, n.holder.Floor() != int64(step.floor), "floor %d of %s, want %d", n.holder.Floor(), n.name, step.floor)
+			prop.FailIf(t, n.holder.Floor() != int64(step.floor), "floor %d of %s, want %d", n.holder.Floor(), n.name, step.floor)
 		}
 	}
 }
@@ -269,10 +256,10 @@
 func TestEndedLeases(t *testing.T) {
 	h := Holder{Incarnation: 1, Routers: 4}
 	s := Shares{Incarnation: 1, ID: ShareID{1, 1}, EchoMS: t0.UnixMilli(), Floor: Whole}
-	failIf(t, h.Apply(&s, t0.Add(DefaultLease)) || h.Floor() != Whole/8, "floor %d from shares whose lease has ended", h.Floor())
+	prop.FailIf(t, h.Apply(&s, t0.Add(DefaultLease)) || h.Floor() != Whole/8, "floor %d from shares whose lease has ended", h.Floor())
 	g := grantee{sent: []grant{{Shares{Floor: 5, Extra: map[string]int64{"vets": 9}}, t0}, {Shares{Floor: 3}, t0}}}
 	g.lapse(t0)
-	failIf(t, g.mayHoldFloor() != 5 || g.mayHoldExtra("vets") != 0 || len(g.sent) != 1, "grants %+v after their lease", g.sent)
+	prop.FailIf(t, g.mayHoldFloor() != 5 || g.mayHoldExtra("vets") != 0 || len(g.sent) != 1, "grants %+v after their lease", g.sent)
 }
 
 // BenchmarkDivideAtTargetSize measures one division over 320 routers, each with requests of 100 of 830 accounts.
--- a/core/member/table_test.go
+++ b/core/member/table_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"wasabiweir/core/prop"
+
 	"wasabiweir/core/object"
 
 	"pgregory.net/rapid"
@@ -55,9 +57,9 @@
 	if got := addressesOf(tab, now); !slices.Equal(got, []string{"stale:80"}) {
 		t.Fatalf("addresses %v when no fresh router is live", got)
 	}
-	failIf(t, !tab.Leaving("10.0.0.9:99") || tab.Leaving("10.0.0.1:80") || tab.Leaving(""), "the list's leaving instances are not recognised by their IP number")
+	prop.FailIf(t, !tab.Leaving("10.0.0.9:99") || tab.Leaving("10.0.0.1:80") || tab.Leaving(""), "the list's leaving instances are not recognised by their IP number")
 	tab.List([]Listed{{"old", "10.0.0.1", StateLeaving}}, t0)
-	failIf(t, tab.Leaving("10.0.0.1:80"), "an older poll of the list is taken")
+	prop.FailIf(t, tab.Leaving("10.0.0.1:80"), "an older poll of the list is taken")
 }
 
 // Guards against a change that is called confirmed while a router that may still serve callers does not have it.
@@ -112,12 +114,12 @@
 			if want := newest == nil || r.newer(newest); taken != want {
 				t.Fatalf("report %+v after %+v: taken %v", r, newest, taken)
 			}
-			failIf(t, batch.Add(r) != taken, "the batch judges report %+v otherwise than the table", r)
+			prop.FailIf(t, batch.Add(r) != taken, "the batch judges report %+v otherwise than the table", r)
 			if taken {
 				newest = r
 			}
 			i := tab.Instances(now)
-			failIf(t, len(i) != 1 || !reflect.DeepEqual(i[0].Report, *newest), "instances %+v, want %+v", i, newest)
+			prop.FailIf(t, len(i) != 1 || !reflect.DeepEqual(i[0].Report, *newest), "instances %+v, want %+v", i, newest)
 			if load := tab.routers.Get("r").load; load < 0 || load > 1 {
 				t.Fatalf("smoothed load %v", load)
 			}
--- a/core/orders/fake_test.go
+++ b/core/orders/fake_test.go
@@ -7,25 +7,12 @@
 	"time"
 
 	"wasabiweir/core/object"
-	_ "wasabiweir/core/prop"
+	"wasabiweir/core/prop"
 	"wasabiweir/core/table"
 )
 
 var t0 = time.Unix(1_800_000_000, 0)
 
-type failer interface {
-	Helper()
-	Fatalf(string, ...any)
-}
-
-// failIf fails the test with the message if the condition holds.
-func failIf(t failer, failed bool, format string, args ...any) {
-	t.Helper()
-	if failed {
-		t.Fatalf(format, args...)
-	}
-}
-
 // fakeEngine carries out orders at once; it checks fencing numbers or ignores them.
 type fakeEngine struct {
 	checks  bool
@@ -104,9 +91,9 @@
 	return f
 }
 
-func noOrders(t failer, plan Plan, when string) {
+func noOrders(t prop.Failer, plan Plan, when string) {
 	t.Helper()
-	failIf(t, len(plan.Orders) > 0, "orders %v %s", plan.Orders, when)
+	prop.FailIf(t, len(plan.Orders) > 0, "orders %v %s", plan.Orders, when)
 }
 
 func (f *fleet) model(name, version string, bytes int64, minEngines int, adapters ...string) {
--- a/core/orders/planner_test.go
+++ b/core/orders/planner_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"wasabiweir/core/prop"
+
 	"wasabiweir/core/object"
 )
 
@@ -27,9 +29,9 @@
 	f.deliver(&foreign)
 	f.run(4)
 	want := []Drift{{Endpoint: holder, Copy: c}, {Endpoint: holder, Copy: foreign.Copy, Gained: true}}
-	failIf(t, !slices.Equal(f.drifts, want) || !f.engines[holder].loaded[c], "drifts %v, want %v and the copy loaded again", f.drifts, want)
+	prop.FailIf(t, !slices.Equal(f.drifts, want) || !f.engines[holder].loaded[c], "drifts %v, want %v and the copy loaded again", f.drifts, want)
 	f.run(int(DefaultUnloadAfter/(500*time.Millisecond)) + 4)
-	failIf(t, f.engines[holder].loaded[foreign.Copy], "a copy that no object declares stays loaded")
+	prop.FailIf(t, f.engines[holder].loaded[foreign.Copy], "a copy that no object declares stays loaded")
 }
 
 // Guards against an engine that refuses this leader's orders for ever, or a deposed leader that goes on.
@@ -106,7 +108,7 @@
 			for _, o := range f.planner.Plan(f.graph, f.now).Orders {
 				f.deliver(&o)
 			}
-			failIf(t, f.copies(a) == 0, "checks fencing %v: no copy is left", checks)
+			prop.FailIf(t, f.copies(a) == 0, "checks fencing %v: no copy is left", checks)
 		}
 		if f.copies(modelCopy("b", "1")) != 2 {
 			t.Fatalf("checks fencing %v: b is not loaded, plan %+v", checks, f.tick())
@@ -129,7 +131,7 @@
 	}
 	f.model("b", "1", 10, 1)
 	first := f.tick().Orders
-	failIf(t, len(first) != 1 || first[0].Action != ActionUnloadModel, "orders %v, want one unload", first)
+	prop.FailIf(t, len(first) != 1 || first[0].Action != ActionUnloadModel, "orders %v, want one unload", first)
 	f.planner.Finish(&first[0], ReplyFailed, Fencing{}, f.now)
 	if n := counted(); n != 1 {
 		t.Fatalf("%d copies count after the unload failed", n)
@@ -150,7 +152,7 @@
 	noOrders(t, f.tick("e00", "e01"), "before the engines were read")
 	// The spare engine is given the only model, and the role is set; neither order gets a reply.
 	first := f.tick().Orders
-	failIf(t, len(first) != 2 || first[0].Action != ActionLoadModel || first[1].Role != "prefill", "orders %v", first)
+	prop.FailIf(t, len(first) != 2 || first[0].Action != ActionLoadModel || first[1].Role != "prefill", "orders %v", first)
 	noOrders(t, f.tick(), "while the first ones are pending")
 	f.now = f.now.Add(DefaultOrderTimeout)
 	f.tick()
@@ -159,7 +161,7 @@
 		t.Fatalf("orders %v after the timeout, want those of %v", again, first)
 	}
 	f.planner.Observe(View{Endpoint: "e00", Began: f.now, Fencing: Fencing{Term: 2}})
-	failIf(t, f.planner.tenure.active, "orders go on after an engine has accepted a newer leader")
+	prop.FailIf(t, f.planner.tenure.active, "orders go on after an engine has accepted a newer leader")
 }
 
 func leaving(e object.Endpoint) object.Endpoint {
@@ -177,11 +179,11 @@
 	for range 10 {
 		for _, o := range f.tick().Orders {
 			first[o.Endpoint] = f.now.Sub(t0)
-			failIf(t, !o.NotAfter.After(f.now) || o.Fencing != (Fencing{3, 30}), "order %+v", o)
+			prop.FailIf(t, !o.NotAfter.After(f.now) || o.Fencing != (Fencing{3, 30}), "order %+v", o)
 			f.deliver(&o)
 		}
 	}
-	failIf(t, first["e00"] > time.Second || first["e01"] < 1200*time.Millisecond, "first orders at %v", first)
+	prop.FailIf(t, first["e00"] > time.Second || first["e01"] < 1200*time.Millisecond, "first orders at %v", first)
 	f.lead(4)
 	f.now = f.now.Add(1100 * time.Millisecond)
 	f.planner.Confirm(f.now)
@@ -217,8 +219,8 @@
 		}
 	}
 	want := []string{"small", "big", "big-adapter"}
-	failIf(t, len(order) < 8 || !slices.Equal(order[:3], want), "loads %v, want %v first", order, want)
-	failIf(t, f.copies(modelCopy("served", "1")) < 3 || f.copies(modelCopy("big", "1")) < 2, "loads %v do not reach the minimum", order)
+	prop.FailIf(t, len(order) < 8 || !slices.Equal(order[:3], want), "loads %v, want %v first", order, want)
+	prop.FailIf(t, f.copies(modelCopy("served", "1")) < 3 || f.copies(modelCopy("big", "1")) < 2, "loads %v do not reach the minimum", order)
 }
 
 // Guards against a version change on engines without room for two models that gets stuck or interrupts service.
--- a/core/orders/plans_test.go
+++ b/core/orders/plans_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"wasabiweir/core/prop"
+
 	"pgregory.net/rapid"
 )
 
@@ -100,7 +102,7 @@
 	if after := f.copies(o.Copy); after == 0 && before > 0 && m.Version == o.Copy.Version {
 		t.Fatalf("%+v unloaded the last copy", o)
 	}
-	failIf(t, o.Action.unloads() && m.Version != "" && f.versions(m.Name) == 0, "%+v left no version of the model", o)
+	prop.FailIf(t, o.Action.unloads() && m.Version != "" && f.versions(m.Name) == 0, "%+v left no version of the model", o)
 	return reply, newer
 }
 
@@ -119,7 +121,7 @@
 	}
 	for name, fake := range f.engines {
 		for c := range fake.loaded {
-			failIf(t, f.graph.Models[c.Name].Version != c.Version, "%s still has %s", name, c)
+			prop.FailIf(t, f.graph.Models[c.Name].Version != c.Version, "%s still has %s", name, c)
 		}
 	}
 }
--- a/core/prop/prop.go
+++ b/core/prop/prop.go
@@ -19,3 +19,17 @@
 		panic(err)
 	}
 }
+
+// Failer is what FailIf needs of a test, also of one of rapid's.
+type Failer interface {
+	Helper()
+	Fatalf(string, ...any)
+}
+
+// FailIf fails the test with the message if the condition holds.
+func FailIf(t Failer, failed bool, format string, args ...any) {
+	t.Helper()
+	if failed {
+		t.Fatalf(format, args...)
+	}
+}
