--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -192,9 +192,15 @@
 // loopJoin sends requests to join the Raft group while this process is not a voter or has no leader. That is also how
 // a process finds out that it was removed during a partition.
 func (g *raftGroup) loopJoin(ctx context.Context) error {
+	wasVoter := false
 	for serve.Sleep(ctx, joinRetryInterval) {
 		s := g.currentReplica().Status()
-		if s.ID.IsZero() || s.Members.IsVoter(s.ID) && !s.Leader.IsZero() {
+		isVoter := s.Members.IsVoter(s.ID)
+		if isVoter != wasVoter {
+			g.recordVoter(isVoter, s)
+			wasVoter = isVoter
+		}
+		if s.ID.IsZero() || isVoter && !s.Leader.IsZero() {
 			continue
 		}
 		g.requestJoin(ctx, s.ID)
@@ -202,6 +208,30 @@
 	return ctx.Err()
 }
 
+// recordVoter logs that this process has become a voter of the Raft group, or no longer is one.
+func (g *raftGroup) recordVoter(isVoter bool, s repl.Status) {
+	g.keeper.Log.Info("voter-changed", zap.Bool("voter", isVoter), zap.String("disk", s.ID.Disk), zap.Int("voters", len(s.Members.Voters)))
+	if g.keeper.Metrics == nil {
+		return
+	}
+	value := 0.0
+	if isVoter {
+		value = 1
+	}
+	g.keeper.Metrics.Gauge("voter").Update(value)
+}
+
+// IsVoter reports whether this keeper, with its current disk, is a voter of the Raft group as far as it knows. The
+// repair of a keeper that lost its disk is complete only then, and the next keeper must not be replaced before.
+func (k *Keeper) IsVoter() bool {
+	r := k.group.currentReplica()
+	if r == nil {
+		return false
+	}
+	s := r.Status()
+	return s.Members.IsVoter(s.ID)
+}
+
 // requestJoin asks one keeper after another to let this process join the Raft group, until one agrees.
 func (g *raftGroup) requestJoin(ctx context.Context, id raft.ID) {
 	for _, l := range g.keeper.peers.links() {
