--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -80,6 +80,10 @@
 	RetryLeaving Reason = "leaving"
 	// RetryTransferred means that another router took over the generation.
 	RetryTransferred Reason = "transferred"
+	// RetryOversized means that the endpoint's response, or a part of it, exceeded a bound in bytes.
+	RetryOversized Reason = "oversized"
+	// RetryStalled means that the endpoint sent bytes, but for too long none that continued the stream.
+	RetryStalled Reason = "stalled"
 )
 
 // RefusalReasons lists all reasons for refusing a request, that is, all that a Refusal may have.
@@ -94,4 +98,5 @@
 // RetryReasons lists all reasons for retrying a request or resuming a generation.
 var RetryReasons = []Reason{
 	RetryConnect, RetryReset, RetrySilent, RetryRefused, RetrySlow, RetryHedge, RetryLeaving, RetryTransferred,
+	RetryOversized, RetryStalled,
 }
--- a/io/cmds/client.go
+++ b/io/cmds/client.go
@@ -28,6 +28,9 @@
 // for the routers, that time is added.
 const callTimeout = 10 * time.Second
 
+// maxAnswerBytes is the size in bytes of the part of a control process's answer that is read.
+const maxAnswerBytes = 64 << 20
+
 // operatorClient sends the requests of operator commands to the control processes' HTTP API, trying the processes in
 // the order of their addresses.
 type operatorClient struct {
@@ -86,7 +89,7 @@
 	defer func() { _ = httpRes.Body.Close() }()
 	res := &operatorResponse{status: httpRes.StatusCode}
 	res.revision, _ = strconv.ParseUint(httpRes.Header.Get(ctrl.RevisionHeader), 10, 64)
-	if res.body, err = io.ReadAll(httpRes.Body); err != nil {
+	if res.body, err = io.ReadAll(io.LimitReader(httpRes.Body, maxAnswerBytes)); err != nil {
 		return nil, fmt.Errorf("read answer: %w", err)
 	}
 	return res, nil
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -26,6 +26,8 @@
 	// platformCallTimeout bounds a request to the hosting platform's list of instances or to an engine, in addition to
 	// limits that the calling code sets.
 	platformCallTimeout = 2 * time.Second
+	// maxPlatformHeader bounds the size in bytes of the header of a response to such a request.
+	maxPlatformHeader = 64 << 10
 	// addressTTL is how long callers may cache the relay addresses that the directory returns. A relay's planned stop
 	// takes at least three times as long, because some callers use an address for longer than they may.
 	addressTTL = time.Second
@@ -162,7 +164,9 @@
 
 // newUnpooledClient returns an HTTP client that opens a new connection for each request.
 func newUnpooledClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: platformCallTimeout}
+	return &http.Client{
+		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPlatformHeader}, Timeout: platformCallTimeout,
+	}
 }
 
 // bindPlatformEdgeCommand registers the settings of the "platform edge" command, which runs a relay for callers'
--- a/io/ctrl/control.go
+++ b/io/ctrl/control.go
@@ -70,6 +70,7 @@
 	feeds   routerFeeds
 	routers routerRegistry
 	orders  orderDispatcher
+	guard   serve.PanicGuard
 	// ctx ends with Run; requests of routers and other control processes that wait for a quorum use it.
 	ctx             context.Context
 	pendingRequests sync.WaitGroup // counts the running calls of runRequest
@@ -93,13 +94,17 @@
 		return fmt.Errorf("open listeners: %w", err)
 	}
 	c.Listen, c.PeerListen = operatorListener.Addr().String(), peerListener.Addr().String()
+	c.guard = serve.PanicGuard{Log: c.Log}
+	if c.Metrics != nil {
+		c.guard.Metrics = c.Metrics
+	}
 	c.initGroups(ctx)
 	c.started.Store(true)
 	c.Log.Info("control-started", zap.String("control", c.Name), zap.String("listen", c.Listen),
 		zap.String("peer-listen", c.PeerListen), zap.String("disk", c.folder.DiskID()))
 	var g run.Group
 	serve.AddLoop(stopCtx, &g, c.loopStop)
-	serve.AddHTTPServer(&g, newHTTPServer(c.apiHandler()), serve.LimitListener(operatorListener, maxOperatorConnections), nil)
+	serve.AddHTTPServer(&g, newHTTPServer(c.guard.Handler(c.apiHandler())), serve.LimitListener(operatorListener, maxOperatorConnections), nil)
 	serve.AddHTTPServer(&g, newHTTPServer(c.peerHandler()), serve.LimitListener(peerListener, maxPeerConnections), nil)
 	for _, m := range c.groups {
 		serve.AddLoop(ctx, &g, m.loop)
--- a/io/ctrl/orders.go
+++ b/io/ctrl/orders.go
@@ -186,6 +186,7 @@
 // runReadEngine reads an engine's state, passes it to the planner and logs how it differs from what the planner
 // expected.
 func (s *orderDispatcher) runReadEngine(ctx context.Context, r *engineRead, startedAt time.Time, g *object.Graph) {
+	defer s.control.guard.Recover("engine-read")
 	defer s.pendingCalls.Done()
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
@@ -229,6 +230,7 @@
 // runOrder sends one order to an engine and passes the reply to the planner. If the lease of this process as the
 // leader has ended since the plan was made, the order is not sent and counts as failed.
 func (s *orderDispatcher) runOrder(ctx context.Context, o *orders.Order) {
+	defer s.control.guard.Recover("order")
 	defer s.pendingCalls.Done()
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
--- a/io/ctrl/peer.go
+++ b/io/ctrl/peer.go
@@ -60,6 +60,7 @@
 // goroutine, so that the request does not delay the other frames of the link.
 func (c *Control) runRequest(l *wire.Link, f wire.Frame) {
 	defer c.pendingRequests.Done()
+	defer c.guard.Recover("peer-request")
 	ctx, cancel := context.WithTimeout(c.ctx, requestTimeout)
 	defer cancel()
 	body, err := c.handleRequest(ctx, f)
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -21,7 +21,8 @@
 	defaultWriteTimeout   = 2 * time.Second
 	defaultIdleTimeout    = 30 * time.Second
 	defaultMaxIdle        = 16
-	maxReplyBytes         = 16 << 20 // largest body of a reply that is not a stream
+	maxReplyBytes         = 1 << 20  // largest body of a reply that is not a stream
+	maxReplyHeaderBytes   = 64 << 10 // largest header of a reply
 )
 
 // Transport holds the pools of HTTP connections to all engines. Its fields must be set before the first use.
@@ -64,6 +65,8 @@
 		MaxIdleConnsPerHost:   orDefault(t.MaxIdle, defaultMaxIdle),
 		IdleConnTimeout:       orDefault(t.IdleTimeout, defaultIdleTimeout),
 		ResponseHeaderTimeout: t.HeaderTimeout,
+
+		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 	}
 }
 
@@ -148,9 +151,10 @@
 	Transport *Transport
 }
 
-// sendRequest sends an HTTP request to the engine and returns the reply, whatever its status. If fresh is set, the
-// request uses a new connection. The error is an *Error.
-func (c *Client) sendRequest(ctx context.Context, method, path string, body []byte, fresh bool) (*http.Response, *connTrace, error) {
+// sendRequest sends an HTTP request to the engine and returns the reply, whatever its status. A request other than GET
+// uses a new connection: on one that is used again, a second copy of an earlier reply could be taken for the reply to
+// an order or to a generation. The error is an *Error.
+func (c *Client) sendRequest(ctx context.Context, method, path string, body []byte) (*http.Response, *connTrace, error) {
 	tr := c.Transport
 	if tr == nil {
 		tr = &sharedTransport
@@ -165,7 +169,7 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	r, err := tr.RoundTripper(fresh).RoundTrip(req)
+	r, err := tr.RoundTripper(method != http.MethodGet).RoundTrip(req)
 	if err != nil {
 		return nil, t, classifyError(ctx, err, t)
 	}
@@ -199,7 +203,7 @@
 // readReply sends an HTTP request to the engine and returns the body of the reply. A status other than 200 is an
 // error. The error is an *Error.
 func (c *Client) readReply(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	r, t, err := c.sendRequest(ctx, method, path, body, false)
+	r, t, err := c.sendRequest(ctx, method, path, body)
 	if err != nil {
 		return nil, err
 	}
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -120,8 +120,8 @@
 	}
 }
 
-// Guards against reusing a connection for a request that asks for a new one.
-func TestNewConnection(t *testing.T) {
+// Guards against reusing a connection for a generation: an idle connection may be silent.
+func TestGenerationsUseNewConnections(t *testing.T) {
 	e := &stand.Engine{TokensPerSecond: 5000}
 	c, ctx := startStandIn(t, e)
 	faultClient := &Client{Address: c.Address, Transport: &Transport{}}
@@ -131,10 +131,10 @@
 	}
 	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
-	if _, err := c.StartGeneration(short, Request{Model: "m", Text: "a", MaxTokens: 1}); KindOf(err) != KindCanceled {
+	if _, err := c.Models(short); KindOf(err) != KindCanceled {
 		t.Fatalf("silent idle connection: got %v", err)
 	}
-	s, err := c.StartGeneration(ctx, Request{Model: "m", Text: "a", MaxTokens: 1, NewConnection: true})
+	s, err := c.StartGeneration(ctx, Request{Model: "m", Text: "a", MaxTokens: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -324,7 +324,7 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.StringMatching(`(data: [a-z]{0,20}\n){1,3}\n`).Draw(t, "text")
-		er := EventReader{R: strings.NewReader(text[:rapid.IntRange(1, len(text)-1).Draw(t, "cut")]), MaxLine: 12}
+		er := EventReader{R: strings.NewReader(text[:rapid.IntRange(1, len(text)-1).Draw(t, "cut")]), MaxEvent: 12}
 		_, err := er.Next()
 		if !errors.Is(err, ErrMalformed) && !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Fatalf("cut or long stream: %v", err)
--- a/io/engine/events.go
+++ b/io/engine/events.go
@@ -12,9 +12,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// DefaultMaxLine is the default limit of a line in a stream of server-sent events, in bytes. It is this large because
-// the first chunk of a generation's output repeats the prompt's token ids.
-const DefaultMaxLine = 4 << 20
+// DefaultMaxEvent is the default limit in bytes of an event in a stream of server-sent events, together with the
+// comments before it.
+const DefaultMaxEvent = 1 << 20
 
 // ErrMalformed is wrapped by the errors for input that is not a valid stream of server-sent events.
 var ErrMalformed = eris.New("malformed event stream")
@@ -35,11 +35,13 @@
 type EventReader struct {
 	// R is the stream of server-sent events to parse.
 	R io.Reader
-	// MaxLine is the largest length of a line in bytes; zero means DefaultMaxLine.
-	MaxLine int
+	// MaxEvent is the largest size in bytes of an event, together with the comments and empty lines before it; zero
+	// means DefaultMaxEvent.
+	MaxEvent int
 
 	buf    *bufio.Reader
 	line   []byte // reused for each line
+	size   int    // bytes read since the last event
 	lastID string // last event id received
 }
 
@@ -48,6 +50,7 @@
 func (r *EventReader) Next() (Event, error) {
 	ev := Event{}
 	data, started := []string(nil), false
+	r.size = 0
 	for {
 		line, err := r.readLine()
 		if err != nil {
@@ -92,16 +95,16 @@
 	if r.buf == nil {
 		r.buf = bufio.NewReader(r.R)
 	}
-	limit := r.MaxLine
+	limit := r.MaxEvent
 	if limit == 0 {
-		limit = DefaultMaxLine
+		limit = DefaultMaxEvent
 	}
 	r.line = r.line[:0]
 	for {
 		part, err := r.buf.ReadSlice('\n')
 		r.line = append(r.line, part...)
-		if len(r.line) > limit {
-			return nil, fmt.Errorf("line above %d bytes: %w", limit, ErrMalformed)
+		if r.size += len(part); r.size > limit {
+			return nil, fmt.Errorf("event above %d bytes: %w", limit, ErrMalformed)
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -16,10 +15,6 @@
 // doneData is the data of the server-sent event that marks the end of an engine's output stream.
 const doneData = "[DONE]"
 
-// drainTimeout bounds the wait for the end of the reply's body after the last event of an output stream. Only a
-// connection whose body was read to the end can be reused.
-const drainTimeout = 20 * time.Millisecond
-
 // Request is a request to an engine for a generation. PromptIDs, the token ids of the prompt, replace Text if they are
 // set.
 type Request struct {
@@ -33,8 +28,19 @@
 	// Priority orders the engine's waiting queue; lower values run first.
 	Priority  int
 	RequestID string
-	// NewConnection makes the request open a new connection to the engine.
-	NewConnection bool
+}
+
+const (
+	// baseEventBytes is the largest size in bytes of an event of an output stream, apart from the token ids of the
+	// prompt, which the first one repeats; maxTokenIDBytes is the size of one of them.
+	baseEventBytes  = 256 << 10
+	maxTokenIDBytes = 12
+)
+
+// maxEventBytes returns the largest size in bytes of an event of the generation's output stream. A token has at least
+// one byte of the prompt's text.
+func (r *Request) maxEventBytes() int {
+	return baseEventBytes + maxTokenIDBytes*max(len(r.PromptIDs), len(r.Text))
 }
 
 // Chunk is a part of a generation's output. PromptIDs is set in the first chunk, and FinishReason in the last one.
@@ -95,12 +101,12 @@
 		return nil, &Error{Kind: KindProtocol, Err: err}
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	reply, t, err := c.sendRequest(ctx, http.MethodPost, "/v1/completions", body, r.NewConnection) //nolint:bodyclose // the stream closes it
+	reply, t, err := c.sendRequest(ctx, http.MethodPost, "/v1/completions", body) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	s := &Stream{ctx: ctx, cancel: cancel, body: reply.Body, events: EventReader{R: reply.Body}, trace: t}
+	s := &Stream{ctx: ctx, cancel: cancel, body: reply.Body, events: EventReader{R: reply.Body, MaxEvent: r.maxEventBytes()}, trace: t}
 	if reply.StatusCode != http.StatusOK {
 		defer s.Close()
 		return nil, refusalError(reply)
@@ -150,19 +156,11 @@
 		if !s.finished {
 			return Chunk{}, protocolError("stream ended without a finish reason")
 		}
-		s.drainBody()
 		return Chunk{}, io.EOF
 	}
 	return s.decodeChunk(ev)
 }
 
-// drainBody reads the body of the engine's reply to its end, so that the connection can be reused.
-func (s *Stream) drainBody() {
-	timer := time.AfterFunc(drainTimeout, s.cancel)
-	defer timer.Stop()
-	_, _ = s.events.Next()
-}
-
 // decodeChunk decodes a server-sent event into a chunk of the generation's output. An error event and a chunk that
 // breaks the protocol are returned as an *Error.
 func (s *Stream) decodeChunk(ev Event) (Chunk, error) {
--- a/io/keeper/frames.go
+++ b/io/keeper/frames.go
@@ -53,6 +53,7 @@
 // link's other frames.
 func (k *Keeper) runRequest(l *wire.Link, f wire.Frame) {
 	defer k.requests.Done()
+	defer k.guard.Recover("peer-request")
 	ctx, cancel := context.WithTimeout(k.ctx, joinTimeout)
 	defer cancel()
 	body, err := k.handleRequest(ctx, l, f)
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -56,6 +56,7 @@
 	feeds   relayFeeds
 	roster  relayRoster
 	lists   endpointLists
+	guard   serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
 	ctx context.Context
 	// requests counts the requests of other processes of the system that are being handled.
@@ -73,6 +74,10 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout is when an idle client connection is closed; directory clients send a request every few seconds.
 	idleTimeout = 30 * time.Second
+	// requestTimeout bounds the time in which a client must send a whole request; a configuration may have some
+	// megabytes. maxHeaderBytes bounds a request header in bytes.
+	requestTimeout = 20 * time.Second
+	maxHeaderBytes = 64 << 10
 	// maxClientConnections and maxPeerConnections bound the connections of each listener; they are below the limit of
 	// file descriptors of a process.
 	maxClientConnections = 1500
@@ -85,6 +90,10 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	k.ctx = ctx
+	k.guard = serve.PanicGuard{Log: k.Log}
+	if k.Metrics != nil {
+		k.guard.Metrics = k.Metrics
+	}
 	k.machine.keeper, k.group.keeper, k.peers.keeper, k.lists.keeper = k, k, k, k
 	k.feeds.initFeeds(k)
 	k.roster.initRoster(k)
@@ -127,7 +136,8 @@
 		return fmt.Errorf("open a listener: %w", err)
 	}
 	server := &http.Server{
-		Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: k.guard.Handler(s.Handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
+		IdleTimeout: idleTimeout,
 		// Links between processes are hijacked connections, which the HTTP server does not close; they end with this
 		// context.
 		BaseContext: func(net.Listener) context.Context { return k.ctx },
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -36,7 +37,7 @@
 // attempt fails.
 func (s *streamRequest) run(a streamAttempt) attemptResult {
 	start := s.relay.Clock.Now()
-	w := &silenceWatch{stream: s, attempt: a}
+	w := &silenceWatch{stream: s, attempt: a, mayLeaveSlow: s.attempts+reservedAttempts < s.route.MaxAttempts}
 	defer s.releaseAttempt(a, w)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
@@ -59,7 +60,7 @@
 	if result.outcome != completed {
 		_ = c.Close()
 		if cause := w.closeCause.Load(); cause != nil {
-			result.cause, result.err = common.RetrySilent, errors.New(*cause)
+			result.cause, result.err = cause.reason, errors.New(cause.text)
 		}
 	}
 	return result
@@ -97,9 +98,9 @@
 func (s *streamRequest) receiveStream(ctx context.Context, a streamAttempt, c *endpointConn, w *silenceWatch) attemptResult {
 	res, err := c.readResponse(s.r.Method, s.relay.Names.RequestID, s.id) //nolint:bodyclose // closing the connection ends the body
 	if err != nil {
-		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+		return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
 	}
-	w.recordActivity()
+	w.recordProgress()
 	s.recordLoad(a.endpoint.ID, res.Header)
 	if res.Header.Get(s.relay.Names.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest ||
 		a.resumeFrom != "" && res.StatusCode == http.StatusServiceUnavailable {
@@ -114,8 +115,8 @@
 		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
 	}
 	if res.StatusCode != http.StatusOK {
-		body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse))
-		if err != nil || s.headerSent || res.StatusCode >= 500 && s.canRetry() {
+		body, complete, err := s.readBuffered(res.Body, maxBufferedResponse)
+		if err != nil || !complete || s.headerSent || res.StatusCode >= 500 && s.canRetry() {
 			return attemptResult{outcome: outcomeUnknown, cause: common.RetryRefused, err: errors.New(res.Status)}
 		}
 		_ = c.Close()
@@ -135,7 +136,8 @@
 		s.lastEventAt = s.relay.Clock.Now()
 	}
 	flusher := http.NewResponseController(s.w)
-	events := &eventReader{br: bufio.NewReaderSize(res.Body, readBufferSize)}
+	events := &eventReader{br: bufio.NewReaderSize(res.Body, readBufferSize), takeBuffer: s.takeBuffer}
+	idlessBytes := 0
 	for {
 		e, err := events.nextEvent()
 		if errors.Is(err, io.EOF) && s.lastEventID == 0 {
@@ -146,9 +148,19 @@
 			return attemptResult{outcome: completed, res: res}
 		}
 		if err != nil {
-			return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+			return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
 		}
 		w.recordActivity()
+		if e.id < 0 {
+			// Comments keep the caller's connection alive, but do not continue the stream.
+			if idlessBytes += len(e.raw); idlessBytes > maxIdlessBytes {
+				return attemptResult{outcome: outcomeUnknown, cause: common.RetryOversized, err: errEventSize}
+			}
+			if err := s.forwardEvent(flusher, e); err != nil {
+				return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+			}
+			continue
+		}
 		if !w.firstEventSeen {
 			w.firstEventSeen = true
 			s.logResumed(a)
@@ -163,22 +175,33 @@
 			go maintainer.run(ctx)
 		}
 		w.lastEventID.Store(e.id)
-		if e.id >= 0 && e.id <= s.lastEventID {
+		if e.id <= s.lastEventID {
+			// An engine that resumes may repeat the events that the caller has.
 			continue
 		}
-		if e.id >= 0 && e.id != s.lastEventID+1 {
+		if e.id != s.lastEventID+1 {
 			return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: errEventGap}
 		}
-		if _, err := s.w.Write(e.raw); err != nil {
-			return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
-		}
-		if err := flusher.Flush(); err != nil {
+		w.recordProgress()
+		idlessBytes = 0
+		if err := s.forwardEvent(flusher, e); err != nil {
 			return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
 		}
 		s.recordForwarded(e)
 	}
 }
 
+// forwardEvent sends an event to the caller at once.
+func (s *streamRequest) forwardEvent(flusher *http.ResponseController, e streamEvent) error {
+	if _, err := s.w.Write(e.raw); err != nil {
+		return fmt.Errorf("forward an event: %w", err)
+	}
+	if err := flusher.Flush(); err != nil {
+		return fmt.Errorf("forward an event: %w", err)
+	}
+	return nil
+}
+
 // logResumed logs the pause between the last event that the caller got and the first event of this stream attempt.
 func (s *streamRequest) logResumed(a streamAttempt) {
 	if s.eventCount > 0 {
@@ -210,7 +233,5 @@
 	}
 	s.lastEventAt = now
 	s.eventCount++
-	if e.id >= 0 {
-		s.lastEventID = e.id
-	}
+	s.lastEventID = e.id
 }
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -41,11 +41,20 @@
 	poolSweepInterval = 500 * time.Millisecond
 	// readBufferSize is the size in bytes of a read buffer; it holds a response of the usual size.
 	readBufferSize = 4 << 10
+	// maxResponseHeader bounds the size in bytes of a response header from an endpoint, together with the informational
+	// (1xx) responses before it.
+	maxResponseHeader = 64 << 10
+	// maxDiscardedBody bounds the size in bytes of a response body that is read only so that the connection can be
+	// reused.
+	maxDiscardedBody = 64 << 10
 	// maxMismatchedResponses is the number of responses to earlier requests that are skipped on a connection to an
 	// endpoint.
 	maxMismatchedResponses = 2
 )
 
+// errTooLarge is wrapped by the errors for responses that exceed a bound in bytes.
+var errTooLarge = eris.New("the response is too large")
+
 // errMismatchedResponse is returned when a connection to an endpoint delivers only responses to other requests.
 var errMismatchedResponse = eris.New("the response belongs to another request")
 
@@ -53,7 +62,9 @@
 type endpointConn struct {
 	net.Conn
 	endpoint place.Endpoint
-	br       *bufio.Reader
+	// br reads from the connection through source.
+	br     *bufio.Reader
+	source *limitedSource
 	// idleSince is when the connection was put into the pool.
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
@@ -62,6 +73,36 @@
 	bodyStreamed bool
 }
 
+// newEndpointConn returns an endpoint connection over a network connection on which nothing was sent yet.
+func newEndpointConn(nc net.Conn, e place.Endpoint) *endpointConn {
+	source := &limitedSource{r: nc, left: unlimitedBytes}
+	return &endpointConn{Conn: nc, endpoint: e, br: bufio.NewReaderSize(source, readBufferSize), source: source, idleTimeout: defaultIdleTimeout}
+}
+
+// unlimitedBytes is the value of limitedSource.left that sets no bound.
+const unlimitedBytes = -1
+
+// limitedSource reads from a connection and fails once a bound in bytes is exceeded. net/http sets no bound on the
+// response header that http.ReadResponse reads.
+type limitedSource struct {
+	r io.Reader
+	// left is the number of bytes that may still be read, or unlimitedBytes.
+	left int64
+}
+
+// Read reads from the connection; it returns errTooLarge if the bound is exceeded.
+func (s *limitedSource) Read(p []byte) (int, error) {
+	if s.left == unlimitedBytes {
+		return s.r.Read(p) //nolint:wrapcheck // readers compare the error with io.EOF
+	}
+	if s.left == 0 {
+		return 0, errTooLarge
+	}
+	n, err := s.r.Read(p[:min(int64(len(p)), s.left)])
+	s.left -= int64(n)
+	return n, err //nolint:wrapcheck // as above
+}
+
 // connPool keeps idle connections to endpoints. They are stored by the endpoint's id because an address can be
 // reassigned to another endpoint.
 type connPool struct {
@@ -95,7 +136,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", e.Address, err)
 	}
-	return &endpointConn{Conn: nc, endpoint: e, br: bufio.NewReaderSize(nc, readBufferSize), idleTimeout: defaultIdleTimeout}, nil
+	return newEndpointConn(nc, e), nil
 }
 
 // dialAttempt is one of the up to two connections to an endpoint that are dialled in parallel.
@@ -296,6 +337,7 @@
 // run sends the request body to the endpoint. A failure is only logged, because it also shows in the endpoint's
 // response or in the lack of one.
 func (u *bodyUpload) run() {
+	defer u.request.relay.guard.Recover("body-upload")
 	if err := u.sendBody(); err != nil {
 		u.request.log.Info("body-not-sent", zap.String("endpoint", u.conn.endpoint.ID), zap.Error(err))
 	}
@@ -343,15 +385,30 @@
 		if res.Header.Get(idName) == id {
 			return res, nil
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil || res.Close {
+		if err := discardBody(res); err != nil || res.Close {
 			return nil, errMismatchedResponse
 		}
 	}
 	return nil, errMismatchedResponse
 }
 
-// readHeader reads the next final response header from the endpoint; informational (1xx) responses are skipped.
+// discardBody reads a response body to its end, which must come within maxDiscardedBody.
+func discardBody(res *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxDiscardedBody+1))
+	if err != nil {
+		return fmt.Errorf("discard the response: %w", err)
+	}
+	if n > maxDiscardedBody {
+		return errTooLarge
+	}
+	return nil
+}
+
+// readHeader reads the next final response header from the endpoint; informational (1xx) responses are skipped. All of
+// them together may have maxResponseHeader bytes.
 func (c *endpointConn) readHeader(method string) (*http.Response, error) {
+	c.source.left = maxResponseHeader
+	defer func() { c.source.left = unlimitedBytes }()
 	for {
 		res, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
--- a/io/relay/copy.go
+++ b/io/relay/copy.go
@@ -68,6 +68,7 @@
 // run checks until ctx ends whether the holder of the stream's KV cache copy is alive, and requests copies to another
 // engine while the serving engine sends none on its own.
 func (m *copyMaintainer) run(ctx context.Context) {
+	defer m.stream.relay.guard.Recover("copy-maintainer")
 	defer m.freeRequestedCopy()
 	next := time.Time{}
 	for serve.Sleep(ctx, copyCheckInterval) {
--- a/io/relay/event.go
+++ b/io/relay/event.go
@@ -10,8 +10,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxEventSize bounds the size of one server-sent event in bytes.
-const maxEventSize = 256 << 10
+const (
+	// maxEventSize bounds the size of one server-sent event in bytes.
+	maxEventSize = 128 << 10
+	// maxIdlessBytes bounds the size in bytes of all comments and events without an id between two events with one.
+	maxIdlessBytes = 128 << 10
+)
 
 var (
 	errEventSize = eris.New("an event of the stream is too large")
@@ -30,6 +34,21 @@
 type eventReader struct {
 	br  *bufio.Reader
 	buf []byte
+	// takeBuffer reserves memory in bytes for events above smallBuffer; it reports whether that much was free.
+	takeBuffer func(n int64) bool
+	large      bool
+}
+
+// reserve makes sure that the buffer may grow to the size of an event; it returns errEventSize if it may not.
+func (s *eventReader) reserve(size int) error {
+	if size <= smallBuffer || s.large && size <= maxEventSize {
+		return nil
+	}
+	if size > maxEventSize || !s.takeBuffer(maxEventSize) {
+		return errEventSize
+	}
+	s.large = true
+	return nil
 }
 
 // nextEvent returns the next complete server-sent event. Its bytes are valid until the following call. An event that
@@ -41,10 +60,10 @@
 		start := len(s.buf)
 		for {
 			part, err := s.br.ReadSlice('\n')
-			s.buf = append(s.buf, part...)
-			if len(s.buf) > maxEventSize {
-				return e, errEventSize
+			if err := s.reserve(len(s.buf) + len(part)); err != nil {
+				return e, err
 			}
+			s.buf = append(s.buf, part...)
 			if err == nil {
 				break
 			}
--- a/io/relay/finder.go
+++ b/io/relay/finder.go
@@ -105,6 +105,7 @@
 
 // run queries the engine for the prompt parts in its KV cache and adds them to the results of the search.
 func (q *cachedPartsQuery) run() {
+	defer q.relay.guard.Recover("prompt-query")
 	ctx, cancel := context.WithTimeout(q.relay.ctx, searchTimeout)
 	defer cancel()
 	parts, err := q.relay.Engines.CachedParts(ctx, q.endpoint.Address)
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -18,7 +19,9 @@
 const (
 	// maxBufferedResponse is the size in bytes up to which a response is buffered, so that the request can be retried
 	// if the response is cut off.
-	maxBufferedResponse = 512 << 10
+	maxBufferedResponse = 128 << 10
+	// maxForwardedResponse bounds the size in bytes of a response that is forwarded while it arrives.
+	maxForwardedResponse = 1 << 30
 	// failoverObjectives is the number of latency objectives after which a repeatable request is sent to another
 	// endpoint, if there is one.
 	failoverObjectives = 2.5
@@ -163,6 +166,8 @@
 			t.RecordFull(e.ID, fullEndpointPause, now)
 		case !callerDisconnected && result.cause == common.RetryConnect:
 			suspended = t.RecordFailure(e.ID, q.route.Kind == state.Stream, now)
+		case !callerDisconnected && result.cause == common.RetryOversized:
+			suspended = t.RecordFailure(e.ID, false, now)
 		case !callerDisconnected && result.cause == common.RetryReset && q.route.Kind != state.Stream:
 			suspended = t.RecordFailure(e.ID, false, now)
 		}
@@ -239,7 +244,7 @@
 func (q *request) receiveResponse(c *endpointConn) attemptResult {
 	res, err := c.readResponse(q.r.Method, q.relay.Names.RequestID, q.id)
 	if err != nil {
-		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+		return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
 	}
 	q.recordLoad(c.endpoint.ID, res.Header)
 	if res.Header.Get(q.relay.Names.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest {
@@ -247,7 +252,7 @@
 		if res.StatusCode == http.StatusMisdirectedRequest {
 			cause = common.RetryLeaving
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		if err := discardBody(res); err != nil {
 			_ = c.Close()
 		} else {
 			q.relay.pool.releaseConn(c, res)
@@ -257,17 +262,25 @@
 	if err := q.validateResponse(res); err != nil {
 		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedResponse+1))
+	body, complete, err := q.readBuffered(res.Body, maxBufferedResponse)
 	if err != nil {
-		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+		return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
 	}
-	if len(body) > maxBufferedResponse {
+	if !complete {
 		return attemptResult{outcome: completed, res: res, body: body, unreadConn: c}
 	}
 	q.relay.pool.releaseConn(c, res)
 	return attemptResult{outcome: completed, res: res, body: body}
 }
 
+// failureCause returns the reason under which an attempt with a read error is counted.
+func failureCause(err error) common.Reason {
+	if errors.Is(err, errTooLarge) || errors.Is(err, errEventSize) {
+		return common.RetryOversized
+	}
+	return common.RetryReset
+}
+
 // errInvalidResponse is returned for an endpoint's response without its signature or with a content encoding.
 var errInvalidResponse = errors.New("the response lacks the endpoint's signature or has a content encoding")
 
@@ -286,6 +299,18 @@
 	}
 }
 
+// forwardRest forwards the part of a large response that was not buffered.
+func (q *request) forwardRest(res *http.Response) error {
+	n, err := io.Copy(q.w, io.LimitReader(res.Body, maxForwardedResponse+1))
+	if err != nil {
+		return fmt.Errorf("forward the response: %w", err)
+	}
+	if n > maxForwardedResponse {
+		return errTooLarge
+	}
+	return nil
+}
+
 // writeResponse sends an endpoint's complete response to the caller.
 func (q *request) writeResponse(e place.Endpoint, result attemptResult) {
 	copyHeader(q.w.Header(), result.res.Header)
@@ -296,7 +321,7 @@
 	_, err := q.w.Write(result.body)
 	if result.unreadConn != nil {
 		if err == nil {
-			_, err = io.Copy(q.w, result.res.Body)
+			err = q.forwardRest(result.res)
 		}
 		_ = result.unreadConn.Close()
 		if err != nil {
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -96,6 +96,7 @@
 
 // run sends a liveness probe to an engine and suspends the engine if it does not respond.
 func (p *prober) run(pr *livenessProbe, e place.Endpoint) {
+	defer p.relay.guard.Recover("liveness-probe")
 	defer close(pr.done)
 	ctx, cancel := context.WithTimeout(p.relay.ctx, probeTimeout)
 	defer cancel()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -131,6 +131,8 @@
 	drain   drain
 	callers callerConns
 	meter   relayMetrics
+	guard   serve.PanicGuard
+	buffers bufferBudget
 	// ctx ends when the process stops, after the graceful shutdown.
 	ctx context.Context
 
@@ -169,6 +171,7 @@
 	r.table.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	r.budgets = map[string]*place.RetryBudget{}
 	r.meter.initMetrics(r.Metrics)
+	r.guard = serve.PanicGuard{Log: r.Log, Metrics: r.meter.scope}
 	r.pool.initPool(r)
 	r.prober.initProber(r)
 	r.finder.initFinder(r)
@@ -181,7 +184,7 @@
 		return fmt.Errorf("open the listener for callers: %w", err)
 	}
 	server := &http.Server{
-		Handler: r, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: r.guard.Handler(r), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
 		ConnState: r.callers.trackState, ConnContext: r.callers.withConn,
 	}
 	serve.AddHTTPServer(&g, server, serve.LimitListener(listener, maxCallerConnections), func() bool { return r.drain.inFlightCount() == 0 })
@@ -190,7 +193,8 @@
 		if err != nil {
 			return fmt.Errorf("open a listener: %w", err)
 		}
-		serve.AddHTTPServer(&g, &http.Server{Handler: s.Handler, ReadHeaderTimeout: readinessTimeout}, l, nil)
+		further := &http.Server{Handler: r.guard.Handler(s.Handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readinessTimeout}
+		serve.AddHTTPServer(&g, further, l, nil)
 	}
 	r.Log.Info("relay-started", zap.String("front", r.CallerAddress), zap.Strings("seeds", r.Seeds()))
 	serve.AddLoop(ctx, &g, r.feed.loop)
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -1,11 +1,14 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -60,6 +63,8 @@
 	body          []byte
 	bodyReader    io.Reader
 	contentLength int64
+	// bufferBytes is the memory that the request has taken from the relay's budget for large buffers.
+	bufferBytes int64
 	// bodyStreamed is true once the relay has started to send an unbuffered body, after which no other endpoint can get
 	// it whole.
 	bodyStreamed bool
@@ -85,6 +90,7 @@
 	r.callers.markHeaderReceived(req.Context())
 	r.drain.requestStarted()
 	defer r.drain.requestEnded()
+	defer q.giveBuffers()
 	if r.drain.hasStarted() {
 		w.Header().Set("Connection", "close")
 	}
@@ -122,7 +128,7 @@
 		return false
 	}
 	if q.r.ContentLength > limits.BodyBytes {
-		q.refuseLargeBody(limits.BodyBytes)
+		q.sendRefusal(http.StatusRequestEntityTooLarge, common.ReasonBodyTooLarge, 0)
 		return false
 	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
@@ -168,25 +174,44 @@
 		q.bodyReader = body
 		return true
 	}
-	data, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
+	data, complete, err := q.readUntilDeadline(body)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		q.refuseLargeBody(limit)
+	switch {
+	case errors.As(err, &tooLarge):
+		q.sendRefusal(http.StatusRequestEntityTooLarge, common.ReasonBodyTooLarge, 0)
 		return false
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.sendRefusal(http.StatusRequestTimeout, common.ReasonDeadline, 0)
+		return false
+	case err != nil:
 		q.log.Info("request-body-not-read", zap.Error(err))
 		q.relay.meter.countReason("callers-gone", "body")
 		panic(http.ErrAbortHandler)
 	}
-	if len(data) > maxBufferedBody {
-		q.bodyReader = io.MultiReader(strings.NewReader(string(data)), body)
+	if !complete {
+		q.bodyReader = io.MultiReader(bytes.NewReader(data), body)
 		return true
 	}
 	q.body, q.contentLength = data, int64(len(data))
 	return true
 }
 
+// readUntilDeadline reads up to maxBufferedBody of the caller's request body, and reports whether that is all of it. It
+// fails with os.ErrDeadlineExceeded if the request's deadline passes first.
+func (q *request) readUntilDeadline(body io.Reader) (data []byte, complete bool, err error) {
+	rc := http.NewResponseController(q.w)
+	if err := rc.SetReadDeadline(q.deadline); err != nil {
+		return nil, false, fmt.Errorf("bound the time for the body: %w", err)
+	}
+	if data, complete, err = q.readBuffered(body, maxBufferedBody); err != nil {
+		return nil, false, err
+	}
+	if err := rc.SetReadDeadline(time.Time{}); err != nil {
+		return nil, false, fmt.Errorf("lift the bound on the time for the body: %w", err)
+	}
+	return data, complete, nil
+}
+
 // buildOutgoing returns the request as it is sent to an endpoint, with the remaining time until the deadline in a
 // header.
 func (q *request) buildOutgoing(e place.Endpoint, now time.Time) *outgoingRequest {
@@ -224,21 +249,11 @@
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
+	text := string(reason) + "\n"
+	// With a length, the response is complete for a caller that still sends its body.
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	q.w.WriteHeader(status)
-	_, _ = io.WriteString(q.w, string(reason)+"\n")
-}
-
-// refuseLargeBody refuses a request whose body is over the limit in bytes and discards up to the same number of bytes
-// again. Closing a connection with unread data resets it, and the caller might lose the response.
-func (q *request) refuseLargeBody(limit int64) {
-	q.w.Header().Set("Connection", "close")
-	q.sendRefusal(http.StatusRequestEntityTooLarge, common.ReasonBodyTooLarge, 0)
-	if err := http.NewResponseController(q.w).Flush(); err != nil {
-		return
-	}
-	if _, err := io.CopyN(io.Discard, q.r.Body, limit); err != nil && !errors.Is(err, io.EOF) {
-		q.log.Debug("refused-body-not-read", zap.Error(err))
-	}
+	_, _ = io.WriteString(q.w, text)
 }
 
 // failRequest ends a request for which no further attempt is possible. The status depends on whether the request may
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"wasabiweir/core/common"
 	"wasabiweir/io/serve"
 )
 
@@ -38,6 +39,16 @@
 	// arrived to prove that the connection is dead. Reports are some hundred milliseconds old, and one event may be in
 	// transit.
 	minEventLead = 2
+	// reservedAttempts is the number of attempts of a stream that are not spent on leaving a slow engine: the one that
+	// leaves it, the one that follows, and one more for an engine that fails.
+	reservedAttempts = 3
+	// minStallTimeout, stallPauses and stallObjectives bound the time without progress after which a stream leaves an
+	// engine that responds to liveness probes, even if no other engine has a copy of its KV cache: the longest of the
+	// time itself, the multiple of the route's longest pause, and the multiple of its latency objective. Callers wait
+	// no longer.
+	minStallTimeout = 2 * time.Second
+	stallPauses     = 8
+	stallObjectives = 4
 )
 
 // silenceWatch detects that an endpoint has stopped sending the events of a stream and closes its connection, which
@@ -46,10 +57,13 @@
 	stream  *streamRequest
 	attempt streamAttempt
 	conn    *endpointConn
-	// lastActivity is when data last arrived, as time since the start of the process in nanoseconds.
+	// lastActivity is when data last arrived that continues the stream: the response header or the next event. It is a
+	// time since the start of the process in nanoseconds.
 	lastActivity atomic.Int64
+	// mayLeaveSlow is true if enough attempts are left to leave an engine that is only slow.
+	mayLeaveSlow bool
 	// closeCause is why the watch closed the connection; nil if it did not.
-	closeCause atomic.Pointer[string]
+	closeCause atomic.Pointer[closeCause]
 	// firstEventSeen is true once the first event has arrived; only the goroutine that reads the stream uses it.
 	firstEventSeen bool
 	// received counts the response header and the events that arrived; lastEventID is the id of the last event.
@@ -57,17 +71,28 @@
 	lastEventID atomic.Int64
 }
 
-// recordActivity records that data from the endpoint arrived.
+// closeCause is why a watch closed the connection to an engine.
+type closeCause struct {
+	reason common.Reason
+	text   string
+}
+
+// recordActivity records that data from the endpoint arrived, which proves that the endpoint is alive.
 func (w *silenceWatch) recordActivity() {
-	now := w.stream.relay.uptime()
-	w.lastActivity.Store(int64(now))
+	w.stream.relay.prober.recordActivity(w.attempt.endpoint.ID, w.stream.relay.uptime())
+}
+
+// recordProgress records that data arrived that continues the stream.
+func (w *silenceWatch) recordProgress() {
+	w.recordActivity()
+	w.lastActivity.Store(int64(w.stream.relay.uptime()))
 	w.received.Add(1)
-	w.stream.relay.prober.recordActivity(w.attempt.endpoint.ID, now)
 }
 
 // run checks how long the endpoint of a stream attempt has sent nothing, and probes its engine, until ctx ends or the
 // connection is closed.
 func (w *silenceWatch) run(ctx context.Context) {
+	defer w.stream.relay.guard.Recover("silence-watch")
 	for {
 		silence := w.silentFor()
 		limit, checkPause, probePause := maxStartSilence, startCheckInterval, startProbeInterval
@@ -93,8 +118,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if cause := w.closeReason(ctx, p); cause != "" {
-			w.closeCause.Store(&cause)
+		if cause := w.closeReason(ctx, p); cause != nil {
+			w.closeCause.Store(cause)
 			_ = w.conn.Close()
 			return
 		}
@@ -119,29 +144,39 @@
 	return max(longest-copyResumeTime, maxEventSilence+probeInterval)
 }
 
-// closeReason returns why the connection to the stream's engine must be closed after a liveness probe, or an empty
-// string if it need not be.
-func (w *silenceWatch) closeReason(ctx context.Context, p *livenessProbe) string {
+// noProgressTimeout returns the time without progress after which a stream leaves an engine that responds to liveness
+// probes, whether or not a copy of its KV cache exists.
+func (w *silenceWatch) noProgressTimeout() time.Duration {
+	route := w.stream.route
+	return max(minStallTimeout, stallPauses*route.MaxPause, stallObjectives*route.LatencyObjective)
+}
+
+// closeReason returns why the connection to the stream's engine must be closed after a liveness probe, or nil if it
+// need not be.
+func (w *silenceWatch) closeReason(ctx context.Context, p *livenessProbe) *closeCause {
 	silence := w.silentFor()
 	if silence < maxEventSilence {
-		return ""
+		return nil
 	}
 	if !p.alive {
-		return "the engine does not respond"
+		return &closeCause{common.RetrySilent, "the engine does not respond"}
+	}
+	if silence >= w.noProgressTimeout() {
+		return &closeCause{common.RetryStalled, "the engine responds but the stream makes no progress"}
 	}
 	// The count of received items includes the response header.
 	events := w.received.Load() - 1
 	if events < 1 {
-		return ""
+		return nil
 	}
 	if reported, ok := p.report.Events[w.stream.id]; ok && int64(reported) >= w.lastEventID.Load()+minEventLead &&
 		silence > maxEventSilence+probeInterval {
-		return "the engine reports events that did not arrive"
+		return &closeCause{common.RetrySilent, "the engine reports events that did not arrive"}
 	}
-	if silence >= w.stallTimeout() && w.holderResponds(ctx) {
-		return "the engine responds but sends no events"
+	if w.mayLeaveSlow && silence >= w.stallTimeout() && w.holderResponds(ctx) {
+		return &closeCause{common.RetrySilent, "the engine responds but sends no events"}
 	}
-	return ""
+	return nil
 }
 
 // holderResponds reports whether the holder of the stream's KV cache copy responds and holds any copies. A holder that
--- a/io/router/attempt.go
+++ b/io/router/attempt.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"wasabiweir/core/common"
 	"wasabiweir/core/route"
 	"wasabiweir/core/stream"
@@ -52,8 +54,6 @@
 		Seed:      req.Seed,
 		Priority:  s.enginePriority(),
 		RequestID: s.id,
-		// A retry opens a new connection, because a pooled one may be the one that stalled.
-		NewConnection: req.Attempt > 1,
 	}
 	if len(req.Prompt) == 0 {
 		t.request.Text = s.params.Text
@@ -97,8 +97,14 @@
 }
 
 // receiveOutput sends the generation request to the engine and passes the chunks of its output to out until the last
-// one.
-func (t *streamAttempt) receiveOutput(out chan<- attemptEvent) error {
+// one. A panic is returned as an error, so that the generation continues on another engine.
+func (t *streamAttempt) receiveOutput(out chan<- attemptEvent) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.router.guard.Record("engine-output", p)
+			err = errAttemptPanic
+		}
+	}()
 	s, err := t.client.StartGeneration(t.ctx, t.request)
 	if err != nil {
 		return err
@@ -120,6 +126,9 @@
 	}
 }
 
+// errAttemptPanic means that the handling of an engine's output panicked.
+var errAttemptPanic = eris.New("the handling of the engine's output panicked")
+
 // engineDraining reports whether the error is an engine's refusal because it is shutting down.
 func engineDraining(err error) bool {
 	var e *engine.Error
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strings"
@@ -51,8 +50,6 @@
 // callSender forwards calls of plain HTTP services to their endpoints.
 type callSender struct {
 	router *Router
-	// client pools connections and is used only for idempotent calls.
-	client *http.Client
 	// claimAttempts numbers this process's claims of idempotency keys in the call ledger.
 	claimAttempts atomic.Uint64
 	// unrecorded counts the calls, and the abandoned claims of an idempotency key, whose outcome is not yet recorded
@@ -60,16 +57,6 @@
 	unrecorded atomic.Int64
 }
 
-// initClient sets the router and creates the pooled HTTP client, which returns redirects to the caller and doesn't
-// follow them.
-func (c *callSender) initClient(r *Router) {
-	c.router = r
-	c.client = &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second, DialContext: dialEndpoint},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
 // dialEndpoint opens a TCP connection within one second; its error is a *connectError.
 func dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
 	d := net.Dialer{Timeout: time.Second}
@@ -89,15 +76,6 @@
 // Unwrap returns the dial error.
 func (e *connectError) Unwrap() error { return e.err }
 
-// reusedConnError means that a call failed on a pooled connection that an earlier call had opened.
-type reusedConnError struct{ err error }
-
-// Error returns the text of the underlying failure.
-func (e *reusedConnError) Error() string { return "reused connection: " + e.err.Error() }
-
-// Unwrap returns the underlying failure.
-func (e *reusedConnError) Unwrap() error { return e.err }
-
 // serviceCall is a caller's request to a plain HTTP service.
 type serviceCall struct {
 	account object.Account
@@ -210,22 +188,17 @@
 	ctx, cancel := context.WithTimeout(ctx, x.deadline)
 	defer cancel()
 	failed := route.NameSet{}
-	client := c.client
 	for attemptNumber := 1; ; attemptNumber++ {
 		a, err := c.pickEndpoint(ctx, x, failed)
 		if err != nil {
 			return nil, endpointRefusal(attemptNumber, err)
 		}
+		client, _ := newSingleUseClient()
 		out, err := c.sendAttempt(ctx, x, a, client)
 		if err == nil {
 			return out, nil
 		}
-		var reusedErr *reusedConnError
-		if errors.As(err, &reusedErr) {
-			client, _ = newSingleUseClient()
-		} else {
-			failed[a.name] = struct{}{}
-		}
+		failed[a.name] = struct{}{}
 		if ctx.Err() != nil {
 			return nil, &common.Refusal{Reason: common.ReasonDeadline, Outcome: common.OutcomeUnknown, Message: "the service did not answer in time"}
 		}
@@ -273,15 +246,7 @@
 
 // sendAttempt sends the call to one endpoint and records whether the endpoint failed.
 func (c *callSender) sendAttempt(ctx context.Context, x *serviceCall, a *attempt, client *http.Client) (*endpointResponse, error) {
-	reused := false
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { reused = i.Reused }})
-	out, err := x.roundTrip(traced, client, a.address)
-	if err != nil && reused && ctx.Err() == nil {
-		// A failure on a reused connection says nothing about the endpoint, which may only have closed an idle
-		// connection.
-		c.router.dispatcher.attemptFinished(a)
-		return nil, &reusedConnError{err}
-	}
+	out, err := x.roundTrip(ctx, client, a.address)
 	if err != nil {
 		c.router.dispatcher.attemptFailed(a, callRetryReason(err))
 		c.router.Log.Info("call-failed", zap.String("service", x.service.Name), zap.String("endpoint", a.name),
@@ -316,9 +281,9 @@
 	return &endpointResponse{status: res.StatusCode, header: copyForwardedHeaders(res.Header), body: body}, nil
 }
 
-// disableTransportRetry keeps net/http from resending a request by itself after a failure on a reused connection,
-// which it does for idempotent methods and for requests with an idempotency key. The router decides on each resend,
-// charges it to the retry budget and counts it.
+// disableTransportRetry keeps net/http from resending a request by itself after a failure, which it does for idempotent
+// methods and for requests with an idempotency key. The router decides on each resend, charges it to the retry budget
+// and counts it.
 func disableTransportRetry(req *http.Request) {
 	req.GetBody = nil
 	if req.Body == nil || req.Body == http.NoBody {
--- a/io/router/execution.go
+++ b/io/router/execution.go
@@ -173,6 +173,7 @@
 
 // run sends the non-idempotent call and records its outcome in the call ledger.
 func (e *execution) run() {
+	defer e.calls.router.guard.Recover("call-execution")
 	defer e.calls.unrecorded.Add(-1)
 	if op := e.sendAndRecord(); op != "" {
 		e.loopRecordOutcome(op)
@@ -272,9 +273,12 @@
 	return out.Verdict, err
 }
 
+// maxResponseHeader bounds the size in bytes of the header of a plain service's response.
+const maxResponseHeader = 64 << 10
+
 // newSingleUseClient returns an HTTP client that opens a new connection for its one request. A pooled connection may
-// have died unnoticed, which would needlessly make the call's outcome unknown. written is set once a byte may have
-// been sent.
+// have died unnoticed, which would needlessly make the call's outcome unknown, and an endpoint may send a second copy
+// of its last response on it, which would be taken for the next one. written is set once a byte may have been sent.
 func newSingleUseClient() (client *http.Client, written *atomic.Bool) {
 	written = &atomic.Bool{}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -285,7 +289,7 @@
 		return &writeTrackingConn{Conn: conn, written: written}, nil
 	}
 	client = &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, DialContext: dial},
+		Transport:     &http.Transport{DisableKeepAlives: true, DialContext: dial, MaxResponseHeaderBytes: maxResponseHeader},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return client, written
--- a/io/router/resend_test.go
+++ b/io/router/resend_test.go
@@ -1,7 +1,10 @@
 package router
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -23,6 +26,8 @@
 	server *httptest.Server
 	// requests counts the requests on all connections.
 	requests atomic.Int32
+	// cutFirst makes the server close the connection of the very first request without a response.
+	cutFirst bool
 }
 
 // connRequestCountKey is the context key of the number of requests on a connection.
@@ -40,26 +45,32 @@
 	return c
 }
 
-// ServeHTTP counts the request, and aborts the connection unless it is the connection's first request.
+// ServeHTTP counts the request, and aborts the connection if it is not the connection's first request, or if it is the
+// very first one and cutFirst is set.
 func (c *cuttingServer) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
-	c.requests.Add(1)
-	if r.Context().Value(connRequestCountKey{}).(*atomic.Int32).Add(1) > 1 {
+	first := c.requests.Add(1) == 1
+	if r.Context().Value(connRequestCountKey{}).(*atomic.Int32).Add(1) > 1 || first && c.cutFirst {
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// newCalls returns the callSender of a router with one plain service at the address.
-func newCalls(t *testing.T, address string) *callSender {
+// newCalls returns the callSender of a router with one plain service, which has an endpoint at each address.
+func newCalls(t *testing.T, addresses ...string) *callSender {
 	t.Helper()
 	r := &Router{Clock: &clock.Manual{}, Log: zap.NewNop(), Metrics: metric.New("router")}
 	t.Cleanup(func() { _ = r.Metrics.Close() })
 	r.dispatcher.Clock, r.dispatcher.Metrics, r.dispatcher.Log = r.Clock, r.Metrics, r.Log
 	r.dispatcher.initTables()
+	endpoints := map[string]object.Endpoint{}
+	for i, address := range addresses {
+		name := fmt.Sprintf("rondas-%d", i+1)
+		endpoints[name] = object.Endpoint{Name: name, Service: "rondas-app", Address: address}
+	}
 	r.dispatcher.applyConfig(&object.Graph{
 		Services:  map[string]object.Service{"rondas-app": {Name: "rondas-app", Type: object.ServicePlain}},
-		Endpoints: map[string]object.Endpoint{"rondas-1": {Name: "rondas-1", Service: "rondas-app", Address: address}},
+		Endpoints: endpoints,
 	})
-	r.calls.initClient(r)
+	r.calls.router = r
 	return &r.calls
 }
 
@@ -71,11 +82,10 @@
 	}
 }
 
-// net/http resends requests with an idempotency key by itself when a reused connection fails. A non-idempotent call
-// must never be sent twice.
+// net/http resends requests with an idempotency key by itself when a connection fails. A non-idempotent call must never
+// be sent twice.
 func TestCallIsSentOnceOnBrokenConnection(t *testing.T) {
 	s := newCuttingServer(t)
-	c := newCalls(t, s.server.Listener.Addr().String())
 	for n, body := range []string{"{}", "", "{}"} {
 		client, written := newSingleUseClient()
 		if _, err := newCall(http.MethodPost, body).roundTrip(t.Context(), client, s.server.Listener.Addr().String()); err != nil {
@@ -85,21 +95,24 @@
 			t.Fatalf("%d requests after %d calls, written %t", got, n+1, written.Load())
 		}
 	}
-	// Also with the pooled client, which reuses the connection of the first call, each call is sent once.
+	// Also with a client that reuses the connection of the first call, each call is sent once.
 	s.requests.Store(0)
+	pooled := &http.Client{Transport: &http.Transport{}}
 	for _, body := range []string{"{}", "{}"} {
-		_, _ = newCall(http.MethodPost, body).roundTrip(t.Context(), c.client, s.server.Listener.Addr().String())
+		_, _ = newCall(http.MethodPost, body).roundTrip(t.Context(), pooled, s.server.Listener.Addr().String())
 	}
 	if got := s.requests.Load(); got != 2 {
 		t.Errorf("two calls were sent %d times", got)
 	}
 }
 
-// If a service has closed an idle connection, an idempotent call on it must be repeated on a new connection and
-// succeed. The retry must be counted, which it is not when net/http resends by itself.
+// If the connection of an idempotent call breaks, the call must be repeated at another endpoint and succeed. The retry
+// must be counted, which it is not when net/http resends by itself.
 func TestRepeatedCallIsCounted(t *testing.T) {
 	s := newCuttingServer(t)
-	c := newCalls(t, s.server.Listener.Addr().String())
+	s.cutFirst = true
+	address := s.server.Listener.Addr().String()
+	c := newCalls(t, address, address)
 	for range 2 {
 		if _, err := c.sendIdempotent(t.Context(), newCall(http.MethodGet, "")); err != nil {
 			t.Fatal(err)
@@ -111,6 +124,60 @@
 	expectRetries(t, c.router.Metrics, "reset")
 }
 
+// echoTwiceServer answers each request with its path. Each request on a connection after the first is answered with a
+// second copy of the response before.
+type echoTwiceServer struct{ listener net.Listener }
+
+// loop accepts connections until the listener is closed.
+func (s *echoTwiceServer) loop() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.loopConn(c)
+	}
+}
+
+// loopConn answers the requests on one connection.
+func (s *echoTwiceServer) loopConn(c net.Conn) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	last := ""
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+		_, _ = io.WriteString(c, last+answer)
+		last = answer
+	}
+}
+
+// Guards against a second copy of a response that arrives as the next request is sent on the same connection, and that
+// is taken for the response to that request.
+func TestSecondCopyIsNotTheNextAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go (&echoTwiceServer{listener: l}).loop()
+	c := newCalls(t, l.Addr().String())
+	for _, path := range []string{"/first", "/second", "/third"} {
+		call := newCall(http.MethodGet, "")
+		call.path = path
+		out, err := c.sendIdempotent(t.Context(), call)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(out.body) != path {
+			t.Errorf("the call of %s got the answer %q", path, out.body)
+		}
+	}
+}
+
 // expectRetries fails the test unless the metrics page shows one retry for the reason within 5 seconds.
 func expectRetries(t *testing.T, h http.Handler, reason string) {
 	t.Helper()
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -80,6 +80,7 @@
 	journal    journal
 	sessions   sessionTable
 	calls      callSender
+	guard      serve.PanicGuard
 	prefixes   prefixTracker
 	// nonce makes the epochs of the generations that this router owns unique.
 	nonce atomic.Uint64
@@ -101,7 +102,7 @@
 	r.Log.Info("router-started", zap.String("router", r.Name), zap.String("listen", r.Listen),
 		zap.String("peer-listen", r.PeerListen), zap.Uint64("incarnation", r.incarnation))
 	var g run.Group
-	serve.AddHTTPServer(&g, r.newCallerServer(r.callerHandler()), serve.LimitListener(callers, r.MaxConnections), r.drained)
+	serve.AddHTTPServer(&g, r.newCallerServer(r.guard.Handler(r.callerHandler())), serve.LimitListener(callers, r.MaxConnections), r.drained)
 	serve.AddHTTPServer(&g, r.newPeerServer(), serve.LimitListener(peers, maxPeerConnections), nil)
 	loops := []func(context.Context) error{
 		r.loop, r.feed.loop, r.dispatcher.loop, r.peers.loop, r.journal.loop, r.loopPollEngines, r.prefixes.loop,
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -29,13 +29,14 @@
 	// The control process takes the status report with the higher incarnation for the newer one, so the incarnation
 	// must rise with each restart of the router.
 	r.incarnation = uint64(r.Clock.Now().UnixNano())
+	r.guard = serve.PanicGuard{Log: r.Log, Metrics: r.Metrics}
 	r.dispatcher.Clock, r.dispatcher.Metrics, r.dispatcher.Log = r.Clock, r.Metrics, r.Log
 	r.dispatcher.table.Name = r.Name
 	r.dispatcher.initTables()
 	r.peers.initConnections(ctx, r)
 	r.journal.initHolder(r)
 	r.sessions.initSessions(ctx)
-	r.calls.initClient(r)
+	r.calls.router = r
 	r.prefixes.router = r
 	return r.feed.initStoredConfig(r)
 }
@@ -155,6 +156,7 @@
 
 // runPollEngine reads the load and the model list of one engine and passes them to the dispatcher.
 func (r *Router) runPollEngine(ctx context.Context, name, address string) {
+	defer r.guard.Recover("engine-poll")
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	client := engine.Client{Address: address}
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/oklog/run"
@@ -72,12 +73,20 @@
 	}
 }
 
-// WriteJSON responds with the status and v encoded as JSON; it ignores write errors, which mean that the client
-// has disconnected.
+// WriteJSON responds with the status and v encoded as JSON, or with status 500 if v cannot be encoded. It ignores write
+// errors, which mean that the client has disconnected.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, "the response cannot be encoded", http.StatusInternalServerError)
+		return
+	}
+	body = append(body, '\n')
 	w.Header().Set("Content-Type", "application/json")
+	// With a length, the response is complete for a client that still sends its request body.
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	_, _ = w.Write(body)
 }
 
 // Sleep waits for the duration d and returns true, or returns false as soon as ctx ends.
--- a/io/wire/link.go
+++ b/io/wire/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 var (
 	// ErrClosed means that the link to the other process is closed, or that a Peer has no link at present.
 	ErrClosed = eris.New("link is closed")
+	// ErrPanic means that the handler of a frame panicked.
+	ErrPanic = eris.New("the handler panicked")
 	// ErrQueueFull means that the frame was dropped because too many frames are queued for sending on the link.
 	ErrQueueFull = eris.New("link's send queue is full")
 )
@@ -105,11 +108,25 @@
 		case KindReply:
 			l.deliverReply(f)
 		default:
-			l.handler.HandleFrame(l, f)
+			if err := l.handleFrame(f); err != nil {
+				return err
+			}
 		}
 	}
 }
 
+// handleFrame passes a frame to the handler. It returns an error that wraps ErrPanic if the handler panics, so that a
+// frame which cannot be handled costs the link and not the process.
+func (l *Link) handleFrame(f Frame) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("handle a frame of kind %s: %w: %v\n%s", f.Kind, ErrPanic, p, debug.Stack())
+		}
+	}()
+	l.handler.HandleFrame(l, f)
+	return nil
+}
+
 // readFrame reads one frame; it fails if none arrives within readTimeout.
 func (l *Link) readFrame(ctx context.Context) (Frame, error) {
 	var f Frame
--- a/io/wire/peer.go
+++ b/io/wire/peer.go
@@ -21,6 +21,8 @@
 
 	// nameHeader is the HTTP header in which the process that dials a link sends its name.
 	nameHeader = "Wasabiweir-Name"
+	// maxUpgradeHeader bounds the size in bytes of the header of the response to the dial of a link.
+	maxUpgradeHeader = 16 << 10
 	// maxDialTimeout bounds one dial of a link; it is also the default of Peer.DialTimeout.
 	maxDialTimeout = time.Second
 	// compressionThreshold is the size in bytes from which a frame is compressed. Configurations and lists are larger and
@@ -140,7 +142,7 @@
 	defer cancel()
 	header := http.Header{nameHeader: {self}, "Authorization": {"Bearer " + key}}
 	// Each dial uses its own transport, because a pooled connection may be dead without having been closed.
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxUpgradeHeader}}
 	options := &websocket.DialOptions{
 		HTTPHeader: header, HTTPClient: client,
 		CompressionMode: websocket.CompressionNoContextTakeover, CompressionThreshold: compressionThreshold,
