--- a/io/itest/chaos_test.go
+++ b/io/itest/chaos_test.go
@@ -171,3 +171,25 @@
 	gaps := c.longestGaps()
 	t.Logf("longest gap of each generation: p50 %s, p99 %s, max %s", quantile(gaps, 0.5), quantile(gaps, 0.99), quantile(gaps, 1))
 }
+
+// Guards against generations that are given up because two of their three journal holders are only silent: a router
+// that is paused for longer than its links and its reports live comes back with its journals.
+func TestSilentHoldersAreNotGivenUp(t *testing.T) {
+	t.Parallel()
+	const generations, tokens, pause = 60, 250, 7 * time.Second
+	s := newSystem(t, systemSpec{controls: 1, routers: 4, engines: 4, engineArgs: []string{"-tokens-per-second", "25", "-slots", "64"}})
+	c := newWorkload(s)
+	for i := range generations {
+		c.startGeneration(i, tokens)
+	}
+	time.Sleep(2 * time.Second)
+	paused := s.routers[:2]
+	for _, r := range paused {
+		r.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(pause)
+	for _, r := range paused {
+		r.signal(syscall.SIGCONT)
+	}
+	c.verifyGenerations(generations)
+}
--- a/io/load/complete.go
+++ b/io/load/complete.go
@@ -174,6 +174,10 @@
 	case r == nil || errors.Is(err, errStreamInterrupted):
 		return true
 	}
+	if r.Reason == common.ReasonJournalUnavailable {
+		// The generation may have run, but a resume runs nothing twice, and a holder of its journal may come back.
+		return true
+	}
 	return r.Outcome == common.OutcomeNotRun && !slices.Contains(finalRefusalReasons, r.Reason)
 }
 
--- a/io/router/holders.go
+++ b/io/router/holders.go
@@ -9,9 +9,10 @@
 	"wasabiweir/core/stream"
 )
 
-// replaceLostHolders replaces one journal holder of the generation that is lost or draining, so that the journal
-// survives the next loss, for example the next restart of a rolling upgrade. If fewer holders than a quorum are left,
-// no more output can be released and the generation fails.
+// replaceLostHolders replaces one journal holder of the generation that is gone, unreachable or draining, so that the
+// journal survives the next loss, for example the next restart of a rolling upgrade. If fewer holders than a quorum are
+// reachable, no output is released until one comes back; the generation fails once fewer than a quorum can have the
+// journal.
 func (s *session) replaceLostHolders(now time.Time) {
 	for _, m := range s.owner.Set.Members {
 		s.sendMessages(s.owner.SetReachable(now, m, s.router.peers.holderConnected(m)))
@@ -20,23 +21,22 @@
 		return
 	}
 	var lost *stream.HolderID
-	gone := 0
+	count := map[holderState]int{}
 	for i, m := range s.owner.Set.Members {
-		if s.router.peers.holderLost(m) {
-			gone++
-			lost = &s.owner.Set.Members[i]
-		}
-		if lost == nil && s.router.peers.holderDraining(m) {
+		state := s.router.peers.holderState(m)
+		count[state]++
+		switch {
+		case state == holderGone, state == holderUnreachable && count[holderGone] == 0, lost == nil && s.router.peers.holderDraining(m):
 			lost = &s.owner.Set.Members[i]
 		}
 	}
-	if len(s.owner.Set.Members)-gone < s.owner.Set.Quorum() {
+	if len(s.owner.Set.Members)-count[holderGone] < s.owner.Set.Quorum() {
 		s.failGeneration(&common.Refusal{
 			Reason: common.ReasonJournalLost, Outcome: common.OutcomeUnknown, Message: "fewer than two journal holders are left",
 		})
 		return
 	}
-	if lost != nil {
+	if lost != nil && count[holderAvailable] >= s.owner.Set.Quorum() {
 		s.replaceHolder(now, *lost)
 	}
 }
--- a/io/router/peers.go
+++ b/io/router/peers.go
@@ -26,6 +26,8 @@
 	routers []wire.Report
 	// peerByAddress holds the connections to other routers by their peer address.
 	peerByAddress map[string]*wire.Peer
+	// unreachableSince is when each unreachable journal holder was first found so.
+	unreachableSince map[stream.HolderID]time.Time
 }
 
 // initConnections sets the router and the context of all connections to other routers.
@@ -33,6 +35,7 @@
 	s.router = r
 	s.ctx = ctx
 	s.peerByAddress = map[string]*wire.Peer{}
+	s.unreachableSince = map[stream.HolderID]time.Time{}
 }
 
 // setLiveRouters replaces the list of live routers, connects to new ones and drops failed connections to unlisted ones.
@@ -83,24 +86,58 @@
 	return s.routers
 }
 
-// holderLost reports whether the in-memory journals of a journal holder are lost: its router has restarted, which
-// shows as another incarnation, or the control process lists routers without it and it is not connected.
-func (s *peers) holderLost(m stream.HolderID) bool {
+// holderGoneDelay is the time without a sign of life after which the journals of an unreachable router count as lost. A
+// router that was paused or cut off for less comes back with its journals.
+const holderGoneDelay = 30 * time.Second
+
+// holderState is what this router knows of a journal holder.
+type holderState int
+
+const (
+	// holderAvailable means that the router of the journal holder is connected, or is listed as live.
+	holderAvailable holderState = iota
+	// holderUnreachable means that the router is neither connected nor listed; it may be paused or cut off and have its
+	// journals still.
+	holderUnreachable
+	// holderGone means that the journals are lost: the router has restarted, which shows as another incarnation, or has
+	// been unreachable for holderGoneDelay.
+	holderGone
+)
+
+// holderState returns the state of a journal holder.
+func (s *peers) holderState(m stream.HolderID) holderState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.Router == s.router.Name {
-		return m.Incarnation != s.router.incarnation
-	}
-	if len(s.routers) == 0 {
-		return false
+		if m.Incarnation != s.router.incarnation {
+			return holderGone
+		}
+		return holderAvailable
 	}
 	for _, r := range s.routers {
-		if r.Name == m.Router {
-			return r.Incarnation != m.Incarnation
+		if r.Name != m.Router {
+			continue
 		}
+		delete(s.unreachableSince, m)
+		if r.Incarnation != m.Incarnation {
+			return holderGone
+		}
+		return holderAvailable
+	}
+	if p := s.peerByAddress[m.Address]; len(s.routers) == 0 || p != nil && p.Link() != nil {
+		delete(s.unreachableSince, m)
+		return holderAvailable
+	}
+	now := s.router.Clock.Now()
+	since, known := s.unreachableSince[m]
+	if !known {
+		s.unreachableSince[m] = now
+		return holderUnreachable
+	}
+	if now.Sub(since) < holderGoneDelay {
+		return holderUnreachable
 	}
-	p := s.peerByAddress[m.Address]
-	return p == nil || p.Link() == nil
+	return holderGone
 }
 
 // linkedRouters returns the connected routers that are not draining.
--- a/io/router/resume.go
+++ b/io/router/resume.go
@@ -164,7 +164,7 @@
 // reportLostHolders tells the ownership transfer which journal holders have lost their memory and will not reply.
 func (x *transferDriver) reportLostHolders() {
 	for _, m := range x.transfer.Cursor.Set.Members {
-		if x.router.peers.holderLost(m) {
+		if x.router.peers.holderState(m) == holderGone {
 			x.sendMessages(x.transfer.MarkLost(x.now(), m))
 		}
 	}
