Ask three engines for their work before a prompt is sent to one

Cause: a relay knows its own prompts only, and chooses among the others' engines by chance. The load is that of many relays that decide alone: on the large fleet each sees 1/291 of it, and a prompt that meets another one on its engine takes twice as long, slows all streams there for as long, and is read in vain when its caller's time or its engine ends first. Change: core/place chooses the three cheapest engines as before, the relay asks them for their reports (at most 40 ms; no slot needed), and the one with the least prompts, waiting and running requests gets the prompt, a full memory counting as three prompts. An engine that does not answer costs two prompts and is probed, since no prompt shows any more that it is down (TestStreamOutlivesHolderAndEngine failed without that). Streams with a copy or a cached prompt are not held up. TestEngineThatReadsIsNotAsked allowed no report at all; it allows the one before the prompt now, and still none while the engine reads. Ruled out: the load in response headers (a relay of the large fleet gets one in three seconds); an exchange of prompts among relays (bytes between zones are dear); more weight on the relay's own engines (they are busy for two fifths of the time).

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -171,6 +171,8 @@
 	// ModelEngines means that the endpoints are model engines, whose cost depends on their prompts and running
 	// requests.
 	ModelEngines bool
+	// Tokens is the size of the request in tokens, its prompt and its longest output; 0 if it is not known.
+	Tokens int
 	// Exclude holds the ids of endpoints that must not be chosen.
 	Exclude map[string]bool
 	// AvoidDomain is a failure domain to avoid if an endpoint of another domain is available.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -44,6 +44,8 @@
 	Events map[string]int
 	// Copies is the number of KV cache copies that the engine holds for other engines.
 	Copies int
+	// Work is the engine's current work.
+	Work place.EngineWork
 }
 
 // EndpointLister reads the platform's list of endpoints.
@@ -79,6 +81,9 @@
 	// value, which is specific to the request.
 	PromptParts    string
 	LastPromptPart func(value string) string
+	// TokenCount carries the size of a request; ParseTokenCount returns it in tokens, and 0 if the value is invalid.
+	TokenCount      string
+	ParseTokenCount func(value string) int
 	// ReservedHeaders lists further headers that only the system may set; they are removed from callers' requests.
 	ReservedHeaders []string
 	// ParseLoad parses the value of the Load header; it returns false if the value is invalid.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -162,7 +162,7 @@
 		s.findCachedPrompt()
 	}
 	for {
-		if a, ok := s.chooseAttempt(); ok {
+		if a, ok := s.chooseAttempt(s.surveyCandidates()); ok {
 			return a, true
 		}
 		if s.relay.Clock.Now().After(until) || !s.sleep(resumeRetryInterval) {
@@ -184,20 +184,26 @@
 	return c.exists && !s.tried[c.holder.ID] && s.relay.isEndpointUp(c.holder.ID)
 }
 
+// requirements returns which endpoints are suitable for the stream's prompt.
+func (s *streamRequest) requirements() place.EndpointRequirements {
+	n := &s.relay.Names
+	return place.EndpointRequirements{
+		Service: s.service, ModelEngines: true, Tokens: n.ParseTokenCount(s.header.Get(n.TokenCount)), Exclude: s.tried, LostDomain: s.lostDomain,
+	}
+}
+
 // chooseAttempt chooses an endpoint for a stream and another one that holds copies of its KV cache, and adds the load
-// of both to the table of endpoints.
-func (s *streamRequest) chooseAttempt() (a streamAttempt, ok bool) {
+// of both to the table of endpoints. A survey of candidates decides among them if there is one.
+func (s *streamRequest) chooseAttempt(v *survey) (a streamAttempt, ok bool) {
 	s.relay.withTable(func(t *place.EndpointTable, now time.Time) {
 		if c := s.copies.get(); c.exists && !s.tried[c.holder.ID] && t.IsUp(c.holder.ID, now) {
 			a.endpoint, a.resumeFrom, ok = c.holder, c.resumeFrom, true
 		} else if a.endpoint, ok = s.nextPromptEndpoint(t, now); ok {
 			a.promptCached = true
-		} else if a.endpoint, ok = t.ChooseEndpoint(
-			place.EndpointRequirements{Service: s.service, ModelEngines: true, Exclude: s.tried, LostDomain: s.lostDomain}, now,
-		); !ok && s.headerSent {
+		} else if a.endpoint, ok = v.choose(t, s.requirements(), now); !ok && s.headerSent {
 			// Endpoints that refused may have capacity again, and those that crashed may have restarted.
 			clear(s.tried)
-			a.endpoint, ok = t.ChooseEndpoint(place.EndpointRequirements{Service: s.service, ModelEngines: true, LostDomain: s.lostDomain}, now)
+			a.endpoint, ok = t.ChooseEndpoint(s.requirements(), now)
 		}
 		if !ok {
 			return
