--- a/io/router/peers.go
+++ b/io/router/peers.go
@@ -99,8 +99,8 @@
 	// holderUnreachable means that the router is neither connected nor listed; it may be paused or cut off and have its
 	// journals still.
 	holderUnreachable
-	// holderGone means that the journals are lost: the router has restarted, which shows as another incarnation, or has
-	// been unreachable for holderGoneDelay.
+	// holderGone means that the journals are lost: the router has restarted, which shows as another incarnation, its
+	// process has ended, or it has been unreachable for holderGoneDelay.
 	holderGone
 )
 
@@ -124,10 +124,14 @@
 		}
 		return holderAvailable
 	}
-	if p := s.peerByAddress[m.Address]; len(s.routers) == 0 || p != nil && p.Link() != nil {
+	p := s.peerByAddress[m.Address]
+	if len(s.routers) == 0 || p != nil && p.Link() != nil {
 		delete(s.unreachableSince, m)
 		return holderAvailable
 	}
+	if p != nil && p.Refused() {
+		return holderGone
+	}
 	now := s.router.Clock.Now()
 	since, known := s.unreachableSince[m]
 	if !known {
--- a/io/wire/peer.go
+++ b/io/wire/peer.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/coder/websocket"
@@ -56,8 +58,9 @@
 	// Log receives a debug line for each lost link to the peer.
 	Log *zap.Logger
 
-	link   atomic.Pointer[Link]
-	cancel context.CancelFunc
+	link    atomic.Pointer[Link]
+	refused atomic.Bool // the last dial was refused
+	cancel  context.CancelFunc
 }
 
 // Start dials the peer in the background, and again whenever the link fails, until Stop is called or the context ends.
@@ -76,6 +79,10 @@
 // Link returns the current link to the peer, or nil if it is not connected.
 func (p *Peer) Link() *Link { return p.link.Load() }
 
+// Refused reports whether the last dial of the peer was refused, which means that its process has ended. A process that
+// is paused or cut off does not answer a dial.
+func (p *Peer) Refused() bool { return p.refused.Load() }
+
 // Post calls Link.Post on the current link to the peer; it returns ErrClosed if there is none.
 func (p *Peer) Post(kind Kind, group string, body any) error {
 	l := p.Link()
@@ -124,6 +131,7 @@
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	l, err := Dial(dialCtx, p.SelfName, p.Address, p.Key, p.Handler)
 	cancel()
+	p.refused.Store(errors.Is(err, syscall.ECONNREFUSED))
 	if err != nil {
 		return err
 	}
