--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -39,8 +39,8 @@
 	// arrived to prove that the connection is dead. Reports are some hundred milliseconds old, and one event may be in
 	// transit.
 	minEventLead = 2
-	// reservedAttempts is the number of attempts of a stream that are not spent on leaving a slow engine: the one that
-	// leaves it, the one that follows, and one more for an engine that fails.
+	// reservedAttempts is the number of attempts that must be left of a stream after it has left an engine which is only
+	// slow: the one that follows, and two more for engines that fail.
 	reservedAttempts = 3
 	// minStallTimeout, stallPauses and stallObjectives bound the time without progress after which a stream leaves an
 	// engine that responds to liveness probes, even if no other engine has a copy of its KV cache: the longest of the
