--- a/io/relay/buffers.go
+++ b/io/relay/buffers.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"sync/atomic"
@@ -61,9 +62,19 @@
 	if limit <= smallBuffer || !q.takeBuffer(limit) {
 		return data, false, nil
 	}
-	rest, err := io.ReadAll(io.LimitReader(body, limit-smallBuffer))
-	if err != nil {
-		return nil, false, fmt.Errorf("read a body: %w", err)
+	// One allocation: a buffer that grows leaves several times its size to the garbage collector.
+	buf := make([]byte, limit)
+	for n := copy(buf, data); ; {
+		if int64(n) == limit {
+			return buf, false, nil
+		}
+		m, err := body.Read(buf[n:])
+		n += m
+		if errors.Is(err, io.EOF) {
+			return buf[:n], true, nil
+		}
+		if err != nil {
+			return nil, false, fmt.Errorf("read a body: %w", err)
+		}
 	}
-	return append(data, rest...), int64(len(rest)) < limit-smallBuffer, nil
 }
