--- a/io/relay/buffers_test.go
+++ b/io/relay/buffers_test.go
@@ -16,8 +16,12 @@
 		complete bool
 		want     int
 	}{
-		{0, true, 0}, {smallBuffer - 1, true, smallBuffer - 1}, {smallBuffer, true, smallBuffer}, {limit - 1, true, limit - 1},
-		{limit, false, limit}, {limit + 1, false, limit},
+		{0, true, 0},
+		{smallBuffer - 1, true, smallBuffer - 1},
+		{smallBuffer, true, smallBuffer},
+		{limit - 1, true, limit - 1},
+		{limit, false, limit},
+		{limit + 1, false, limit},
 	} {
 		text := strings.Repeat("abc", c.size)[:c.size]
 		q := &request{relay: &Relay{}}
