--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -56,6 +56,7 @@
 	w.lastActivity.Store(int64(s.relay.uptime()))
 	go w.run(ctx)
 	result := s.receiveStream(ctx, a, c, w)
+	result.run = w.runProgress()
 	s.ended.Store(result.outcome == completed || s.ctx.Err() != nil)
 	if result.outcome != completed {
 		_ = c.Close()
@@ -122,6 +123,7 @@
 		_ = c.Close()
 		return attemptResult{outcome: completed, res: res, body: body}
 	}
+	w.beganAt = s.relay.Clock.Now()
 	return s.forwardEvents(ctx, a, c, res, w)
 }
 
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -56,6 +56,18 @@
 	body  []byte
 	// unreadConn is the connection with the rest of a large response; nil if body holds all of it.
 	unreadConn *endpointConn
+	// run is how far the endpoint got with a stream.
+	run runProgress
+}
+
+// runProgress is how far an endpoint got with a stream in one attempt.
+type runProgress struct {
+	// began is true if the endpoint began to answer.
+	began bool
+	// lasted is the time from the beginning of the answer to the end of the attempt.
+	lasted time.Duration
+	// events is the number of events that arrived.
+	events int64
 }
 
 // servePlain forwards a request whose response is one complete message, not a stream, and retries it at other
@@ -182,10 +194,20 @@
 			zap.String("domain", e.Domain), zap.String("cause", string(result.cause)),
 			zap.Bool("may-have-run", result.outcome == outcomeUnknown),
 			zap.Duration("after", q.relay.Clock.Now().Sub(q.startedAt)),
-			zap.Duration("suspended", suspended), zap.Error(result.err))
+			zap.Bool("began", result.run.began), zap.Duration("lasted", result.run.lasted), zap.Int64("events", result.run.events),
+			zap.String("parts", q.loggedParts()), zap.Duration("suspended", suspended), zap.Error(result.err))
 	}
 }
 
+// maxLoggedParts bounds the size in bytes of a list of prompt parts in a log line.
+const maxLoggedParts = 256
+
+// loggedParts returns the list of the request's prompt parts, cut to maxLoggedParts.
+func (q *request) loggedParts() string {
+	parts := q.header.Get(q.relay.Names.PromptParts)
+	return parts[:min(len(parts), maxLoggedParts)]
+}
+
 // sendAndReceive makes one attempt to run the request at the endpoint and waits for the response.
 func (q *request) sendAndReceive(e place.Endpoint) attemptResult {
 	ctx := q.ctx
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -66,6 +66,8 @@
 	closeCause atomic.Pointer[closeCause]
 	// firstEventSeen is true once the first event has arrived; only the goroutine that reads the stream uses it.
 	firstEventSeen bool
+	// beganAt is when the response header arrived; only the goroutine that reads the stream uses it.
+	beganAt time.Time
 	// received counts the response header and the events that arrived; lastEventID is the id of the last event.
 	received    atomic.Int64
 	lastEventID atomic.Int64
@@ -89,6 +91,14 @@
 	w.received.Add(1)
 }
 
+// runProgress returns how far the endpoint got with the stream.
+func (w *silenceWatch) runProgress() runProgress {
+	if w.beganAt.IsZero() {
+		return runProgress{}
+	}
+	return runProgress{began: true, lasted: w.stream.relay.Clock.Now().Sub(w.beganAt), events: w.received.Load() - 1}
+}
+
 // run checks how long the endpoint of a stream attempt has sent nothing, and probes its engine, until ctx ends or the
 // connection is closed.
 func (w *silenceWatch) run(ctx context.Context) {
