Quarantine prompt parts that crash engines, and tell the other relays

Cause: a relay took the loss of an engine for the engine's own. It sent the request to the next engine until the route's attempts were used up, and each relay, and each repeat by the caller, began anew. Class of the fault: retries of a request that is itself the cause of the failure, without memory of what the failures have in common.

Change: core/poison. An engine that is lost (a fresh probe fails) within 400 ms of the beginning of its answer is a crash by the request. Relays exchange crashes through the keepers, as a set that merges in any order. A part that three crashes share, 250 ms or more apart and by two different requests, without an answer to any request with the part that began later, is quarantined; of several such parts the one that fewest requests share. A request that has crashed two engines is given up. A quarantined part is tried again after 20 s (twice as long with each further crash) by one relay, then two, and so on; an answer to the trial ends the quarantine everywhere, and it lapses after ten minutes.

--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -36,6 +36,8 @@
 	ReasonEndpointFailed Reason = "endpoint-failed"
 	// ReasonRetryBudget means that the request failed and the retry budget is exhausted.
 	ReasonRetryBudget Reason = "retry-budget"
+	// ReasonCrashesEngines means that the request, or a part of its prompt, crashes engines.
+	ReasonCrashesEngines Reason = "crashes-engines"
 	// ReasonJournalLost means that the journal of a generation is lost; the generation cannot be resumed safely.
 	ReasonJournalLost Reason = "journal-lost"
 	// ReasonJournalUnavailable means that the journal of a generation cannot be reached; a retry may succeed.
@@ -90,7 +92,7 @@
 var RefusalReasons = []Reason{
 	ReasonBadRequest, ReasonBodyTooLarge, ReasonUnknownAccount, ReasonUnknownModel, ReasonUnknownService,
 	ReasonNotAllowed, ReasonNoConfiguration, ReasonDraining, ReasonOverloaded, ReasonAccountLimit, ReasonDeadline,
-	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonJournalLost, ReasonJournalUnavailable,
+	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonJournalLost, ReasonJournalUnavailable,
 	ReasonSuperseded, ReasonBadCursor, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused,
 	ReasonLedgerUnavailable, ReasonOutcomeUnknown, ReasonAnswerTooLarge, ReasonInternal,
 }
--- a/core/common/refusal.go
+++ b/core/common/refusal.go
@@ -74,6 +74,7 @@
 	ReasonRetryBudget:        http.StatusTooManyRequests,
 	ReasonDeadline:           http.StatusGatewayTimeout,
 	ReasonEndpointFailed:     http.StatusBadGateway,
+	ReasonCrashesEngines:     http.StatusServiceUnavailable,
 	ReasonJournalLost:        http.StatusGone,
 	ReasonSuperseded:         http.StatusConflict,
 	ReasonBadCursor:          http.StatusBadRequest,
--- /dev/null
+++ b/core/poison/crash.go
@@ -0,0 +1,95 @@
+package poison
+
+import (
+	"hash/fnv"
+	"strconv"
+	"time"
+)
+
+const (
+	// BeginWindow is the time after the beginning of an answer in which the loss of the engine counts as a crash by the
+	// request, and after which the request's parts count as sound.
+	BeginWindow = 400 * time.Millisecond
+	// CrashLifetime is the age at which a crash no longer counts.
+	CrashLifetime = 10 * time.Minute
+	// maxParts bounds the parts that are kept of a crash; the first ones and the last one are.
+	maxParts = 32
+	// maxPartBytes bounds the length of a part's id; longer ones are replaced by a hash.
+	maxPartBytes = 64
+)
+
+// Crash is the loss of an engine just after it began to answer a request.
+type Crash struct {
+	// Request and Endpoint identify the crash.
+	Request  string `cbor:"1,keyasint"`
+	Endpoint string `cbor:"2,keyasint"`
+	// Parts are the ids of the prompt's parts in order. The last one belongs to the request itself.
+	Parts []string `cbor:"3,keyasint"`
+	// Sound has bit i set if a request with Parts[i] has been answered since the crash.
+	Sound uint32 `cbor:"4,keyasint,omitempty"`
+	// Age is the time from the crash to the sending of this record.
+	Age time.Duration `cbor:"5,keyasint"`
+}
+
+// NewCrash returns the record of a crash that happened now.
+func NewCrash(request, endpoint string, parts []string) Crash {
+	return Crash{Request: request, Endpoint: endpoint, Parts: limitParts(parts)}
+}
+
+// limitParts returns the parts within the bounds of a crash record.
+func limitParts(parts []string) []string {
+	if n := len(parts); n > maxParts {
+		parts = append(parts[:maxParts-1:maxParts-1], parts[n-1])
+	}
+	out := make([]string, len(parts))
+	for i, p := range parts {
+		out[i] = limitPart(p)
+	}
+	return out
+}
+
+// limitPart returns the part's id, or a hash of it if it is longer than maxPartBytes.
+func limitPart(part string) string {
+	if len(part) <= maxPartBytes {
+		return part
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(part))
+	return "hash-" + strconv.FormatUint(h.Sum64(), 16)
+}
+
+// own returns the last part, which belongs to the request itself.
+func (c *Crash) own() string { return c.Parts[len(c.Parts)-1] }
+
+// indexOf returns the position of the part in the prompt, or -1.
+func (c *Crash) indexOf(part string) int {
+	for i, p := range c.Parts {
+		if p == part {
+			return i
+		}
+	}
+	return -1
+}
+
+// isSound reports whether the part at position i has been answered since the crash.
+func (c *Crash) isSound(i int) bool { return c.Sound&(1<<i) != 0 }
+
+// sharedPartsSound reports whether all parts that other requests may share have been answered since the crash.
+func (c *Crash) sharedPartsSound() bool {
+	shared := uint32(1)<<(len(c.Parts)-1) - 1
+	return c.Sound&shared == shared
+}
+
+// isValid reports whether a record that another process sent is within the bounds.
+func (c *Crash) isValid() bool {
+	if len(c.Parts) == 0 || len(c.Parts) > maxParts || c.Age < 0 || c.Age > CrashLifetime ||
+		len(c.Request) > maxPartBytes || len(c.Endpoint) > maxPartBytes {
+		return false
+	}
+	for _, p := range c.Parts {
+		if len(p) > maxPartBytes {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/poison/doc.go
@@ -0,0 +1,7 @@
+// Package poison finds the prompt parts that crash engines, so that requests with such a part are kept away from
+// engines.
+//
+// The evidence is a set of crashes: engines that were lost just after they began to answer a request. A part is
+// quarantined when several crashes share it and no request with it has been answered since. Every process decides by
+// itself on the same set; the sets of all processes are merged, in any order and more than once.
+package poison
--- /dev/null
+++ b/core/poison/table.go
@@ -0,0 +1,217 @@
+package poison
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxCrashes bounds the crashes in a table.
+	maxCrashes = 64
+	// minCrashes is the number of crashes after which a part is quarantined.
+	minCrashes = 3
+	// minSpacing is the time within which several crashes count as one: the engines of a failure domain that crash
+	// together are one event.
+	minSpacing = 250 * time.Millisecond
+	// minSuspicion is the time from the first crash to the quarantine of a part. In that time, sound requests with the
+	// part are answered.
+	minSuspicion = time.Second
+	// maxRequestCrashes is the number of crashes after which a request is not sent to a further engine, unless its
+	// shared parts have been answered since; maxOwnCrashes is that number if they have.
+	maxRequestCrashes = 2
+	maxOwnCrashes     = 3
+	// firstTrial is the time from the last crash to the first trial of a quarantined part; it doubles with each
+	// further crash.
+	firstTrial = 20 * time.Second
+)
+
+// Table holds the known crashes and the parts that are quarantined because of them. It is not safe for concurrent use.
+type Table struct {
+	crashes     []crash
+	quarantines map[string]*Quarantine
+	// trials holds when this process last allowed a trial of a part.
+	trials map[string]time.Time
+	// nextExpiry is when the oldest crash expires.
+	nextExpiry time.Time
+}
+
+// crash is a Crash with its time on this process's clock.
+type crash struct {
+	Crash
+	at time.Time
+}
+
+// Quarantine keeps requests with a part away from engines.
+type Quarantine struct {
+	Part string
+	// Crashes is the number of crashes, of which those at about the same time count once.
+	Crashes int
+	// Since is when the quarantine takes effect, and LastCrash the time of the last crash.
+	Since     time.Time
+	LastCrash time.Time
+}
+
+// Merge adds crashes that this process has seen or that another one sent. It returns those of which the table had not
+// known, or not as sound.
+func (t *Table) Merge(list []Crash, now time.Time) (news []Crash) {
+	for _, c := range list {
+		if !c.isValid() {
+			continue
+		}
+		at := now.Add(-c.Age)
+		known := t.find(c.Request, c.Endpoint)
+		switch {
+		case known == nil:
+			c.Parts = slices.Clone(c.Parts)
+			t.crashes = append(t.crashes, crash{Crash: c, at: at})
+			news = append(news, c)
+		case len(known.Parts) == len(c.Parts) && known.Sound|c.Sound != known.Sound:
+			known.Sound |= c.Sound
+			c.Sound = known.Sound
+			news = append(news, c)
+		}
+	}
+	if len(news) > 0 {
+		t.update(now)
+	}
+	// A crash that was dropped at once must not go from process to process.
+	return slices.DeleteFunc(news, func(c Crash) bool { return t.find(c.Request, c.Endpoint) == nil })
+}
+
+// find returns the crash of the request at the endpoint, or nil.
+func (t *Table) find(request, endpoint string) *crash {
+	for i := range t.crashes {
+		if c := &t.crashes[i]; c.Request == request && c.Endpoint == endpoint {
+			return c
+		}
+	}
+	return nil
+}
+
+// MarkSound records that an engine survived the beginning of its answer to a request with the parts; the answer began
+// at the given time. It returns the crashes for which this is news.
+func (t *Table) MarkSound(parts []string, began, now time.Time) (news []Crash) {
+	if len(t.crashes) == 0 {
+		return nil
+	}
+	parts = limitParts(parts)
+	for i := range t.crashes {
+		c := &t.crashes[i]
+		if !began.After(c.at) {
+			continue
+		}
+		before := c.Sound
+		for j, p := range c.Parts {
+			if slices.Contains(parts, p) {
+				c.Sound |= 1 << j
+			}
+		}
+		if c.Sound != before {
+			news = append(news, c.withAge(now))
+		}
+	}
+	if len(news) > 0 {
+		t.update(now)
+	}
+	return news
+}
+
+// withAge returns the record of the crash as it is sent to other processes.
+func (c *crash) withAge(now time.Time) Crash {
+	out := c.Crash
+	out.Age = now.Sub(c.at)
+	return out
+}
+
+// Crashes returns all crashes, for a process that may not know them.
+func (t *Table) Crashes(now time.Time) []Crash {
+	t.expire(now)
+	out := make([]Crash, 0, len(t.crashes))
+	for i := range t.crashes {
+		out = append(out, t.crashes[i].withAge(now))
+	}
+	return out
+}
+
+// MayRetry reports whether a request may be sent to a further engine, given those that it has crashed.
+func (t *Table) MayRetry(request string) bool {
+	suspicious, all := 0, 0
+	for i := range t.crashes {
+		c := &t.crashes[i]
+		if c.Request != request {
+			continue
+		}
+		all++
+		if !c.sharedPartsSound() {
+			suspicious++
+		}
+	}
+	return suspicious < maxRequestCrashes && all < maxOwnCrashes
+}
+
+// Quarantined returns the quarantine of one of the parts, or false if none is in quarantine.
+func (t *Table) Quarantined(parts []string, now time.Time) (Quarantine, bool) {
+	if len(t.crashes) == 0 {
+		return Quarantine{}, false
+	}
+	t.expire(now)
+	for _, p := range parts {
+		if q := t.quarantines[limitPart(p)]; q != nil && !now.Before(q.Since) {
+			return *q, true
+		}
+	}
+	return Quarantine{}, false
+}
+
+// Quarantines returns all quarantines that are in effect.
+func (t *Table) Quarantines(now time.Time) []Quarantine {
+	t.expire(now)
+	var out []Quarantine
+	for _, q := range t.quarantines {
+		if !now.Before(q.Since) {
+			out = append(out, *q)
+		}
+	}
+	return out
+}
+
+// expire removes the crashes whose lifetime is over.
+func (t *Table) expire(now time.Time) {
+	if len(t.crashes) == 0 || now.Before(t.nextExpiry) {
+		return
+	}
+	t.crashes = slices.DeleteFunc(t.crashes, func(c crash) bool { return now.Sub(c.at) >= CrashLifetime })
+	t.update(now)
+}
+
+// update derives the quarantines from the crashes, and removes crashes above maxCrashes.
+func (t *Table) update(now time.Time) {
+	slices.SortStableFunc(t.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+	t.quarantines = findQuarantines(t.crashes)
+	for len(t.crashes) > maxCrashes {
+		t.crashes = slices.Delete(t.crashes, t.leastUseful(), t.leastUseful()+1)
+	}
+	for p := range t.trials {
+		if t.quarantines[p] == nil {
+			delete(t.trials, p)
+		}
+	}
+	t.nextExpiry = now.Add(CrashLifetime)
+	if len(t.crashes) > 0 {
+		t.nextExpiry = t.crashes[0].at.Add(CrashLifetime)
+	}
+}
+
+// leastUseful returns the index of the oldest crash that supports no quarantine, or of the oldest one.
+func (t *Table) leastUseful() int {
+	for i := range t.crashes {
+		supports := false
+		for _, p := range t.crashes[i].Parts {
+			supports = supports || t.quarantines[p] != nil
+		}
+		if !supports {
+			return i
+		}
+	}
+	return 0
+}
--- a/io/keeper/feeds.go
+++ b/io/keeper/feeds.go
@@ -56,6 +56,9 @@
 		if err := s.keeper.lists.sendListTo(l); err != nil {
 			return wire.ConfigState{}, err
 		}
+		if err := s.keeper.crashes.sendAllTo(l); err != nil {
+			return wire.ConfigState{}, err
+		}
 	}
 	if err := s.keeper.confirmApplied(ctx); err != nil {
 		return wire.ConfigState{}, err
--- a/io/keeper/frames.go
+++ b/io/keeper/frames.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
 	"wasabiweir/io/wire"
 )
 
@@ -38,6 +39,11 @@
 		if list, err = wire.Decode[place.EndpointList](f); err == nil {
 			k.lists.acceptList(list)
 		}
+	case wire.KindCrashes:
+		var list []poison.Crash
+		if list, err = wire.Decode[[]poison.Crash](f); err == nil {
+			k.crashes.merge(list)
+		}
 	case wire.KindConfigUpdateRequest, wire.KindJoin:
 		k.requests.Add(1)
 		go k.runRequest(l, f)
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -56,6 +56,7 @@
 	feeds   relayFeeds
 	roster  relayRoster
 	lists   endpointLists
+	crashes crashShare
 	guard   serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
 	ctx context.Context
@@ -94,7 +95,7 @@
 	if k.Metrics != nil {
 		k.guard.Metrics = k.Metrics
 	}
-	k.machine.keeper, k.group.keeper, k.peers.keeper, k.lists.keeper = k, k, k, k
+	k.machine.keeper, k.group.keeper, k.peers.keeper, k.lists.keeper, k.crashes.keeper = k, k, k, k, k
 	k.feeds.initFeeds(k)
 	k.roster.initRoster(k)
 	k.group.initReplica()
@@ -119,6 +120,7 @@
 	serve.AddLoop(ctx, &g, k.feeds.loop)
 	serve.AddLoop(ctx, &g, k.roster.loop)
 	serve.AddLoop(ctx, &g, k.lists.loop)
+	serve.AddLoop(ctx, &g, k.crashes.loop)
 	err := g.Run()
 	cancel()
 	k.requests.Wait()
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -14,6 +14,7 @@
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
 )
 
 // streamAttempt is one attempt to serve a caller's stream at one endpoint.
@@ -146,6 +147,7 @@
 			err = errNoEvent
 		}
 		if errors.Is(err, io.EOF) && len(events.buf) == 0 && hasFraming(res) {
+			s.markSound(w)
 			s.relay.pool.releaseConn(c, res)
 			return attemptResult{outcome: completed, res: res}
 		}
@@ -190,6 +192,9 @@
 			return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
 		}
 		s.recordForwarded(e)
+		if w.runProgress().lasted >= poison.BeginWindow {
+			s.markSound(w)
+		}
 	}
 }
 
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
 	"wasabiweir/core/state"
 	"wasabiweir/io/serve"
 	"wasabiweir/io/wire"
@@ -164,6 +165,11 @@
 		if k, err = wire.Decode[wire.Keepers](fr); err == nil {
 			f.handleKeepers(l, k)
 		}
+	case wire.KindCrashes:
+		var list []poison.Crash
+		if list, err = wire.Decode[[]poison.Crash](fr); err == nil {
+			f.relay.crashes.merge(list)
+		}
 	}
 	if err != nil {
 		f.relay.Log.Warn("frame-rejected", zap.String("keeper", l.Name), zap.String("kind", string(fr.Kind)), zap.Error(err))
@@ -233,8 +239,8 @@
 // which determines the endpoints that it prefers.
 func (f *keeperFeed) updateRelayIndex(k wire.Keepers) {
 	f.relay.mu.Lock()
-	f.relay.relayCount = len(k.Relays)
-	f.relay.table.SetRelayIndex(slices.Index(k.Relays, f.relay.CallerAddress), len(k.Relays))
+	f.relay.relayCount, f.relay.relayIndex = len(k.Relays), slices.Index(k.Relays, f.relay.CallerAddress)
+	f.relay.table.SetRelayIndex(f.relay.relayIndex, f.relay.relayCount)
 	f.relay.mu.Unlock()
 	f.relay.Log.Info("keepers-updated", zap.Strings("keepers", k.Addresses), zap.Int("relays", len(k.Relays)))
 }
@@ -283,6 +289,18 @@
 	}
 }
 
+// sendCrashes sends crashes of engines to the followed keeper, which passes them on.
+func (f *keeperFeed) sendCrashes(list []poison.Crash) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.link == nil || len(list) == 0 {
+		return
+	}
+	if err := f.link.Post(wire.KindCrashes, "", list); err != nil {
+		f.relay.Log.Debug("crashes-lost", zap.String("keeper", f.link.Name), zap.Error(err))
+	}
+}
+
 // loopList reads the list of endpoints from the platform itself while no keeper sends it, until ctx ends.
 func (f *keeperFeed) loopList(ctx context.Context) error {
 	for serve.Sleep(ctx, listCheckInterval) {
--- a/io/relay/keeperlink.go
+++ b/io/relay/keeperlink.go
@@ -123,6 +123,8 @@
 		f.updateRelayIndex(k)
 	}
 	f.sendReport()
+	// The keeper may have missed what was sent to another one.
+	f.sendCrashes(f.relay.crashes.all())
 }
 
 // abandonKeeper logs the failure of a keeper and closes the connection to it.
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -66,11 +66,28 @@
 // startProbe returns the engine's latest liveness probe if it is at most probeInterval old, and starts a new one
 // otherwise. An engine that does not respond is suspended.
 func (p *prober) startProbe(e place.Endpoint) *livenessProbe {
+	return p.startProbeSince(e, p.relay.Clock.Now().Add(-probeInterval))
+}
+
+// isLostSince reports whether the engine does not respond to a liveness probe that started at the given time or later.
+func (p *prober) isLostSince(ctx context.Context, e place.Endpoint, since time.Time) bool {
+	pr := p.startProbeSince(e, since)
+	select {
+	case <-pr.done:
+		return !pr.alive
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// startProbeSince returns the engine's latest liveness probe if it started at the given time or later, and starts a
+// new one otherwise.
+func (p *prober) startProbeSince(e place.Endpoint, since time.Time) *livenessProbe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.relay.Clock.Now()
 	pr := p.probes[e.ID]
-	if pr != nil && now.Sub(pr.startedAt) <= probeInterval {
+	if pr != nil && !pr.startedAt.Before(since) {
 		return pr
 	}
 	p.dropOldProbes(now)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -77,10 +77,10 @@
 	ResumeFrom string
 	// Load carries the endpoint's report of its current load.
 	Load string
-	// PromptParts lists the parts of a request's prompt; LastPromptPart returns the id of the last one in a header
-	// value, which is specific to the request.
-	PromptParts    string
-	LastPromptPart func(value string) string
+	// PromptParts lists the parts of a request's prompt; ParsePromptParts returns their ids in order. The last one is
+	// specific to the request.
+	PromptParts      string
+	ParsePromptParts func(value string) []string
 	// TokenCount carries the size of a request; ParseTokenCount returns it in tokens, and 0 if the value is invalid.
 	TokenCount      string
 	ParseTokenCount func(value string) int
@@ -138,6 +138,7 @@
 	meter   relayMetrics
 	guard   serve.PanicGuard
 	buffers bufferBudget
+	crashes crashGuard
 	// ctx ends when the process stops, after the graceful shutdown.
 	ctx context.Context
 
@@ -145,8 +146,10 @@
 	table place.EndpointTable
 	// budgets holds the retry budget of each service.
 	budgets map[string]*place.RetryBudget
-	// relayCount is the number of relays that share the services' retry budgets.
+	// relayCount is the number of relays that share the services' retry budgets, and relayIndex this relay's position
+	// among them, -1 if it is not.
 	relayCount int
+	relayIndex int
 }
 
 // Server is an HTTP handler and the address on which it is served.
@@ -180,6 +183,7 @@
 	r.pool.initPool(r)
 	r.prober.initProber(r)
 	r.finder.initFinder(r)
+	r.crashes.relay = r
 	r.feed.initFeed(r)
 	r.drain.setRelay(r)
 	r.callers.initConnTable(r)
@@ -275,6 +279,12 @@
 	firstResponse tally.Histogram
 	// longestPause records the longest pause between two events of a stream.
 	longestPause tally.Histogram
+	// crashes counts engines that were lost just after they began to answer, and trials the requests that were sent
+	// although a part of their prompt is quarantined.
+	crashes tally.Counter
+	trials  tally.Counter
+	// quarantinedParts is the number of prompt parts that this relay keeps away from engines.
+	quarantinedParts tally.Gauge
 }
 
 // durationBuckets are the bounds of the duration histograms. Their range of 4 ms to 33 s covers pauses from one
@@ -292,6 +302,9 @@
 		m.requests[k] = m.scope.Tagged(map[string]string{"kind": k.String()}).Counter("requests")
 	}
 	m.firstResponse = m.scope.Histogram("first-answer", durationBuckets)
+	m.crashes = m.scope.Counter("engine-crashes")
+	m.trials = m.scope.Counter("part-trials")
+	m.quarantinedParts = m.scope.Gauge("quarantined-parts")
 	m.longestPause = m.scope.Histogram("resume-pause", durationBuckets)
 }
 
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -68,6 +68,9 @@
 	firstEventSeen bool
 	// beganAt is when the response header arrived; only the goroutine that reads the stream uses it.
 	beganAt time.Time
+	// soundMarked is true once the attempt has shown that the request's prompt does not crash engines; only the
+	// goroutine that reads the stream uses it.
+	soundMarked bool
 	// received counts the response header and the events that arrived; lastEventID is the id of the last event.
 	received    atomic.Int64
 	lastEventID atomic.Int64
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -49,6 +49,10 @@
 	lostDomain string
 	// refusals counts the endpoints that refused the stream.
 	refusals int
+	// parts are the ids of the prompt's parts. The last one belongs to the request itself.
+	parts []string
+	// isTrial is true once the request is the trial of a quarantined part.
+	isTrial bool
 	// eventCount counts the forwarded events; resumeCount counts the attempts after an interruption.
 	eventCount  int
 	resumeCount int
@@ -74,20 +78,21 @@
 
 // serveStream forwards a stream event by event and resumes it at another endpoint when one fails.
 func (q *request) serveStream() {
-	s := &streamRequest{request: q}
+	s := &streamRequest{request: q, parts: q.relay.Names.ParsePromptParts(q.r.Header.Get(q.relay.Names.PromptParts))}
 	if id, err := strconv.ParseInt(q.r.Header.Get(q.relay.Names.LastEvent), 10, 64); err == nil {
 		s.lastEventID, s.resumedByCaller = id, true
 		s.findCachedPrompt()
 		q.log.Info("stream-resumed-by-caller", zap.Int64("last-event", id), zap.Strings("prompt-endpoints", s.promptEndpoints))
 	}
 	for {
-		a, ok := s.nextAttempt()
-		if !ok {
-			s.abortStream(common.ReasonNoEndpoint)
+		a, reason := s.nextAttempt()
+		if reason != "" {
+			s.abortStream(reason)
 			return
 		}
 		result := s.run(a)
 		s.recordResult(a.endpoint, result)
+		s.recordCrash(a, result)
 		s.allowHolderRetry(a, result)
 		if result.outcome == outcomeUnknown {
 			s.lostDomain = a.endpoint.Domain
@@ -127,6 +132,8 @@
 		return common.ReasonDeadline, false
 	case s.bodyStreamed:
 		return common.ReasonEndpointFailed, false
+	case !s.relay.crashes.mayRetry(s.id):
+		return common.ReasonCrashesEngines, false
 	case result.outcome == outcomeUnknown:
 		if !s.route.Repeatable() || s.bodyReader != nil || s.attempts >= max(1, s.route.MaxAttempts) {
 			return common.ReasonEndpointFailed, false
@@ -149,9 +156,9 @@
 }
 
 // nextAttempt chooses the next endpoint for a stream: the holder of its KV cache copy if there is one, otherwise the
-// endpoint with the lowest cost. It waits while no endpoint accepts requests and returns false if the wait takes too
-// long.
-func (s *streamRequest) nextAttempt() (streamAttempt, bool) {
+// endpoint with the lowest cost. It waits while no endpoint accepts requests. If there is no attempt, it returns the
+// reason.
+func (s *streamRequest) nextAttempt() (streamAttempt, common.Reason) {
 	wait := maxStartWait
 	if s.headerSent {
 		wait = maxResumeWait
@@ -162,19 +169,24 @@
 		s.findCachedPrompt()
 	}
 	for {
-		if a, ok := s.chooseAttempt(s.surveyCandidates()); ok {
-			return a, true
+		v := s.surveyCandidates()
+		if !s.passesQuarantine() {
+			return streamAttempt{}, common.ReasonCrashesEngines
+		}
+		if a, ok := s.chooseAttempt(v); ok {
+			return a, ""
 		}
 		if s.relay.Clock.Now().After(until) || !s.sleep(resumeRetryInterval) {
-			return streamAttempt{}, false
+			return streamAttempt{}, common.ReasonNoEndpoint
 		}
 	}
 }
 
 // findCachedPrompt searches for the engines that still have the stream's prompt in their KV cache.
 func (s *streamRequest) findCachedPrompt() {
-	n := &s.relay.Names
-	s.promptEndpoints = s.relay.finder.findCachedPrompt(s.ctx, s.service, n.LastPromptPart(s.header.Get(n.PromptParts)))
+	if len(s.parts) > 0 {
+		s.promptEndpoints = s.relay.finder.findCachedPrompt(s.ctx, s.service, s.parts[len(s.parts)-1])
+	}
 }
 
 // hasUsableCopy reports whether there is a copy of the stream's KV cache whose holder was not tried yet and is not
@@ -237,7 +249,7 @@
 // caller's connection, so that the stream does not look complete and the caller can resume it at another relay.
 func (s *streamRequest) abortStream(reason common.Reason) {
 	if !s.headerSent {
-		s.failRequest(reason, retryAfterCrash)
+		s.failRequest(reason, s.retryAfter(reason))
 		return
 	}
 	disconnected := s.r.Context().Err() != nil
--- a/io/wire/frame.go
+++ b/io/wire/frame.go
@@ -48,6 +48,8 @@
 	KindConfigState Kind = "state"
 	// KindEndpoints carries the platform's list of endpoints to a relay or between keepers.
 	KindEndpoints Kind = "endpoints"
+	// KindCrashes carries a list of poison.Crash, engines that requests have crashed, between relays and keepers.
+	KindCrashes Kind = "crashes"
 	// KindKeepers carries Keepers, the addresses of the keepers and relays, to a relay.
 	KindKeepers Kind = "keepers"
 
