Keep prompts that crash engines away from them on the own interface too

Callers saw: a generation whose prompt kills engines was started over on one engine after the other, and each further one with the same beginning again.

Cause: as for the relays; the router excluded only the engines that had failed. Change: routers keep the same table (io/guard, now shared with the relays) and send crashes to each other directly. The parts are beginnings of the prompt, each a quarter longer than the one before, and the whole prompt. The engine does not say when it begins, so a lost attempt without output counts if the engine refuses a connection; the next attempt waits for that answer. A caller gets crashes-engines, 503 and not-run if nothing was sent.

Of two processes that lose one engine, only losses within a second of each other are now the same crash: engines of the own interface keep their names. When the table is full, crashes whose shared parts are sound are dropped first.

The stand-in engine dies on a word of the prompt (-die-on-word).

--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// sameCrash is the time within which the losses of one engine that several requests saw are one crash.
+const sameCrash = time.Second
+
 // evidence is what the crashes say about one part.
 type evidence struct {
 	Quarantine
@@ -38,14 +41,15 @@
 // explain marks the crashes of the engines that requests with the part have crashed. Other requests that had just begun
 // on such an engine are not to blame.
 func explain(crashes []crash, explained []bool, part string) {
-	endpoints := map[string]bool{}
 	for i := range crashes {
-		if j := crashes[i].indexOf(part); j >= 0 && !crashes[i].isSound(j) {
-			endpoints[crashes[i].Endpoint] = true
+		cause := &crashes[i]
+		if j := cause.indexOf(part); j < 0 || cause.isSound(j) {
+			continue
+		}
+		for k := range crashes {
+			c := &crashes[k]
+			explained[k] = explained[k] || c.Endpoint == cause.Endpoint && c.at.Sub(cause.at).Abs() < sameCrash
 		}
-	}
-	for i := range crashes {
-		explained[i] = explained[i] || endpoints[crashes[i].Endpoint]
 	}
 }
 
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -202,16 +202,24 @@
 	}
 }
 
-// leastUseful returns the index of the oldest crash that supports no quarantine, or of the oldest one.
+// leastUseful returns the index of the oldest crash whose shared parts are sound, or of the oldest one that supports no
+// quarantine, or of the oldest one.
 func (t *Table) leastUseful() int {
-	for i := range t.crashes {
-		supports := false
-		for _, p := range t.crashes[i].Parts {
-			supports = supports || t.quarantines[p] != nil
+	unused := 0
+	for i := len(t.crashes) - 1; i >= 0; i-- {
+		if !t.supportsQuarantine(&t.crashes[i]) {
+			unused = i
 		}
-		if !supports {
+	}
+	for i := range t.crashes {
+		if t.crashes[i].sharedPartsSound() && !t.supportsQuarantine(&t.crashes[i]) {
 			return i
 		}
 	}
-	return 0
+	return unused
+}
+
+// supportsQuarantine reports whether a part of the crashed request is in quarantine.
+func (t *Table) supportsQuarantine(c *crash) bool {
+	return slices.ContainsFunc(c.Parts, func(p string) bool { return t.quarantines[p] != nil })
 }
--- /dev/null
+++ b/io/guard/guard.go
@@ -0,0 +1,150 @@
+package guard
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"wasabiweir/core/clock"
+	"wasabiweir/core/poison"
+)
+
+// Guard holds the crashes of engines that one process knows, and those that it has seen itself go to the others. Its
+// exported fields are set before its first use.
+type Guard struct {
+	Clock clock.Clock
+	Log   *zap.Logger
+	// Metrics is where the guard counts crashes and trials.
+	Metrics tally.Scope
+	// Send sends crashes to the other processes; it may drop them.
+	Send func(list []poison.Crash)
+
+	mu    sync.Mutex
+	table poison.Table
+	// logged holds the quarantines that were logged last, by part.
+	logged map[string]poison.Quarantine
+}
+
+// Merge adds the crashes that another process has sent.
+func (g *Guard) Merge(list []poison.Crash) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	g.table.Merge(list, now)
+	g.logChanges(now)
+}
+
+// Record adds a crash that this process has seen.
+func (g *Guard) Record(c poison.Crash) {
+	g.Log.Info("engine-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.Strings("parts", c.Parts))
+	g.Metrics.Counter("engine-crashes").Inc(1)
+	g.mu.Lock()
+	now := g.Clock.Now()
+	news := g.table.Merge([]poison.Crash{c}, now)
+	g.logChanges(now)
+	g.mu.Unlock()
+	g.send(news)
+}
+
+// MarkSound records that an engine survived the beginning of its answer to a prompt with the parts.
+func (g *Guard) MarkSound(parts []string, began time.Time) {
+	g.mu.Lock()
+	now := g.Clock.Now()
+	news := g.table.MarkSound(parts, began, now)
+	g.logChanges(now)
+	g.mu.Unlock()
+	g.send(news)
+}
+
+// send sends crashes to the other processes if there are any.
+func (g *Guard) send(list []poison.Crash) {
+	if len(list) > 0 {
+		g.Send(list)
+	}
+}
+
+// SendAll sends all known crashes, for processes that may have missed some.
+func (g *Guard) SendAll() {
+	g.mu.Lock()
+	list := g.table.Crashes(g.Clock.Now())
+	g.mu.Unlock()
+	g.send(list)
+}
+
+// MayRetry reports whether a request may be sent to a further engine, given those that it has crashed.
+func (g *Guard) MayRetry(request string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.MayRetry(request)
+}
+
+// RetryAfter returns the time until a request with one of the parts may be tried again; 0 if none is in quarantine.
+func (g *Guard) RetryAfter(parts []string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	q, ok := g.table.Quarantined(parts, now)
+	if !ok {
+		return 0
+	}
+	return max(0, q.TrialDelay()-now.Sub(q.LastCrash))
+}
+
+// Permission states whether a request may be sent to an engine.
+type Permission int
+
+const (
+	// Allowed means that no part of the request's prompt is in quarantine.
+	Allowed Permission = iota
+	// Refused means that a part is in quarantine.
+	Refused
+	// Trial means that a part is in quarantine, but the request may be sent once to find out whether it still crashes
+	// engines.
+	Trial
+)
+
+// Permit returns whether the request may be sent to an engine. The process has the index among all processes. The
+// request can be a trial unless it was sent before.
+func (g *Guard) Permit(request string, parts []string, index, processes int, sent bool) Permission {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	q, ok := g.table.Quarantined(parts, now)
+	if !ok {
+		return Allowed
+	}
+	g.logChanges(now)
+	fields := []zap.Field{
+		zap.String("request", request), zap.String("part", q.Part), zap.Int("crashes", q.Crashes), zap.Duration("last-crash", now.Sub(q.LastCrash)),
+	}
+	if sent || !g.table.AllowTrial(q, index, processes, now) {
+		g.Log.Info("part-refused", fields...)
+		return Refused
+	}
+	g.Log.Info("part-trial-started", fields...)
+	g.Metrics.Counter("part-trials").Inc(1)
+	return Trial
+}
+
+// logChanges logs the quarantines that have begun, grown or ended since the last call. The caller must hold mu.
+func (g *Guard) logChanges(now time.Time) {
+	current := map[string]poison.Quarantine{}
+	for _, q := range g.table.Quarantines(now) {
+		current[q.Part] = q
+		if g.logged[q.Part].Crashes != q.Crashes {
+			g.Log.Warn("part-quarantined", zap.String("part", q.Part), zap.Int("crashes", q.Crashes),
+				zap.Duration("last-crash", now.Sub(q.LastCrash)), zap.Duration("trial-after", q.TrialDelay()))
+		}
+	}
+	for part := range g.logged {
+		if _, ok := current[part]; !ok {
+			g.Log.Info("part-released", zap.String("part", part))
+		}
+	}
+	if len(current) > 0 || len(g.logged) > 0 {
+		g.Metrics.Gauge("quarantined-parts").Update(float64(len(current)))
+	}
+	g.logged = current
+}
--- /dev/null
+++ b/io/itest/crash_test.go
@@ -0,0 +1,49 @@
+package itest
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Generations whose prompts have a part in common that kills each engine must not reach one engine after the other, and
+// other generations with the same beginning must go on.
+func TestPromptsThatCrashEngines(t *testing.T) {
+	t.Parallel()
+	const engines = 12
+	s := newSystem(t, systemSpec{controls: 1, routers: 2, engines: engines, engineArgs: []string{"-die-on-word", "deadly"}})
+	beginning := strings.Repeat("mouth history of the mare ", 8)
+	complete := func(i int, prompt string) (int, string) {
+		body := fmt.Sprintf(`{"model":"dente","prompt":%q,"max_tokens":40}`, prompt)
+		status, _, text := sendRequest(t, http.MethodPost, s.routerAddresses[i%len(s.routerAddresses)], "/v1/completions", body, nil)
+		return status, text
+	}
+	for i := range 10 {
+		if status, text := complete(i, fmt.Sprint(beginning, "sound ", i)); status != http.StatusOK {
+			t.Errorf("a sound generation is answered %d %s", status, text)
+		}
+		prompt := beginning + "deadly " + strings.Repeat("and more of it ", 12) + fmt.Sprint(i)
+		if status, text := complete(i, prompt); status == http.StatusOK {
+			t.Errorf("generation %d is answered %s", i, text)
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	dead := 0
+	for _, e := range s.engines {
+		select {
+		case <-e.done:
+			dead++
+		default:
+		}
+	}
+	// Three requests show which part is to blame, and none of them reaches a third engine.
+	if dead < 3 || dead > 6 {
+		t.Errorf("%d of %d engines have ended, want 3 to 6", dead, engines)
+	}
+	if status, text := complete(0, beginning+"deadly "+strings.Repeat("and more of it ", 12)+"once more"); status != http.StatusServiceUnavailable ||
+		!strings.Contains(text, "crashes-engines") || !strings.Contains(text, `"outcome":"not-run"`) {
+		t.Errorf("a generation with the part is answered %d %s", status, text)
+	}
+}
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -168,7 +168,7 @@
 	case wire.KindCrashes:
 		var list []poison.Crash
 		if list, err = wire.Decode[[]poison.Crash](fr); err == nil {
-			f.relay.crashes.merge(list)
+			f.relay.crashes.Merge(list)
 		}
 	}
 	if err != nil {
@@ -293,7 +293,7 @@
 func (f *keeperFeed) sendCrashes(list []poison.Crash) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.link == nil || len(list) == 0 {
+	if f.link == nil {
 		return
 	}
 	if err := f.link.Post(wire.KindCrashes, "", list); err != nil {
--- a/io/relay/keeperlink.go
+++ b/io/relay/keeperlink.go
@@ -124,7 +124,7 @@
 	}
 	f.sendReport()
 	// The keeper may have missed what was sent to another one.
-	f.sendCrashes(f.relay.crashes.all())
+	f.relay.crashes.SendAll()
 }
 
 // abandonKeeper logs the failure of a keeper and closes the connection to it.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -18,6 +18,7 @@
 	"wasabiweir/core/clock"
 	"wasabiweir/core/place"
 	"wasabiweir/core/state"
+	"wasabiweir/io/guard"
 	"wasabiweir/io/metric"
 	"wasabiweir/io/serve"
 )
@@ -138,7 +139,8 @@
 	meter   relayMetrics
 	guard   serve.PanicGuard
 	buffers bufferBudget
-	crashes crashGuard
+	// crashes keeps requests whose prompt crashes engines away from them.
+	crashes guard.Guard
 	// ctx ends when the process stops, after the graceful shutdown.
 	ctx context.Context
 
@@ -183,7 +185,7 @@
 	r.pool.initPool(r)
 	r.prober.initProber(r)
 	r.finder.initFinder(r)
-	r.crashes.relay = r
+	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope, Send: r.feed.sendCrashes}
 	r.feed.initFeed(r)
 	r.drain.setRelay(r)
 	r.callers.initConnTable(r)
@@ -279,12 +281,6 @@
 	firstResponse tally.Histogram
 	// longestPause records the longest pause between two events of a stream.
 	longestPause tally.Histogram
-	// crashes counts engines that were lost just after they began to answer, and trials the requests that were sent
-	// although a part of their prompt is quarantined.
-	crashes tally.Counter
-	trials  tally.Counter
-	// quarantinedParts is the number of prompt parts that this relay keeps away from engines.
-	quarantinedParts tally.Gauge
 }
 
 // durationBuckets are the bounds of the duration histograms. Their range of 4 ms to 33 s covers pauses from one
@@ -302,9 +298,6 @@
 		m.requests[k] = m.scope.Tagged(map[string]string{"kind": k.String()}).Counter("requests")
 	}
 	m.firstResponse = m.scope.Histogram("first-answer", durationBuckets)
-	m.crashes = m.scope.Counter("engine-crashes")
-	m.trials = m.scope.Counter("part-trials")
-	m.quarantinedParts = m.scope.Gauge("quarantined-parts")
 	m.longestPause = m.scope.Histogram("resume-pause", durationBuckets)
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -51,8 +51,6 @@
 	refusals int
 	// parts are the ids of the prompt's parts. The last one belongs to the request itself.
 	parts []string
-	// isTrial is true once the request is the trial of a quarantined part.
-	isTrial bool
 	// eventCount counts the forwarded events; resumeCount counts the attempts after an interruption.
 	eventCount  int
 	resumeCount int
@@ -132,7 +130,7 @@
 		return common.ReasonDeadline, false
 	case s.bodyStreamed:
 		return common.ReasonEndpointFailed, false
-	case !s.relay.crashes.mayRetry(s.id):
+	case !s.relay.crashes.MayRetry(s.id):
 		return common.ReasonCrashesEngines, false
 	case result.outcome == outcomeUnknown:
 		if !s.route.Repeatable() || s.bodyReader != nil || s.attempts >= max(1, s.route.MaxAttempts) {
--- a/io/router/attempt.go
+++ b/io/router/attempt.go
@@ -28,6 +28,8 @@
 	startedAt   time.Time
 	firstOutput time.Time
 	lastOutput  time.Time
+	// soundMarked is true once the attempt has shown that the prompt does not crash engines.
+	soundMarked bool
 	router      *Router
 }
 
--- /dev/null
+++ b/io/router/crashes.go
@@ -0,0 +1,145 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"wasabiweir/core/common"
+	"wasabiweir/core/poison"
+	"wasabiweir/core/prefix"
+	"wasabiweir/io/guard"
+	"wasabiweir/io/wire"
+)
+
+const (
+	// crashResendRounds is the number of exchanges of in-flight counts after which all known crashes are sent once more.
+	crashResendRounds = 20
+	// lostDialTimeout bounds the connection by which a router finds out whether an engine is lost.
+	lostDialTimeout = 250 * time.Millisecond
+	// maxBeginnings bounds the beginnings of a prompt that count as its parts.
+	maxBeginnings = 30
+	// textBlockBytes is the step in bytes between two beginnings of a prompt that is given as text.
+	textBlockBytes = 64
+)
+
+// initCrashes initialises what the router knows of the prompts that crash engines.
+func (r *Router) initCrashes() {
+	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: tally.NoopScope, Send: r.peers.sendCrashes}
+	if r.Metrics != nil {
+		r.crashes.Metrics = r.Metrics
+	}
+}
+
+// sendCrashes sends crashes of engines to all other routers.
+func (s *peers) sendCrashes(list []poison.Crash) {
+	for _, r := range s.linkedRouters() {
+		if r.Name != s.router.Name {
+			s.postToRouter(r.PeerAddress, wire.KindCrashes, list)
+		}
+	}
+}
+
+// position returns the index of this router among all live ones, in order of their names, and their number. The index
+// is -1 if this router is not listed.
+func (s *peers) position() (index, routers int) {
+	var names []string
+	for _, r := range s.liveRouters() {
+		names = append(names, r.Name)
+	}
+	slices.Sort(names)
+	return slices.Index(names, s.router.Name), len(names)
+}
+
+// promptParts returns the parts of the generation's prompt for the search for prompts that crash engines: some of its
+// beginnings, each about a quarter longer than the one before, and the whole prompt.
+func (s *session) promptParts() []string {
+	var parts []string
+	model, text := s.owner.Record.Model, s.params.Text
+	blocks := prefix.BlockHashes(model, s.owner.Record.Prompt)
+	if text != "" {
+		blocks = textHashes(model, text)
+	}
+	for n := 1; n <= len(blocks) && len(parts) < maxBeginnings; n = max(n+1, n*5/4) {
+		parts = append(parts, strconv.FormatUint(blocks[n-1], 16))
+	}
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s %v %s", model, s.owner.Record.Prompt, text)
+	return append(parts, "prompt-"+strconv.FormatUint(h.Sum64(), 16))
+}
+
+// textHashes returns the hash of each beginning of a prompt's text that ends with a full block of textBlockBytes.
+func textHashes(model, text string) []uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(model))
+	var out []uint64
+	for len(text) >= textBlockBytes {
+		_, _ = h.Write([]byte(text[:textBlockBytes]))
+		text = text[textBlockBytes:]
+		out = append(out, h.Sum64())
+	}
+	return out
+}
+
+// refuseCrashing fails the generation and returns true if it must not be sent to an engine because its prompt crashes
+// engines.
+func (s *session) refuseCrashing() bool {
+	index, routers := s.router.peers.position()
+	parts := s.promptParts()
+	allowed := s.router.crashes.MayRetry(s.id)
+	if allowed && s.router.crashes.Permit(s.id, parts, index, routers, s.mayHaveRun) != guard.Refused {
+		return false
+	}
+	s.failGeneration(&common.Refusal{
+		Reason: common.ReasonCrashesEngines, Outcome: s.outcome(), Message: "the prompt, or a part of it, crashes engines",
+		RetryAfter: s.router.crashes.RetryAfter(parts),
+	})
+	return true
+}
+
+// lostAtBeginning reports whether an attempt was lost so soon that its request may have crashed the engine. The engine
+// does not say when it begins, so an attempt without output may have begun.
+func (s *session) lostAtBeginning(t *streamAttempt, reason common.Reason) bool {
+	if reason != common.RetryReset && reason != common.RetrySilent {
+		return false
+	}
+	return !t.hasOutput() || s.now().Sub(t.firstOutput) < poison.BeginWindow
+}
+
+// crashCheck finds out whether the engine of a lost attempt is down, and records it as a crash by the request if it is.
+type crashCheck struct {
+	router  *Router
+	request string
+	attempt *streamAttempt
+	parts   []string
+	// done receives the time of the attempt's last activity when the check is over.
+	done chan<- time.Time
+}
+
+// run dials the engine.
+func (c *crashCheck) run(ctx context.Context) {
+	defer c.router.guard.Recover("crash-check")
+	defer func() { c.done <- c.attempt.lastActivity() }()
+	conn, err := (&net.Dialer{Timeout: lostDialTimeout}).DialContext(ctx, "tcp", c.attempt.address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.parts))
+}
+
+// markSound records that the engine of the attempt survived the beginning of its answer.
+func (s *session) markSound(t *streamAttempt) {
+	if !t.soundMarked {
+		t.soundMarked = true
+		s.router.crashes.MarkSound(s.promptParts(), t.firstOutput)
+	}
+}
--- a/io/router/peers.go
+++ b/io/router/peers.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"wasabiweir/core/poison"
 	"wasabiweir/core/stream"
 	"wasabiweir/io/wire"
 )
@@ -175,12 +176,15 @@
 func (s *peers) loop(ctx context.Context) error {
 	ticker := time.NewTicker(countsInterval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
 		}
+		if round%crashResendRounds == 0 {
+			s.router.crashes.SendAll()
+		}
 		v := s.router.view.Load()
 		if v == nil {
 			continue
@@ -217,6 +221,10 @@
 		if p, err := wire.Decode[packedCounts](f); err == nil {
 			r.applyPeerCounts(p)
 		}
+	case wire.KindCrashes:
+		if list, err := wire.Decode[[]poison.Crash](f); err == nil {
+			r.crashes.Merge(list)
+		}
 	default:
 		r.Log.Warn("frame-rejected", zap.String("peer", l.Name), zap.String("kind", string(f.Kind)))
 	}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/clock"
+	"wasabiweir/io/guard"
 	"wasabiweir/io/metric"
 	"wasabiweir/io/serve"
 )
@@ -82,6 +83,8 @@
 	calls      callSender
 	guard      serve.PanicGuard
 	prefixes   prefixTracker
+	// crashes keeps prompts that crash engines away from them.
+	crashes guard.Guard
 	// nonce makes the epochs of the generations that this router owns unique.
 	nonce atomic.Uint64
 	// openRequests counts the requests of callers in flight.
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/common"
+	"wasabiweir/core/poison"
 	"wasabiweir/core/route"
 	"wasabiweir/core/stream"
 	"wasabiweir/io/engine"
@@ -68,7 +69,10 @@
 	// stallDetector detects that the current attempt returns no more output.
 	stallDetector stream.StallDetector
 	// resumeTurn receives a value when the resume queue lets this session continue.
-	resumeTurn    chan struct{}
+	resumeTurn chan struct{}
+	// crashChecked receives the time of the last activity of a lost attempt after the check whether it has crashed its
+	// engine.
+	crashChecked  chan time.Time
 	attemptEvents chan attemptEvent
 	replies       chan stream.Reply
 	stop          context.CancelFunc
@@ -105,6 +109,7 @@
 	s.attemptEvents = make(chan attemptEvent, attemptEventQueueSize)
 	s.replies = make(chan stream.Reply, replyQueueSize)
 	s.resumeTurn = make(chan struct{}, 1)
+	s.crashChecked = make(chan time.Time, 1)
 	s.changed = make(chan struct{})
 	s.failedEndpoints = route.NameSet{}
 	s.lastProgress = s.router.Clock.Now()
@@ -147,6 +152,8 @@
 			s.sendMessages(s.owner.Handle(s.now(), r))
 		case reason := <-s.interruptChan():
 			s.loseAttempt(ctx, reason)
+		case lastActivity := <-s.crashChecked:
+			s.scheduleAttempt(ctx, lastActivity)
 		case <-s.resumeTurn:
 			s.startAttempt(ctx)
 		case <-tick.C:
@@ -207,6 +214,9 @@
 			s.router.dispatcher.recordFirstToken(e.from.attempt, first)
 		}
 		s.router.dispatcher.recordTokens(s.job, e.from.attempt, len(e.chunk.TokenIDs))
+		if action == stream.AttemptComplete || s.now().Sub(e.from.firstOutput) >= poison.BeginWindow {
+			s.markSound(e.from)
+		}
 	}
 	switch action {
 	case stream.AttemptComplete:
@@ -266,6 +276,11 @@
 		s.failGeneration(&common.Refusal{Reason: common.ReasonRetryBudget, Outcome: s.outcome(), Message: "the engine was lost before the first token"})
 		return
 	}
+	if s.lostAtBeginning(t, reason) {
+		c := &crashCheck{router: s.router, request: s.id, attempt: t, parts: s.promptParts(), done: s.crashChecked}
+		go c.run(ctx)
+		return
+	}
 	s.scheduleAttempt(ctx, t.lastActivity())
 }
 
@@ -304,7 +319,7 @@
 // startAttempt selects an engine and starts an attempt of the generation on it. If no engine is available, it plans a
 // retry or fails the generation.
 func (s *session) startAttempt(ctx context.Context) {
-	if s.current != nil || s.owner.Complete() {
+	if s.current != nil || s.owner.Complete() || s.refuseCrashing() {
 		return
 	}
 	a, err := s.router.dispatcher.pickEndpoint(s.routeRequest(), s.failedEndpoints)
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -38,6 +38,7 @@
 	r.sessions.initSessions(ctx)
 	r.calls.router = r
 	r.prefixes.router = r
+	r.initCrashes()
 	return r.feed.initStoredConfig(r)
 }
 
--- a/io/stand/batch.go
+++ b/io/stand/batch.go
@@ -272,6 +272,9 @@
 			if j.prefillLeft > 0 {
 				continue
 			}
+			if e.activeFaults.diesOn(j.promptIDs) {
+				return true
+			}
 			e.cache.storeBlocks(e.Clock.Now(), j.model, j.tokenIDs)
 		}
 		if e.generateToken(j) && e.activeFaults.countToken() {
--- a/io/stand/faults.go
+++ b/io/stand/faults.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"wasabiweir/core/token"
 	"wasabiweir/io/serve"
 )
 
@@ -24,6 +26,8 @@
 	DieAfterTokens int `json:"die-after-tokens,omitempty"`
 	// Die kills the engine immediately.
 	Die bool `json:"die,omitempty"`
+	// DieOnWord kills the engine when it has processed a prompt that contains the word.
+	DieOnWord string `json:"die-on-word,omitempty"`
 	// PauseMS pauses the whole engine for this many milliseconds; a negative value means until the faults are replaced.
 	PauseMS int64 `json:"pause-ms,omitempty"`
 	// Silent makes all other open connections drop their traffic until they are closed; new connections work normally.
@@ -38,7 +42,8 @@
 
 // activeFaults holds the injected faults that are in effect in a simulated engine.
 type activeFaults struct {
-	tokensUntilDeath int // zero means that the engine does not die
+	tokensUntilDeath int      // zero means that the engine does not die
+	deadlyTokens     []uint32 // tokens of the word on which the engine dies
 	pausedUntil      time.Time
 	slowFactor       float64
 	refuseWork       bool
@@ -49,6 +54,10 @@
 // year.
 func (s *activeFaults) replaceFaults(now time.Time, f Faults) {
 	*s = activeFaults{tokensUntilDeath: f.DieAfterTokens, slowFactor: f.Slow, refuseWork: f.Refuse}
+	if f.DieOnWord != "" {
+		// A token includes the space before its word.
+		s.deadlyTokens = token.Tokenize(" " + f.DieOnWord)
+	}
 	if f.ForMS > 0 {
 		s.expiresAt = now.Add(time.Duration(f.ForMS) * time.Millisecond)
 	}
@@ -82,6 +91,17 @@
 	return s.tokensUntilDeath == 0
 }
 
+// diesOn reports whether an injected fault must kill the engine because of the prompt.
+func (s *activeFaults) diesOn(prompt []uint32) bool {
+	n := len(s.deadlyTokens)
+	for i := 0; n > 0 && i+n <= len(prompt); i++ {
+		if slices.Equal(prompt[i:i+n], s.deadlyTokens) {
+			return true
+		}
+	}
+	return false
+}
+
 // refusesWork reports whether a fault makes the engine refuse new requests.
 func (e *Engine) refusesWork() bool {
 	e.engineMu.Lock()
