--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -316,6 +316,9 @@
 
 // recordLoad stores the load that an endpoint reports in a response header.
 func (q *request) recordLoad(id string, h http.Header) {
+	if limit := h.Get(q.relay.Names.Limit); limit != "" {
+		q.log.Info("limit-named", zap.String("endpoint", id), zap.String("limit", limit))
+	}
 	if l, ok := q.relay.Names.ParseLoad(h.Get(q.relay.Names.Load)); ok {
 		q.relay.withTable(func(t *place.EndpointTable, now time.Time) { t.RecordLoad(id, l, now) })
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -78,6 +78,10 @@
 	ResumeFrom string
 	// Load carries the endpoint's report of its current load.
 	Load string
+	// Limit carries the number of requests per second that the endpoint takes from all relays together; ParseLimit
+	// returns false if the value is invalid.
+	Limit      string
+	ParseLimit func(value string) (perSecond float64, ok bool)
 	// PromptParts lists the parts of a request's prompt; ParsePromptParts returns their ids in order. The last one is
 	// specific to the request.
 	PromptParts      string
