Share the limits that endpoints name among the relays

Seen: an endpoint in need named the requests a second that it takes, and got as many as before.

Cause: relays did not read what endpoints say of themselves but for their load, and each counted only its own requests. Class of the fault: a bound on the sum over all processes that each of them sees only in part.

Change: core/place keeps the latest limit of each endpoint. A relay that is told sends the limit through its keeper to the others, again after 2 s at the earliest, at once if it changes by a tenth; a success to a later request without a limit ends it; without any answer it lapses after 10 s to a minute. Turns at nine tenths of the limit are numbered and go to the relays by their index; the count of turns travels with the limit, so that no message is needed for a request. A turn that is not used is lost after a time that keeps late ones, in any 4 s, within 0.85 of one and a half times the limit and five. A stream that resumes from a copy does not wait, and uses a later turn. A request without a turn waits an eighth of its objective at most, and is refused with endpoint-limit and the time to the next turn. The keeper's exchange of crashes became generic.

--- a/core/bench/waves.go
+++ b/core/bench/waves.go
@@ -268,7 +268,7 @@
 // attachStream assigns a stream to an engine; if the engine is down, the relay detects that after waveResetDelay.
 func (w *crashWaveSim) attachStream(s *waveStream, e *waveEngine, withPrefill bool) {
 	s.engine, s.engineID, s.incarnation = e, e.ID, e.incarnation
-	s.relay.table.RequestStarted(e.ID, withPrefill)
+	s.relay.table.RequestStarted(e.ID, withPrefill, w.now)
 	e.streams = append(e.streams, s)
 	if !e.up {
 		w.scheduleAfter(waveResetDelay, func() { w.handleEngineLoss(s, e, e.incarnation) })
--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -36,6 +36,9 @@
 	ReasonEndpointFailed Reason = "endpoint-failed"
 	// ReasonRetryBudget means that the request failed and the retry budget is exhausted.
 	ReasonRetryBudget Reason = "retry-budget"
+	// ReasonEndpointLimit means that the endpoints of the service take no more requests now, by limits that they have
+	// named.
+	ReasonEndpointLimit Reason = "endpoint-limit"
 	// ReasonCrashesEngines means that the request, or a part of its prompt, crashes engines.
 	ReasonCrashesEngines Reason = "crashes-engines"
 	// ReasonJournalLost means that the journal of a generation is lost; the generation cannot be resumed safely.
@@ -92,7 +95,7 @@
 var RefusalReasons = []Reason{
 	ReasonBadRequest, ReasonBodyTooLarge, ReasonUnknownAccount, ReasonUnknownModel, ReasonUnknownService,
 	ReasonNotAllowed, ReasonNoConfiguration, ReasonDraining, ReasonOverloaded, ReasonAccountLimit, ReasonDeadline,
-	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonJournalLost, ReasonJournalUnavailable,
+	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonJournalLost, ReasonJournalUnavailable,
 	ReasonSuperseded, ReasonBadCursor, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused,
 	ReasonLedgerUnavailable, ReasonOutcomeUnknown, ReasonAnswerTooLarge, ReasonInternal,
 }
--- a/core/common/refusal.go
+++ b/core/common/refusal.go
@@ -75,6 +75,7 @@
 	ReasonDeadline:           http.StatusGatewayTimeout,
 	ReasonEndpointFailed:     http.StatusBadGateway,
 	ReasonCrashesEngines:     http.StatusServiceUnavailable,
+	ReasonEndpointLimit:      http.StatusServiceUnavailable,
 	ReasonJournalLost:        http.StatusGone,
 	ReasonSuperseded:         http.StatusConflict,
 	ReasonBadCursor:          http.StatusBadRequest,
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -38,7 +38,7 @@
 			t.Fatalf("engine %q is chosen twice (or none: %v)", e.ID, !ok)
 		}
 		seen[e.ID] = true
-		x.RequestStarted(e.ID, true)
+		x.RequestStarted(e.ID, true, testStart)
 	}
 }
 
@@ -74,7 +74,7 @@
 		active = kept
 		r := rng.IntN(relays)
 		e, _ := tables[r].ChooseEndpoint(EndpointRequirements{Service: "m", ModelEngines: true}, testStart)
-		tables[r].RequestStarted(e.ID, true)
+		tables[r].RequestStarted(e.ID, true, testStart)
 		active = append(active, prompt{r, e.ID, tick + ticksPerSecond})
 		count := map[string]int{}
 		for _, p := range active {
@@ -131,7 +131,7 @@
 	}
 	for range 16 {
 		e, _ := x.ChooseEndpoint(EndpointRequirements{Service: "m", ModelEngines: true}, testStart.Add(time.Second))
-		x.RequestStarted(e.ID, true)
+		x.RequestStarted(e.ID, true, testStart)
 		if e.Domain == "d0" {
 			t.Fatalf("%s of the suspect domain is chosen while others are idle", e.ID)
 		}
@@ -250,7 +250,7 @@
 // Guards against a memory leak: endpoints that restart under other ids must be deleted from the table.
 func TestUnlistedEndpointsAreDeleted(t *testing.T) {
 	x := newTable(3)
-	x.RequestStarted("e00", true)
+	x.RequestStarted("e00", true, testStart)
 	x.Update([]Endpoint{{ID: "new", Service: "m", Domain: "d0"}})
 	if x.endpoints.Len() != 2 {
 		t.Errorf("%d endpoints, want the new one and the one that runs a request", x.endpoints.Len())
--- a/core/place/survey.go
+++ b/core/place/survey.go
@@ -58,7 +58,7 @@
 	suspect := t.suspectDomains(req.Service, now)
 	for _, e := range candidates {
 		s := t.endpoints.Get(e.ID)
-		if s == nil || !s.isEligible(req, now) {
+		if s == nil || !t.isEligible(s, req, now) {
 			continue
 		}
 		cost := s.surveyedCost(req, reports)
--- a/core/place/survey_test.go
+++ b/core/place/survey_test.go
@@ -81,7 +81,7 @@
 		return loadEngines
 	}
 	before := l.prefilling(e.ID, now)
-	t.RequestStarted(e.ID, true)
+	t.RequestStarted(e.ID, true, at)
 	// Prompts on one engine take turns, so each of them delays the others.
 	end := now + promptMS*(before+1)
 	l.ends[e.ID] = append(l.ends[e.ID], end)
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -29,6 +29,9 @@
 	// suspectDomainCost is added to the cost of an endpoint in a failure domain where several endpoints have just
 	// failed or the request has just lost one, and is added twice in a failure domain that the request avoids.
 	suspectDomainCost = 4.0
+	// limitedHolderCost is added to the cost of an endpoint with a limit as the holder of a copy: it would have to take
+	// the stream at once.
+	limitedHolderCost = 1.0
 )
 
 const (
@@ -60,6 +63,8 @@
 	Rand *rand.Rand
 
 	endpoints table.Table[string, endpointState]
+	// limits holds the numbers of requests that endpoints take from all relays together.
+	limits LimitTable
 	// relayIndex is this relay's position among all relays, from 0 to relayCount-1; it is -1 if the relay is not among
 	// them.
 	relayIndex int
@@ -124,6 +129,7 @@
 		}
 		return true
 	})
+	t.limits.keep(seen)
 	t.assignPreferredEndpoints()
 }
 
@@ -180,6 +186,8 @@
 	// LostDomain is the failure domain in which the request has just lost an endpoint. It is avoided because the rest
 	// of that domain may be about to fail too.
 	LostDomain string
+	// IgnoreLimits means that the endpoint gets no request now, so that its limit does not matter yet.
+	IgnoreLimits bool
 }
 
 // ChooseEndpoint returns the endpoint with the lowest cost that meets the request's requirements, or false if none
@@ -189,10 +197,10 @@
 	var lowestCost float64
 	suspect := t.suspectDomains(req.Service, now)
 	t.endpoints.Each(func(_ string, s *endpointState) bool {
-		if !s.isEligible(req, now) {
+		if !t.isEligible(s, req, now) {
 			return true
 		}
-		cost := s.requestCost(req, now) + maxCostJitter*t.Rand.Float64()
+		cost := t.requestCost(s, req, now) + maxCostJitter*t.Rand.Float64()
 		if suspect[s.Domain] || req.LostDomain != "" && s.Domain == req.LostDomain {
 			cost += suspectDomainCost
 		}
@@ -214,7 +222,7 @@
 // ChooseEndpoint would return one.
 func (t *EndpointTable) HasEligible(req EndpointRequirements, now time.Time) (found bool) {
 	t.endpoints.Each(func(_ string, s *endpointState) bool {
-		found = s.isEligible(req, now)
+		found = t.isEligible(s, req, now)
 		return !found
 	})
 	return found
@@ -224,7 +232,7 @@
 // endpoint primary. The holder is in another failure domain than primary; if no such endpoint is available,
 // ChooseCopyHolder returns false. The domain lostDomain is avoided too, unless it is empty.
 func (t *EndpointTable) ChooseCopyHolder(primary Endpoint, lostDomain string, now time.Time) (Endpoint, bool) {
-	req := EndpointRequirements{Service: primary.Service, ModelEngines: true, Exclude: map[string]bool{primary.ID: true}, AvoidDomain: primary.Domain, LostDomain: lostDomain}
+	req := EndpointRequirements{Service: primary.Service, ModelEngines: true, Exclude: map[string]bool{primary.ID: true}, AvoidDomain: primary.Domain, LostDomain: lostDomain, IgnoreLimits: true}
 	e, ok := t.ChooseEndpoint(req, now)
 	if !ok || e.Domain == primary.Domain {
 		return Endpoint{}, false
@@ -233,10 +241,37 @@
 }
 
 // isEligible reports whether the endpoint meets the requirements of a request and accepts requests now.
-func (s *endpointState) isEligible(req EndpointRequirements, now time.Time) bool {
+func (t *EndpointTable) isEligible(s *endpointState, req EndpointRequirements, now time.Time) bool {
+	return s.isSuitable(req, now) && (req.IgnoreLimits || t.limits.wait(s.ID, t.position(), now) == 0)
+}
+
+// isSuitable reports whether the endpoint meets the requirements of a request and accepts requests, apart from its
+// limit.
+func (s *endpointState) isSuitable(req EndpointRequirements, now time.Time) bool {
 	return s.Service == req.Service && !req.Exclude[s.ID] && s.acceptsRequests(now)
 }
 
+// NextTurn returns the time until the first of the endpoints that meet the request's requirements may get a request
+// under its limit, or false if none of them has a limit.
+func (t *EndpointTable) NextTurn(req EndpointRequirements, now time.Time) (wait time.Duration, limited bool) {
+	t.endpoints.Each(func(_ string, s *endpointState) bool {
+		if !s.isSuitable(req, now) {
+			return true
+		}
+		if d := t.limits.wait(s.ID, t.position(), now); d > 0 && (!limited || d < wait) {
+			wait, limited = d, true
+		}
+		return true
+	})
+	return wait, limited
+}
+
+// position returns this relay's position among all relays.
+func (t *EndpointTable) position() relayPosition { return relayPosition{t.relayIndex, t.relayCount} }
+
+// Limits returns the limits that the endpoints have named.
+func (t *EndpointTable) Limits() *LimitTable { return &t.limits }
+
 // acceptsRequests reports whether the endpoint is up, not draining and not full.
 func (s *endpointState) acceptsRequests(now time.Time) bool {
 	return s.isUp(now) && !s.Draining && !now.Before(s.fullUntil)
@@ -250,7 +285,7 @@
 
 // requestCost returns the cost of sending the request to the endpoint, without the random term and the costs of failure
 // domains.
-func (s *endpointState) requestCost(req EndpointRequirements, now time.Time) float64 {
+func (t *EndpointTable) requestCost(s *endpointState, req EndpointRequirements, now time.Time) float64 {
 	if !req.ModelEngines {
 		return s.plainServiceCost(now)
 	}
@@ -258,6 +293,9 @@
 	if req.AvoidDomain == "" {
 		cost += s.preferenceCost
 	}
+	if req.IgnoreLimits && t.limits.limits[s.ID].applies(now) {
+		cost += limitedHolderCost
+	}
 	return cost
 }
 
@@ -326,8 +364,9 @@
 }
 
 // RequestStarted counts a request that is sent to the endpoint; prompt means that the endpoint first has to process a
-// prompt.
-func (t *EndpointTable) RequestStarted(id string, prompt bool) {
+// prompt. It uses a turn of the endpoint's limit.
+func (t *EndpointTable) RequestStarted(id string, prompt bool, now time.Time) {
+	t.limits.take(id, t.position(), now)
 	if s := t.endpoints.Get(id); s != nil {
 		s.running++
 		if prompt {
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -123,8 +123,8 @@
 	return out
 }
 
-// Crashes returns all crashes, for a process that may not know them.
-func (t *Table) Crashes(now time.Time) []Crash {
+// All returns all crashes, for a process that may not know them.
+func (t *Table) All(now time.Time) []Crash {
 	t.expire(now)
 	out := make([]Crash, 0, len(t.crashes))
 	for i := range t.crashes {
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -220,13 +220,13 @@
 			case 1:
 				tab.MarkSound(parts, at(now-BeginWindow), at(now))
 			default:
-				tab.Merge(tables[rapid.IntRange(0, 2).Draw(t, "from")].Crashes(at(now)), at(now))
+				tab.Merge(tables[rapid.IntRange(0, 2).Draw(t, "from")].All(at(now)), at(now))
 			}
 		}
 		for range 2 {
 			for i := range tables {
 				for j := range tables {
-					tables[i].Merge(tables[j].Crashes(at(now)), at(now))
+					tables[i].Merge(tables[j].All(at(now)), at(now))
 				}
 			}
 		}
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -68,7 +68,7 @@
 // SendAll sends all known crashes, for processes that may have missed some.
 func (g *Guard) SendAll() {
 	g.mu.Lock()
-	list := g.table.Crashes(g.Clock.Now())
+	list := g.table.All(g.Clock.Now())
 	g.mu.Unlock()
 	g.send(list)
 }
--- a/io/keeper/feeds.go
+++ b/io/keeper/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"go.uber.org/zap"
@@ -56,7 +57,7 @@
 		if err := s.keeper.lists.sendListTo(l); err != nil {
 			return wire.ConfigState{}, err
 		}
-		if err := s.keeper.crashes.sendAllTo(l); err != nil {
+		if err := errors.Join(s.keeper.crashes.sendAllTo(l), s.keeper.limits.sendAllTo(l)); err != nil {
 			return wire.ConfigState{}, err
 		}
 	}
--- a/io/keeper/frames.go
+++ b/io/keeper/frames.go
@@ -44,6 +44,11 @@
 		if list, err = wire.Decode[[]poison.Crash](f); err == nil {
 			k.crashes.merge(list)
 		}
+	case wire.KindLimits:
+		var list []place.LimitNotice
+		if list, err = wire.Decode[[]place.LimitNotice](f); err == nil {
+			k.limits.merge(list)
+		}
 	case wire.KindConfigUpdateRequest, wire.KindJoin:
 		k.requests.Add(1)
 		go k.runRequest(l, f)
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -14,6 +14,7 @@
 
 	"wasabiweir/core/clock"
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
 	"wasabiweir/core/state"
 	"wasabiweir/io/metric"
 	"wasabiweir/io/serve"
@@ -56,7 +57,9 @@
 	feeds   relayFeeds
 	roster  relayRoster
 	lists   endpointLists
-	crashes crashShare
+	// crashes and limits pass what one relay has learnt on to the others.
+	crashes exchange[poison.Crash]
+	limits  exchange[place.LimitNotice]
 	guard   serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
 	ctx context.Context
@@ -95,9 +98,11 @@
 	if k.Metrics != nil {
 		k.guard.Metrics = k.Metrics
 	}
-	k.machine.keeper, k.group.keeper, k.peers.keeper, k.lists.keeper, k.crashes.keeper = k, k, k, k, k
+	k.machine.keeper, k.group.keeper, k.peers.keeper, k.lists.keeper = k, k, k, k
 	k.feeds.initFeeds(k)
 	k.roster.initRoster(k)
+	k.crashes = exchange[poison.Crash]{keeper: k, kind: wire.KindCrashes, known: &poison.Table{}}
+	k.limits = exchange[place.LimitNotice]{keeper: k, kind: wire.KindLimits, known: &place.LimitTable{}}
 	k.group.initReplica()
 	k.peers.dialSeeds(ctx)
 	var g run.Group
@@ -121,6 +126,7 @@
 	serve.AddLoop(ctx, &g, k.roster.loop)
 	serve.AddLoop(ctx, &g, k.lists.loop)
 	serve.AddLoop(ctx, &g, k.crashes.loop)
+	serve.AddLoop(ctx, &g, k.limits.loop)
 	err := g.Run()
 	cancel()
 	k.requests.Wait()
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -103,7 +103,7 @@
 		return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
 	}
 	w.recordProgress()
-	s.recordLoad(a.endpoint.ID, res.Header)
+	s.recordLoad(a.endpoint.ID, res)
 	if res.Header.Get(s.relay.Names.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest ||
 		a.resumeFrom != "" && res.StatusCode == http.StatusServiceUnavailable {
 		cause := common.RetryRefused
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -39,8 +39,12 @@
 
 // retryAfter returns the Retry-After time of a stream that is refused for the reason.
 func (s *streamRequest) retryAfter(reason common.Reason) time.Duration {
-	if reason != common.ReasonCrashesEngines {
-		return retryAfterCrash
+	switch reason {
+	case common.ReasonCrashesEngines:
+		return max(retryAfterCrash, s.relay.crashes.RetryAfter(s.parts))
+	case common.ReasonEndpointLimit:
+		turn, _ := s.nextTurn(s.requirements())
+		return turn
 	}
-	return max(retryAfterCrash, s.relay.crashes.RetryAfter(s.parts))
+	return retryAfterCrash
 }
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -170,6 +170,11 @@
 		if list, err = wire.Decode[[]poison.Crash](fr); err == nil {
 			f.relay.crashes.Merge(list)
 		}
+	case wire.KindLimits:
+		var list []place.LimitNotice
+		if list, err = wire.Decode[[]place.LimitNotice](fr); err == nil {
+			f.relay.mergeLimits(list)
+		}
 	}
 	if err != nil {
 		f.relay.Log.Warn("frame-rejected", zap.String("keeper", l.Name), zap.String("kind", string(fr.Kind)), zap.Error(err))
@@ -290,14 +295,25 @@
 }
 
 // sendCrashes sends crashes of engines to the followed keeper, which passes them on.
-func (f *keeperFeed) sendCrashes(list []poison.Crash) {
+func (f *keeperFeed) sendCrashes(list []poison.Crash) { f.postNews(wire.KindCrashes, list) }
+
+// sendLimits sends limits of endpoints to the followed keeper, which passes them on.
+func (f *keeperFeed) sendLimits(list []place.LimitNotice) {
+	if len(list) > 0 {
+		f.postNews(wire.KindLimits, list)
+	}
+}
+
+// postNews sends what this relay has learnt to the followed keeper. It is lost if there is none; the next followed keeper
+// is sent everything.
+func (f *keeperFeed) postNews(kind wire.Kind, news any) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.link == nil {
 		return
 	}
-	if err := f.link.Post(wire.KindCrashes, "", list); err != nil {
-		f.relay.Log.Debug("crashes-lost", zap.String("keeper", f.link.Name), zap.Error(err))
+	if err := f.link.Post(kind, "", news); err != nil {
+		f.relay.Log.Debug("news-lost", zap.String("keeper", f.link.Name), zap.String("kind", string(kind)), zap.Error(err))
 	}
 }
 
--- a/io/relay/keeperlink.go
+++ b/io/relay/keeperlink.go
@@ -125,6 +125,7 @@
 	f.sendReport()
 	// The keeper may have missed what was sent to another one.
 	f.relay.crashes.SendAll()
+	f.sendLimits(f.relay.allLimits())
 }
 
 // abandonKeeper logs the failure of a keeper and closes the connection to it.
--- /dev/null
+++ b/io/relay/limits.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiweir/core/common"
+	"wasabiweir/core/place"
+)
+
+// recordLimit records the limit that an endpoint names in its response. A success without one ends the limit.
+func (q *request) recordLimit(id string, res *http.Response) {
+	value := res.Header.Get(q.relay.Names.Limit)
+	limit, valid := q.relay.Names.ParseLimit(value)
+	var news []place.LimitNotice
+	q.relay.withTable(func(t *place.EndpointTable, now time.Time) {
+		switch {
+		case valid:
+			news = t.Limits().Name(id, limit, now)
+		case value == "" && res.StatusCode < http.StatusMultipleChoices:
+			news = t.Limits().End(id, q.sentAt, now)
+		}
+	})
+	for _, n := range news {
+		q.log.Info("limit-named", zap.String("endpoint", id), zap.Float64("per-second", n.PerSecond), zap.Bool("ended", n.Ended))
+	}
+	q.relay.feed.sendLimits(news)
+}
+
+// mergeLimits adds the limits that a keeper has sent.
+func (r *Relay) mergeLimits(list []place.LimitNotice) {
+	limited := 0
+	r.withTable(func(t *place.EndpointTable, now time.Time) {
+		t.Limits().Merge(list, now)
+		limited = len(t.Limits().Endpoints(now))
+	})
+	r.meter.limitedEndpoints.Update(float64(limited))
+}
+
+// allLimits returns all limits that this relay knows.
+func (r *Relay) allLimits() (list []place.LimitNotice) {
+	r.withTable(func(t *place.EndpointTable, now time.Time) { list = t.Limits().All(now) })
+	return list
+}
+
+// nextTurn returns the time until the request may be sent to an endpoint that has a limit, or false if no limit holds
+// it back.
+func (q *request) nextTurn(req place.EndpointRequirements) (wait time.Duration, limited bool) {
+	q.relay.withTable(func(t *place.EndpointTable, now time.Time) { wait, limited = t.NextTurn(req, now) })
+	return wait, limited
+}
+
+// awaitTurn waits until the request may be sent to an endpoint that has a limit. It returns false if the request should
+// be refused instead.
+func (q *request) awaitTurn() bool {
+	turn, limited := q.nextTurn(q.plainRequirements())
+	waited := q.relay.Clock.Now().Sub(q.startedAt)
+	return limited && place.ShouldWait(turn, waited, q.route.LatencyObjective) && q.sleep(turn)
+}
+
+// failWithoutEndpoint ends a request for which no endpoint accepts requests now.
+func (q *request) failWithoutEndpoint(req place.EndpointRequirements) {
+	if turn, limited := q.nextTurn(req); limited {
+		q.failRequest(common.ReasonEndpointLimit, turn)
+		return
+	}
+	q.failRequest(common.ReasonNoEndpoint, retryAfterCrash)
+}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -76,8 +76,11 @@
 	refusals := 0
 	for {
 		e, ok := q.chooseEndpoint()
+		if !ok && q.awaitTurn() {
+			continue
+		}
 		if !ok {
-			q.failRequest(common.ReasonNoEndpoint, retryAfterCrash)
+			q.failWithoutEndpoint(q.plainRequirements())
 			return
 		}
 		result := q.sendAndReceive(e)
@@ -116,15 +119,19 @@
 		return e, false
 	}
 	q.relay.withTable(func(t *place.EndpointTable, now time.Time) {
-		requirements := place.EndpointRequirements{Service: q.service, Exclude: q.tried}
-		if e, ok = t.ChooseEndpoint(requirements, now); ok {
-			t.RequestStarted(e.ID, false)
+		if e, ok = t.ChooseEndpoint(q.plainRequirements(), now); ok {
+			t.RequestStarted(e.ID, false, now)
 			q.tried[e.ID] = true
 		}
 	})
 	return e, ok
 }
 
+// plainRequirements returns which endpoints are suitable for a request whose response is one message.
+func (q *request) plainRequirements() place.EndpointRequirements {
+	return place.EndpointRequirements{Service: q.service, Exclude: q.tried}
+}
+
 // isRetryableFailure reports whether an endpoint's 5xx response should be followed by a retry at another endpoint.
 func (q *request) isRetryableFailure(result attemptResult) bool {
 	return result.res.StatusCode >= 500 && q.canRetry()
@@ -141,7 +148,7 @@
 		return false
 	}
 	q.relay.withTable(func(t *place.EndpointTable, now time.Time) {
-		ok = t.HasEligible(place.EndpointRequirements{Service: q.service, Exclude: q.tried}, now)
+		ok = t.HasEligible(q.plainRequirements(), now)
 	})
 	return ok
 }
@@ -245,7 +252,8 @@
 	if err != nil {
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryConnect, err: err}
 	}
-	o := q.buildOutgoing(e, q.relay.Clock.Now())
+	q.sentAt = q.relay.Clock.Now()
+	o := q.buildOutgoing(e, q.sentAt)
 	if addHeaders != nil {
 		addHeaders(o.header)
 	}
@@ -268,7 +276,7 @@
 	if err != nil {
 		return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
 	}
-	q.recordLoad(c.endpoint.ID, res.Header)
+	q.recordLoad(c.endpoint.ID, res)
 	if res.Header.Get(q.relay.Names.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest {
 		cause := common.RetryRefused
 		if res.StatusCode == http.StatusMisdirectedRequest {
@@ -314,12 +322,10 @@
 	return nil
 }
 
-// recordLoad stores the load that an endpoint reports in a response header.
-func (q *request) recordLoad(id string, h http.Header) {
-	if limit := h.Get(q.relay.Names.Limit); limit != "" {
-		q.log.Info("limit-named", zap.String("endpoint", id), zap.String("limit", limit))
-	}
-	if l, ok := q.relay.Names.ParseLoad(h.Get(q.relay.Names.Load)); ok {
+// recordLoad stores the load and the limit that an endpoint reports in a response header.
+func (q *request) recordLoad(id string, res *http.Response) {
+	q.recordLimit(id, res)
+	if l, ok := q.relay.Names.ParseLoad(res.Header.Get(q.relay.Names.Load)); ok {
 		q.relay.withTable(func(t *place.EndpointTable, now time.Time) { t.RecordLoad(id, l, now) })
 	}
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -285,6 +285,8 @@
 	firstResponse tally.Histogram
 	// longestPause records the longest pause between two events of a stream.
 	longestPause tally.Histogram
+	// limitedEndpoints is the number of endpoints whose limit holds, as the last message of a keeper showed.
+	limitedEndpoints tally.Gauge
 }
 
 // durationBuckets are the bounds of the duration histograms. Their range of 4 ms to 33 s covers pauses from one
@@ -302,6 +304,7 @@
 		m.requests[k] = m.scope.Tagged(map[string]string{"kind": k.String()}).Counter("requests")
 	}
 	m.firstResponse = m.scope.Histogram("first-answer", durationBuckets)
+	m.limitedEndpoints = m.scope.Gauge("limited-endpoints")
 	m.longestPause = m.scope.Histogram("resume-pause", durationBuckets)
 }
 
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -71,6 +71,8 @@
 
 	// tried holds the ids of the endpoints that may have run the request or refused it.
 	tried map[string]bool
+	// sentAt is when the current attempt was sent.
+	sentAt time.Time
 	// timeToFirstSend is the time from arrival to the first attempt.
 	timeToFirstSend time.Duration
 	// attempts counts the attempts in which the request may have run.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -174,7 +174,11 @@
 		if a, ok := s.chooseAttempt(v); ok {
 			return a, ""
 		}
-		if s.relay.Clock.Now().After(until) || !s.sleep(resumeRetryInterval) {
+		now := s.relay.Clock.Now()
+		if turn, limited := s.nextTurn(s.requirements()); limited && !s.headerSent && now.Add(turn).After(until) {
+			return streamAttempt{}, common.ReasonEndpointLimit
+		}
+		if now.After(until) || !s.sleep(resumeRetryInterval) {
 			return streamAttempt{}, common.ReasonNoEndpoint
 		}
 	}
@@ -218,7 +222,7 @@
 		if !ok {
 			return
 		}
-		t.RequestStarted(a.endpoint.ID, a.needsPrefill())
+		t.RequestStarted(a.endpoint.ID, a.needsPrefill(), now)
 		if service := s.index.Service(s.service); s.route.Resumable && service != nil && service.Model != nil && service.Model.Backups {
 			a.holder, a.hasHolder = t.ChooseCopyHolder(a.endpoint, s.lostDomain, now)
 			if a.hasHolder {
--- a/io/wire/frame.go
+++ b/io/wire/frame.go
@@ -50,6 +50,8 @@
 	KindEndpoints Kind = "endpoints"
 	// KindCrashes carries a list of poison.Crash, engines that requests have crashed, between relays and keepers.
 	KindCrashes Kind = "crashes"
+	// KindLimits carries a list of place.LimitNotice, limits that endpoints have named, between relays and keepers.
+	KindLimits Kind = "limits"
 	// KindKeepers carries Keepers, the addresses of the keepers and relays, to a relay.
 	KindKeepers Kind = "keepers"
 
