Take a stream without length or chunks as complete when its engine goes on

Callers saw: on a route that may not be resumed, a stream whose response had neither a length nor chunks was cut off after its last event; on others it ran on a second engine after it was complete.

Cause: without framing the relay took the end of the connection for a loss, whatever came before. Change: an end between two events is complete if the engine answers a probe that starts after it, and a loss otherwise; an end inside an event always is a loss.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -146,7 +146,7 @@
 		if errors.Is(err, io.EOF) && s.lastEventID == 0 {
 			err = errNoEvent
 		}
-		if errors.Is(err, io.EOF) && len(events.buf) == 0 && hasFraming(res) {
+		if errors.Is(err, io.EOF) && len(events.buf) == 0 && s.isWhole(ctx, a, res) {
 			s.markSound(w)
 			s.relay.pool.releaseConn(c, res)
 			return attemptResult{outcome: completed, res: res}
@@ -223,6 +223,12 @@
 	return cacheCopy{holder: a.holder, resumeFrom: s.relay.Names.ResumeFromValue(a.holder.Address, s.id), exists: a.hasHolder}
 }
 
+// isWhole reports whether a stream whose connection has ended between two events is complete. Without a length or
+// chunks, the end of an engine looks the same, so the engine must go on.
+func (s *streamRequest) isWhole(ctx context.Context, a streamAttempt, res *http.Response) bool {
+	return hasFraming(res) || !s.relay.prober.isLostSince(ctx, a.endpoint, s.relay.Clock.Now())
+}
+
 // hasFraming reports whether the response has a length or chunked encoding, so that its end differs from a connection
 // that was cut.
 func hasFraming(res *http.Response) bool {
