Keep the crashes of engines on the keepers' disks

Cause: relays and keepers held the crashes only in memory. The file is a copy: one that cannot be read or written only costs the knowledge.

--- a/io/keeper/exchange.go
+++ b/io/keeper/exchange.go
@@ -28,12 +28,17 @@
 
 	mu    sync.Mutex
 	known mergeTable[T]
+	// changes counts the changes of what is known.
+	changes uint64
 }
 
 // merge adds what a relay or another keeper has sent, and passes on what is new.
 func (s *exchange[T]) merge(list []T) {
 	s.mu.Lock()
 	news := s.known.Merge(list, s.keeper.Clock.Now())
+	if len(news) > 0 {
+		s.changes++
+	}
 	s.mu.Unlock()
 	if len(news) == 0 {
 		return
@@ -42,16 +47,16 @@
 	s.keeper.feeds.forEachRelay(func(l *wire.Link, _ *relayFeed) error { return l.Post(s.kind, "", news) })
 }
 
-// all returns everything that is known.
-func (s *exchange[T]) all() []T {
+// all returns everything that is known, and the number of changes that it includes.
+func (s *exchange[T]) all() (list []T, changes uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.known.All(s.keeper.Clock.Now())
+	return s.known.All(s.keeper.Clock.Now()), s.changes
 }
 
 // sendAllTo sends everything that is known to a relay that has just connected.
 func (s *exchange[T]) sendAllTo(l *wire.Link) error {
-	if list := s.all(); len(list) > 0 {
+	if list, _ := s.all(); len(list) > 0 {
 		return l.Post(s.kind, "", list)
 	}
 	return nil
@@ -60,7 +65,7 @@
 // loop sends everything that is known to the other keepers from time to time until ctx ends.
 func (s *exchange[T]) loop(ctx context.Context) error {
 	for serve.Sleep(ctx, resendInterval) {
-		if list := s.all(); len(list) > 0 {
+		if list, _ := s.all(); len(list) > 0 {
 			s.keeper.peers.broadcast(s.kind, list)
 		}
 	}
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -60,6 +60,7 @@
 	// crashes and limits pass what one relay has learnt on to the others.
 	crashes exchange[poison.Crash]
 	limits  exchange[place.LimitNotice]
+	file    crashFile
 	guard   serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
 	ctx context.Context
@@ -103,8 +104,10 @@
 	k.roster.initRoster(k)
 	k.crashes = exchange[poison.Crash]{keeper: k, kind: wire.KindCrashes, known: &poison.Table{}}
 	k.limits = exchange[place.LimitNotice]{keeper: k, kind: wire.KindLimits, known: &place.LimitTable{}}
+	k.file.keeper = k
 	k.group.initReplica()
 	k.peers.dialSeeds(ctx)
+	k.file.load()
 	var g run.Group
 	serve.AddLoop(stop, &g, k.loopStop)
 	mux := http.NewServeMux()
@@ -127,6 +130,7 @@
 	serve.AddLoop(ctx, &g, k.lists.loop)
 	serve.AddLoop(ctx, &g, k.crashes.loop)
 	serve.AddLoop(ctx, &g, k.limits.loop)
+	serve.AddLoop(ctx, &g, k.file.loop)
 	err := g.Run()
 	cancel()
 	k.requests.Wait()
--- a/io/store/folder.go
+++ b/io/store/folder.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return fmt.Errorf("encode the identity: %w", err)
 	}
-	if err := writeFileAtomic(filepath.Join(f.Path, identityFile), data); err != nil {
+	if err := WriteFileAtomic(filepath.Join(f.Path, identityFile), data); err != nil {
 		return fmt.Errorf("write the identity: %w", err)
 	}
 	f.identity = id
@@ -198,8 +198,8 @@
 	return path, f.saveIdentity(id)
 }
 
-// writeFileAtomic replaces a file and syncs it; after a crash, the file has either its old or its new contents.
-func writeFileAtomic(path string, data []byte) error {
+// WriteFileAtomic replaces a file and syncs it. It returns an error if the disk fails; after a crash, the file has either its old or its new contents.
+func WriteFileAtomic(path string, data []byte) error {
 	tmp := path + tempSuffix
 	file, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
--- a/io/store/snapshot.go
+++ b/io/store/snapshot.go
@@ -25,7 +25,7 @@
 	if len(body) > maxRecordBytes {
 		return fmt.Errorf("the snapshot is too long, %d bytes: %w", len(body), errInvalidRecord)
 	}
-	if err := writeFileAtomic(snapshotPath(dir, s.Index), appendFrame(nil, body)); err != nil {
+	if err := WriteFileAtomic(snapshotPath(dir, s.Index), appendFrame(nil, body)); err != nil {
 		return fmt.Errorf("write snapshot %d: %w", s.Index, err)
 	}
 	return nil
