Bound the ids of crashes by hashes, and check the quarantine before engines are asked

Found in the reading: a caller chooses the id of its request, and a crash under an id of more than 64 bytes was dropped as out of bounds, so that such requests went on crashing engines. Long ids are replaced by a hash now, as those of parts were. TestMergeRefusesInvalidCrashes has the case; it failed before (the request was let through to a third engine).

--- a/core/place/limit_test.go
+++ b/core/place/limit_test.go
@@ -103,6 +103,14 @@
 	if again := first.Merge(back, testStart.Add(30*time.Millisecond)); len(again) > 0 {
 		t.Errorf("%d notices go around", len(again))
 	}
+	// Keepers send all they know from time to time.
+	for i := range 10 {
+		now := testStart.Add(time.Duration(i) * time.Second)
+		all := first.All(now)
+		if again := second.Merge(all, now.Add(30*time.Millisecond)); len(again) > 0 {
+			t.Errorf("%d known notices are sent again after %d s", len(again), i)
+		}
+	}
 	if news := relay.Name("e", 3.1, testStart.Add(time.Second)); len(news) > 0 {
 		t.Error("a limit that has hardly changed is sent at once")
 	}
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -14,8 +14,8 @@
 	CrashLifetime = 10 * time.Minute
 	// maxParts bounds the parts that are kept of a crash; the first ones and the last one are.
 	maxParts = 32
-	// maxPartBytes bounds the length of a part's id; longer ones are replaced by a hash.
-	maxPartBytes = 64
+	// maxIDBytes bounds the length of the id of a part, a request or an endpoint; longer ones are replaced by a hash.
+	maxIDBytes = 64
 )
 
 // Crash is the loss of an engine just after it began to answer a request.
@@ -33,7 +33,7 @@
 
 // NewCrash returns the record of a crash that happened now.
 func NewCrash(request, endpoint string, parts []string) Crash {
-	return Crash{Request: request, Endpoint: endpoint, Parts: limitParts(parts)}
+	return Crash{Request: limitID(request), Endpoint: limitID(endpoint), Parts: limitParts(parts)}
 }
 
 // limitParts returns the parts within the bounds of a crash record.
@@ -43,18 +43,18 @@
 	}
 	out := make([]string, len(parts))
 	for i, p := range parts {
-		out[i] = limitPart(p)
+		out[i] = limitID(p)
 	}
 	return out
 }
 
-// limitPart returns the part's id, or a hash of it if it is longer than maxPartBytes.
-func limitPart(part string) string {
-	if len(part) <= maxPartBytes {
-		return part
+// limitID returns the id, or a hash of it if it is longer than maxIDBytes.
+func limitID(id string) string {
+	if len(id) <= maxIDBytes {
+		return id
 	}
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(part))
+	_, _ = h.Write([]byte(id))
 	return "hash-" + strconv.FormatUint(h.Sum64(), 16)
 }
 
@@ -83,11 +83,11 @@
 // isValid reports whether a record that another process sent is within the bounds.
 func (c *Crash) isValid() bool {
 	if len(c.Parts) == 0 || len(c.Parts) > maxParts || c.Age < 0 || c.Age > CrashLifetime ||
-		len(c.Request) > maxPartBytes || len(c.Endpoint) > maxPartBytes {
+		len(c.Request) > maxIDBytes || len(c.Endpoint) > maxIDBytes {
 		return false
 	}
 	for _, p := range c.Parts {
-		if len(p) > maxPartBytes {
+		if len(p) > maxIDBytes {
 			return false
 		}
 	}
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -135,6 +135,7 @@
 
 // MayRetry reports whether a request may be sent to a further engine, given those that it has crashed.
 func (t *Table) MayRetry(request string) bool {
+	request = limitID(request)
 	suspicious, all := 0, 0
 	for i := range t.crashes {
 		c := &t.crashes[i]
@@ -156,7 +157,7 @@
 	}
 	t.expire(now)
 	for _, p := range parts {
-		if q := t.quarantines[limitPart(p)]; q != nil && !now.Before(q.Since) {
+		if q := t.quarantines[limitID(p)]; q != nil && !now.Before(q.Since) {
 			return *q, true
 		}
 	}
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -246,7 +246,7 @@
 
 // Records that are out of bounds are dropped.
 func TestMergeRefusesInvalidCrashes(t *testing.T) {
-	long := make([]byte, maxPartBytes+1)
+	long := make([]byte, maxIDBytes+1)
 	many := make([]string, maxParts+1)
 	var tab Table
 	for _, c := range []Crash{
@@ -265,4 +265,11 @@
 	if n := len(NewCrash("r", "e", many).Parts); n != maxParts {
 		t.Errorf("%d parts are kept, want %d", n, maxParts)
 	}
+	// Callers choose the ids of requests and parts; long ones must not hide a crash.
+	for i := range maxRequestCrashes {
+		crashAt(&tab, time.Duration(i)*time.Second, string(long), fmt.Sprint("e", i), string(long), "own")
+	}
+	if tab.MayRetry(string(long)) {
+		t.Error("a request with a long id may crash further engines")
+	}
 }
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -44,7 +44,7 @@
 		return max(retryAfterCrash, s.relay.crashes.RetryAfter(s.parts))
 	case common.ReasonEndpointLimit:
 		turn, _ := s.nextTurn(s.requirements())
-		return turn
+		return max(retryElsewhere, turn)
 	}
 	return retryAfterCrash
 }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -167,11 +167,10 @@
 		s.findCachedPrompt()
 	}
 	for {
-		v := s.surveyCandidates()
 		if !s.passesQuarantine() {
 			return streamAttempt{}, common.ReasonCrashesEngines
 		}
-		if a, ok := s.chooseAttempt(v); ok {
+		if a, ok := s.chooseAttempt(s.surveyCandidates()); ok {
 			return a, ""
 		}
 		now := s.relay.Clock.Now()
