Keep a process alive when its settings change while it is being stopped

Cause: the seeds were exchanged at 22.2 s, the SIGHUP came during the stop, and the watch of the settings had ended with the SIGTERM and given the signal back to its default, which ends the process. The log has no drain-finished. Class: a handler that ends before what it protects. Ruled out: a panic (no output), the end of grace, memory.

Change: the signal is taken from the first read of the settings until the process exits, and settings are reloaded during a stop.

The soak missed it since a process that one fault holds is left alone by the others.

--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -96,7 +96,8 @@
 	defer p.logOutput.Flush()
 	defer func() { _ = p.metrics.Close() }()
 	return p.signals.run(ctx, func(ctx context.Context) error {
-		watchCtx, cancel := context.WithCancel(ctx)
+		// The settings can change while the process is being stopped.
+		watchCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 		defer cancel()
 		w := &settingsWatcher{liveSettings: p.liveSettings, log: p.log}
 		go w.run(watchCtx)
