--- a/core/place/limit.go
+++ b/core/place/limit.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// limitShare is the part of an endpoint's limit that the relays use together; the rest covers requests that must not
+	// usedShare is the part of an endpoint's limit that the relays use together; the rest covers requests that must not
 	// wait, such as streams that resume from a copy.
-	limitShare = 0.9
+	usedShare = 0.9
 	// Endpoints bear limitFactor times their limit, and limitExtra requests more, in each limitWindow. Turns that relays
 	// use late may fill up burstShare of that.
 	limitFactor = 1.5
@@ -22,12 +22,12 @@
 	// not be seen.
 	minLimit = 0.1
 	// minLimitLifetime and maxLimitLifetime bound the time after which a limit lapses that no answer has confirmed;
-	// within them it is that of limitLifetimeTurns requests.
-	minLimitLifetime   = 10 * time.Second
-	maxLimitLifetime   = time.Minute
-	limitLifetimeTurns = 5
-	// limitShareInterval is the time between two messages about a limit that stays as it is.
-	limitShareInterval = 2 * time.Second
+	// within them it is that of lifetimeTurns requests.
+	minLimitLifetime = 10 * time.Second
+	maxLimitLifetime = time.Minute
+	lifetimeTurns    = 5
+	// noticeInterval is the time between two messages about a limit that stays as it is.
+	noticeInterval = 2 * time.Second
 	// limitTolerance is the relative change of a limit that is told to the other relays at once.
 	limitTolerance = 0.1
 	// maxFirstTurn bounds the number of an endpoint's first turn.
@@ -66,7 +66,7 @@
 
 // lifetime returns the time after which the limit lapses if no answer confirms it.
 func (l *endpointLimit) lifetime() time.Duration {
-	turns := time.Duration(limitLifetimeTurns / max(l.PerSecond, minLimit) * float64(time.Second))
+	turns := time.Duration(lifetimeTurns / max(l.PerSecond, minLimit) * float64(time.Second))
 	return min(maxLimitLifetime, max(minLimitLifetime, turns))
 }
 
@@ -84,7 +84,7 @@
 }
 
 // rate returns the number of turns per second of all relays together.
-func (l *endpointLimit) rate() float64 { return limitShare * max(l.PerSecond, minLimit) }
+func (l *endpointLimit) rate() float64 { return usedShare * max(l.PerSecond, minLimit) }
 
 // turnLifetime returns how long a relay may use a turn after it has come. Turns that wait longer would add up to too
 // many requests over all relays.
@@ -98,7 +98,7 @@
 func (l *endpointLimit) replace(n LimitNotice, namedAt, now time.Time) bool {
 	changed := l.sharedAt.IsZero() || n.Ended != l.Ended || math.Abs(n.PerSecond-l.PerSecond) > limitTolerance*l.PerSecond
 	l.LimitNotice, l.namedAt = n, namedAt
-	if !changed && now.Sub(l.sharedAt) < limitShareInterval {
+	if !changed && now.Sub(l.sharedAt) < noticeInterval {
 		return false
 	}
 	l.sharedAt = now
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -58,8 +58,8 @@
 	return "hash-" + strconv.FormatUint(h.Sum64(), 16)
 }
 
-// own returns the last part, which belongs to the request itself.
-func (c *Crash) own() string { return c.Parts[len(c.Parts)-1] }
+// lastPart returns the last part, which belongs to the request itself.
+func (c *Crash) lastPart() string { return c.Parts[len(c.Parts)-1] }
 
 // indexOf returns the position of the part in the prompt, or -1.
 func (c *Crash) indexOf(part string) int {
--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -8,9 +8,9 @@
 // evidence is what the crashes say about one part.
 type evidence struct {
 	Quarantine
-	// owns are the last parts of the requests that crashed an engine. A shared part needs two: a single request may be
+	// lastParts are the last parts of the requests that crashed an engine. A shared part needs two: a single request may be
 	// to blame as a whole.
-	owns map[string]bool
+	lastParts map[string]bool
 	// position is the last position at which the part stands in a prompt. Parts that stand later are shared by fewer
 	// requests.
 	position int
@@ -56,7 +56,7 @@
 // bestExplanation returns the next part to quarantine, or nil if there is none.
 func bestExplanation(crashes []crash, explained []bool, found map[string]*Quarantine) (best *evidence) {
 	for part, e := range collectEvidence(crashes, explained) {
-		if found[part] != nil || e.Crashes < minCrashes || e.shared && len(e.owns) < 2 {
+		if found[part] != nil || e.Crashes < minCrashes || e.shared && len(e.lastParts) < 2 {
 			continue
 		}
 		if best == nil || e.isBetterThan(best) {
@@ -95,10 +95,10 @@
 			}
 			e := out[p]
 			if e == nil {
-				e = &evidence{Quarantine: Quarantine{Part: p, Since: c.at}, owns: map[string]bool{}}
+				e = &evidence{Quarantine: Quarantine{Part: p, Since: c.at}, lastParts: map[string]bool{}}
 				out[p] = e
 			}
-			e.owns[c.own()] = true
+			e.lastParts[c.lastPart()] = true
 			e.position = max(e.position, j)
 			e.shared = e.shared || j < len(c.Parts)-1
 			e.LastCrash = c.at
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -27,11 +27,7 @@
 	if waited < 0 || index < 0 || processes <= 0 || waited%trialWindow > trialWindow-trialMargin {
 		return false
 	}
-	window := int(waited / trialWindow)
-	allowed := min(processes, 1<<min(window, maxTrialDoublings))
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(q.Part))
-	if (index+window+int(h.Sum32()%uint32(processes)))%processes >= allowed {
+	if !hasTrialTurn(q.Part, index, processes, int(waited/trialWindow)) {
 		return false
 	}
 	if at, ok := t.trials[q.Part]; ok && now.Sub(at) < trialWindow {
@@ -43,3 +39,12 @@
 	t.trials[q.Part] = now
 	return true
 }
+
+// hasTrialTurn reports whether the process with the index is one of those that may allow a trial of the part in a window.
+func hasTrialTurn(part string, index, processes, window int) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(part))
+	first := int(h.Sum32() % uint32(processes))
+	allowed := min(processes, 1<<min(window, maxTrialDoublings))
+	return (index+window+first)%processes < allowed
+}
