--- /dev/null
+++ b/io/guard/guard_test.go
@@ -0,0 +1,57 @@
+package guard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"wasabiweir/core/clock"
+	"wasabiweir/core/poison"
+)
+
+// What one process sees reaches another one, which then refuses requests with the part, logs why, and lets one through as a
+// trial, whose answer ends the quarantine in both.
+func TestGuardsAgree(t *testing.T) {
+	now := &clock.Manual{}
+	now.Set(time.Unix(1000, 0))
+	core, logs := observer.New(zapcore.InfoLevel)
+	var seen, told Guard
+	seen = Guard{Clock: now, Log: zap.NewNop(), Metrics: tally.NoopScope, Send: func(list []poison.Crash) { told.Merge(list) }}
+	told = Guard{Clock: now, Log: zap.New(core), Metrics: tally.NoopScope, Send: func(list []poison.Crash) { seen.Merge(list) }}
+	parts := func(own string) []string { return []string{"bad", own} }
+	for i := range 3 {
+		seen.Record(poison.NewCrash(fmt.Sprint("r", i), fmt.Sprint("e", i), parts(fmt.Sprint("own", i))))
+		now.Advance(time.Second)
+	}
+	if p := told.Permit("r", parts("x"), 0, 1, false); p != Refused {
+		t.Errorf("the other process permits %v, want a refusal", p)
+	}
+	if d := told.RetryAfter(parts("x")); d <= 0 || d > 20*time.Second {
+		t.Errorf("retry after %s", d)
+	}
+	now.Advance(20 * time.Second)
+	if p := told.Permit("r", parts("x"), 0, 1, true); p != Refused {
+		t.Error("a request that was sent before became a trial")
+	}
+	if p := told.Permit("trial", parts("x"), 0, 1, false); p != Trial {
+		t.Errorf("the other process permits %v, want a trial", p)
+	}
+	began := now.Now()
+	now.Advance(time.Second)
+	told.MarkSound(parts("x"), began)
+	for name, g := range map[string]*Guard{"seen": &seen, "told": &told} {
+		if p := g.Permit("r", parts("y"), 0, 1, false); p != Allowed {
+			t.Errorf("%s permits %v after the trial, want no quarantine", name, p)
+		}
+	}
+	for _, event := range []string{"part-quarantined", "part-refused", "part-trial-started", "part-released"} {
+		if logs.FilterMessage(event).Len() == 0 {
+			t.Errorf("no line %s in the log", event)
+		}
+	}
+}
