Ask an engine twice whether it is lost

One request crashed four engines: two of them had reset its connection and still accepted another one when they were asked, so that they did not count as crashed and the request went on.

Cause: a process that ends closes its connections before its listener; the one question came in between. Class: an answer that was right when it was given, taken for longer. Ruled out: load alone, since the trace shows the accepted dial for exactly the two engines.

Change: an engine that still responds is asked again after 50 ms, by relays and by routers; this delays only requests whose engine was lost at the beginning of its answer, and the end of streams without length or chunks.

--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
+	"wasabiweir/io/serve"
 )
 
 // prober checks by liveness requests (probes) whether engines that send no events are alive. All streams of an engine
@@ -69,8 +70,20 @@
 	return p.startProbeSince(e, p.relay.Clock.Now().Add(-probeInterval))
 }
 
-// isLostSince reports whether the engine does not respond to a liveness probe that started at the given time or later.
+// lossRecheckDelay is the pause before an engine that has closed a connection and still responds is probed again: an
+// engine that ends may respond for a moment after that.
+const lossRecheckDelay = 50 * time.Millisecond
+
+// isLostSince reports whether the engine does not respond to a liveness probe that started at the given time or later,
+// or to another one a moment after it.
 func (p *prober) isLostSince(ctx context.Context, e place.Endpoint, since time.Time) bool {
+	return p.isUnresponsive(ctx, e, since) ||
+		serve.Sleep(ctx, lossRecheckDelay) && p.isUnresponsive(ctx, e, since.Add(lossRecheckDelay))
+}
+
+// isUnresponsive reports whether the engine does not respond to a liveness probe that started at the given time or
+// later.
+func (p *prober) isUnresponsive(ctx context.Context, e place.Endpoint, since time.Time) bool {
 	pr := p.startProbeSince(e, since)
 	select {
 	case <-pr.done:
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -15,6 +15,7 @@
 	"wasabiweir/core/poison"
 	"wasabiweir/core/prefix"
 	"wasabiweir/io/guard"
+	"wasabiweir/io/serve"
 	"wasabiweir/io/wire"
 )
 
@@ -23,6 +24,9 @@
 	crashResendRounds = 20
 	// lostDialTimeout bounds the connection by which a router finds out whether an engine is lost.
 	lostDialTimeout = 250 * time.Millisecond
+	// lossRecheckDelay is the pause before an engine that has reset a connection and still accepts one is dialled again: an
+	// engine that ends may accept some for a moment after that.
+	lossRecheckDelay = 50 * time.Millisecond
 	// maxBeginnings bounds the beginnings of a prompt that count as its parts.
 	maxBeginnings = 30
 	// textBlockBytes is the step in bytes between two beginnings of a prompt that is given as text.
@@ -122,18 +126,22 @@
 	done chan<- time.Time
 }
 
-// run dials the engine.
+// run dials the engine, and a second time if it still accepts connections.
 func (c *crashCheck) run(ctx context.Context) {
 	defer c.router.guard.Recover("crash-check")
 	defer func() { c.done <- c.attempt.lastActivity() }()
+	if c.isLost(ctx) || serve.Sleep(ctx, lossRecheckDelay) && c.isLost(ctx) {
+		c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.parts))
+	}
+}
+
+// isLost reports whether the engine refuses a connection or does not respond.
+func (c *crashCheck) isLost(ctx context.Context) bool {
 	conn, err := (&net.Dialer{Timeout: lostDialTimeout}).DialContext(ctx, "tcp", c.attempt.address)
 	if err == nil {
 		_ = conn.Close()
 	}
-	if err == nil || ctx.Err() != nil {
-		return
-	}
-	c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.parts))
+	return err != nil && ctx.Err() == nil
 }
 
 // markSound records that the engine of the attempt survived the beginning of its answer.
