Tell a keeper what crashes engines before it confirms a configuration

What callers saw: after a loss of all power in which one keeper lost its disk, a relay that followed that keeper sent a request whose prompt crashes engines to two engines, and the caller's stream broke off.

Hypotheses: (1) the keepers' files did not hold the crashes: ruled out, the other relays refused the request, after a file's age of 16 s. (2) It was the trial of the part: ruled out, a trial runs once and is logged. (3) The keeper with the empty disk knew nothing yet: so it was, keepers told each other everything only every 2 s, and a relay counts a keeper as good once a quorum confirms its configuration.

Cause: a process that has just started serves on the word of another that has just started; the exchange had no order with respect to the confirmation. Class: soft state that is repeated by a timer, beside agreed state that gates service.

Fix: everything that is known goes first on each new link between keepers, before the Raft messages. A candidate hears from a quorum on such links before it leads, and a leader confirms reads on such a link, so a keeper that confirms a configuration knows what a quorum knew, also without a disk. Files are read before the first link, and relays get crashes and limits before the list.

--- a/io/keeper/exchange.go
+++ b/io/keeper/exchange.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"wasabiweir/io/serve"
 	"wasabiweir/io/wire"
 )
@@ -54,7 +57,7 @@
 	return s.known.All(s.keeper.Clock.Now()), s.changes
 }
 
-// sendAllTo sends everything that is known to a relay that has just connected.
+// sendAllTo sends everything that is known to a process that has just connected.
 func (s *exchange[T]) sendAllTo(l *wire.Link) error {
 	if list, _ := s.all(); len(list) > 0 {
 		return l.Post(s.kind, "", list)
@@ -71,3 +74,17 @@
 	}
 	return ctx.Err()
 }
+
+// sendKnown sends what relays have learnt to another keeper on a new link. It goes before the Raft messages on the link:
+// a leader knows what a quorum knew when it was elected, and a keeper that confirms a state knows what its leader
+// does, also if it has lost its disk.
+func (k *Keeper) sendKnown(l *wire.Link) {
+	if err := k.sendExchanges(l); err != nil {
+		k.Log.Debug("peer-message-lost", zap.String("peer", l.Name), zap.Error(err))
+	}
+}
+
+// sendExchanges sends everything that relays have learnt on a link to a relay or a keeper.
+func (k *Keeper) sendExchanges(l *wire.Link) error {
+	return errors.Join(k.crashes.sendAllTo(l), k.limits.sendAllTo(l))
+}
--- a/io/keeper/feeds.go
+++ b/io/keeper/feeds.go
@@ -54,10 +54,8 @@
 	s.mu.Unlock()
 	if !known {
 		s.keeper.Log.Info("relay-connected", zap.String("relay", l.Name), zap.Uint64("version", p.Revision))
-		if err := s.keeper.lists.sendListTo(l); err != nil {
-			return wire.ConfigState{}, err
-		}
-		if err := errors.Join(s.keeper.crashes.sendAllTo(l), s.keeper.limits.sendAllTo(l)); err != nil {
+		// The relay serves requests once it has a list of endpoints and a state.
+		if err := errors.Join(s.keeper.sendExchanges(l), s.keeper.lists.sendListTo(l)); err != nil {
 			return wire.ConfigState{}, err
 		}
 	}
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -105,9 +105,9 @@
 	k.crashes = exchange[poison.Crash]{keeper: k, kind: wire.KindCrashes, known: &poison.Table{}}
 	k.limits = exchange[place.LimitNotice]{keeper: k, kind: wire.KindLimits, known: &place.LimitTable{}}
 	k.file.keeper = k
+	k.file.load()
 	k.group.initReplica()
 	k.peers.dialSeeds(ctx)
-	k.file.load()
 	var g run.Group
 	serve.AddLoop(stop, &g, k.loopStop)
 	mux := http.NewServeMux()
--- a/io/keeper/peers.go
+++ b/io/keeper/peers.go
@@ -89,7 +89,7 @@
 		}
 		peer := &wire.Peer{
 			SelfName: p.keeper.PeerAddress, Address: name, Key: p.keeper.PeerKey, Handler: p.keeper,
-			DialTimeout: wire.RegionalDialTimeout, Log: p.keeper.Log,
+			DialTimeout: wire.RegionalDialTimeout, Log: p.keeper.Log, OnConnect: p.keeper.sendKnown,
 		}
 		p.byName[name] = peer
 		peer.Start(p.ctx)
--- a/io/wire/peer.go
+++ b/io/wire/peer.go
@@ -51,7 +51,8 @@
 	Key string
 	// Handler handles the frames that arrive on the link to the peer.
 	Handler Handler
-	// OnConnect is called with each new link to the peer before its first frame is read; it may be nil.
+	// OnConnect is called with each new link to the peer; it may be nil. The frames that it posts go before all others, and
+	// no frame is read before it returns.
 	OnConnect func(l *Link)
 	// DialTimeout bounds one dial of the peer; zero and anything above a second mean one second.
 	DialTimeout time.Duration
@@ -135,11 +136,11 @@
 	if err != nil {
 		return err
 	}
-	p.link.Store(l)
-	defer p.link.Store(nil)
 	if p.OnConnect != nil {
 		p.OnConnect(l)
 	}
+	p.link.Store(l)
+	defer p.link.Store(nil)
 	return l.serve(ctx)
 }
 
