Tell a router that has just started what crashes engines

Routers now send what they know on each new link, in both directions: a router that has just started connects to the others as soon as it has the list of them, before they find it again.

TestPromptsThatCrashEngines restarts each router at its end now.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -65,14 +65,16 @@
 	}
 }
 
-// SendAll sends all known crashes, for processes that may have missed some.
-func (g *Guard) SendAll() {
+// All returns all known crashes.
+func (g *Guard) All() []poison.Crash {
 	g.mu.Lock()
-	list := g.table.All(g.Clock.Now())
-	g.mu.Unlock()
-	g.send(list)
+	defer g.mu.Unlock()
+	return g.table.All(g.Clock.Now())
 }
 
+// SendAll sends all known crashes, for processes that may have missed some.
+func (g *Guard) SendAll() { g.send(g.All()) }
+
 // MayRetry reports whether a request may be sent to a further engine, given those that it has crashed.
 func (g *Guard) MayRetry(request string) bool {
 	g.mu.Lock()
--- a/io/itest/crash_test.go
+++ b/io/itest/crash_test.go
@@ -42,8 +42,20 @@
 	if dead < 3 || dead > 6 {
 		t.Errorf("%d of %d engines have ended, want 3 to 6", dead, engines)
 	}
-	if status, text := complete(0, beginning+"deadly "+strings.Repeat("and more of it ", 12)+"once more"); status != http.StatusServiceUnavailable ||
-		!strings.Contains(text, "crashes-engines") || !strings.Contains(text, `"outcome":"not-run"`) {
-		t.Errorf("a generation with the part is answered %d %s", status, text)
+	checkRefused := func(router int) {
+		t.Helper()
+		status, text := complete(router, beginning+"deadly "+strings.Repeat("and more of it ", 12)+"once more")
+		if status != http.StatusServiceUnavailable || !strings.Contains(text, "crashes-engines") || !strings.Contains(text, `"outcome":"not-run"`) {
+			t.Errorf("router %d answers a generation with the part with %d %s", router+1, status, text)
+		}
+	}
+	checkRefused(0)
+	// A router that is started again learns from the others which prompts crash engines.
+	for i, p := range s.routers {
+		p.kill()
+		p.launch()
+		eventually(t, 10*time.Second, func() error { return checkReady(s.routerAddresses[i]) })
+		time.Sleep(500 * time.Millisecond)
+		checkRefused(i)
 	}
 }
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/poison"
@@ -50,6 +51,17 @@
 	}
 }
 
+// sendKnownCrashes sends all known crashes to another router on a new link, since it may have just started.
+func (r *Router) sendKnownCrashes(l *wire.Link) {
+	list := r.crashes.All()
+	if len(list) == 0 {
+		return
+	}
+	if err := l.Post(wire.KindCrashes, "", list); err != nil {
+		r.Log.Debug("crashes-not-sent", zap.String("peer", l.Name), zap.Error(err))
+	}
+}
+
 // position returns the index of this router among all live ones, in order of their names, and their number. The index
 // is -1 if this router is not listed.
 func (s *peers) position() (index, routers int) {
--- a/io/router/peers.go
+++ b/io/router/peers.go
@@ -65,7 +65,10 @@
 func (s *peers) ensurePeer(address string) *wire.Peer {
 	p := s.peerByAddress[address]
 	if p == nil {
-		p = &wire.Peer{SelfName: s.router.Name, Address: address, Key: s.router.PeerKey, Handler: s.router, Log: s.router.Log}
+		p = &wire.Peer{
+			SelfName: s.router.Name, Address: address, Key: s.router.PeerKey, Handler: s.router, Log: s.router.Log,
+			OnConnect: s.router.sendKnownCrashes,
+		}
 		s.peerByAddress[address] = p
 		p.Start(s.ctx)
 	}
@@ -203,8 +206,12 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-// handlerFor returns the handler for messages on a connection that another router opened.
-func (r *Router) handlerFor(*wire.Link) wire.Handler { return r }
+// handlerFor returns the handler for messages on a connection that another router opened. A router that has just started
+// connects to the others before they find it.
+func (r *Router) handlerFor(l *wire.Link) wire.Handler {
+	r.sendKnownCrashes(l)
+	return r
+}
 
 // HandleFrame processes one message from another router.
 func (r *Router) HandleFrame(l *wire.Link, f wire.Frame) {
