Keep requests answered with one message away from engines that they crash

What callers would see: a request to model engines on a route that is not a stream (safe or unsafe, with prompt parts) was sent to one engine after the other, each of which ended. Only streams were checked and counted as evidence.

Cause: the decision stood on the path of streams instead of on that of all requests with a prompt.

The parts and the check are the request's own now. Nothing in one message shows when its engine began, so each loss by a reset that a probe confirms counts, and a response speaks for the parts from the time of sending on, which is earlier than its beginning. Plain services have no prompts and are not probed.

--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -4,27 +4,48 @@
 	"time"
 
 	"wasabiweir/core/common"
+	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
 	"wasabiweir/io/guard"
 )
 
-// passesQuarantine reports whether the stream may be sent to an engine, given the quarantined parts. It may once if it
-// is the trial of a part.
-func (s *streamRequest) passesQuarantine() bool {
-	s.relay.mu.Lock()
-	index, relays := s.relay.relayIndex, s.relay.relayCount
-	s.relay.mu.Unlock()
-	return s.relay.crashes.Permit(s.id, s.parts, index, relays, s.attempts > 0) != guard.Refused
+// passesQuarantine reports whether the request may be sent to an engine, given the quarantined parts. It may once if it is
+// the trial of a part.
+func (q *request) passesQuarantine() bool {
+	if len(q.parts) == 0 {
+		return true
+	}
+	q.relay.mu.Lock()
+	index, relays := q.relay.relayIndex, q.relay.relayCount
+	q.relay.mu.Unlock()
+	return q.relay.crashes.Permit(q.id, q.parts, index, relays, q.attempts > 0) != guard.Refused
+}
+
+// recordCrash records that the request has crashed an engine if the engine is lost.
+func (q *request) recordCrash(e place.Endpoint) {
+	if q.relay.prober.isLostSince(q.ctx, e, q.relay.Clock.Now()) {
+		q.relay.crashes.Record(poison.NewCrash(q.id, e.ID, q.parts))
+	}
 }
 
-// recordCrash records that the stream has crashed an engine: the engine began to answer and is lost just after that.
-func (s *streamRequest) recordCrash(a streamAttempt, result attemptResult) {
+// recordStreamCrash records a crash if the engine of a failed attempt is lost just after it began to answer.
+func (s *streamRequest) recordStreamCrash(a streamAttempt, result attemptResult) {
 	if len(s.parts) == 0 || result.outcome == completed || !result.run.began || result.run.lasted >= poison.BeginWindow ||
 		s.r.Context().Err() != nil {
 		return
 	}
-	if s.relay.prober.isLostSince(s.ctx, a.endpoint, s.relay.Clock.Now()) {
-		s.relay.crashes.Record(poison.NewCrash(s.id, a.endpoint.ID, s.parts))
+	s.recordCrash(a.endpoint)
+}
+
+// recordPlainOutcome records what an attempt whose response is one message says about the request's parts. Nothing shows
+// when the engine began to answer, so each loss by a reset counts as a crash, and only a response as sound.
+func (q *request) recordPlainOutcome(e place.Endpoint, result attemptResult) {
+	switch {
+	case len(q.parts) == 0 || q.r.Context().Err() != nil:
+	case result.outcome == completed:
+		q.relay.crashes.MarkSound(q.parts, q.sentAt)
+	case result.outcome == outcomeUnknown && result.cause == common.RetryReset:
+		q.recordCrash(e)
 	}
 }
 
@@ -37,11 +58,16 @@
 	s.relay.crashes.MarkSound(s.parts, w.beganAt)
 }
 
+// quarantineRetryAfter returns the Retry-After time of a request that is refused because its prompt crashes engines.
+func (q *request) quarantineRetryAfter() time.Duration {
+	return max(retryAfterCrash, q.relay.crashes.RetryAfter(q.parts))
+}
+
 // retryAfter returns the Retry-After time of a stream that is refused for the reason.
 func (s *streamRequest) retryAfter(reason common.Reason) time.Duration {
 	switch reason {
 	case common.ReasonCrashesEngines:
-		return max(retryAfterCrash, s.relay.crashes.RetryAfter(s.parts))
+		return s.quarantineRetryAfter()
 	case common.ReasonEndpointLimit:
 		turn, _ := s.nextTurn(s.requirements())
 		return max(retryElsewhere, turn)
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -75,6 +75,10 @@
 func (q *request) servePlain() {
 	refusals := 0
 	for {
+		if !q.passesQuarantine() {
+			q.failRequest(common.ReasonCrashesEngines, q.quarantineRetryAfter())
+			return
+		}
 		e, ok := q.chooseEndpoint()
 		if !ok && q.awaitTurn() {
 			continue
@@ -85,10 +89,14 @@
 		}
 		result := q.sendAndReceive(e)
 		q.recordResult(e, result)
+		q.recordPlainOutcome(e, result)
 		switch {
 		case result.outcome == completed && !q.isRetryableFailure(result):
 			q.writeResponse(e, result)
 			return
+		case result.outcome == outcomeUnknown && !q.relay.crashes.MayRetry(q.id):
+			q.failRequest(common.ReasonCrashesEngines, 0)
+			return
 		case result.outcome == notExecuted && q.bodyStreamed:
 			q.failRequest(common.ReasonOverloaded, retrySoon)
 			return
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -69,6 +69,9 @@
 	// it whole.
 	bodyStreamed bool
 
+	// parts are the ids of the parts of the prompt, if the request goes to model engines. The last one belongs to the request
+	// itself.
+	parts []string
 	// tried holds the ids of the endpoints that may have run the request or refused it.
 	tried map[string]bool
 	// sentAt is when the current attempt was sent.
@@ -104,6 +107,7 @@
 	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
 	defer cancel()
 	q.ctx = ctx
+	q.parts = q.promptParts()
 	if q.route.Kind == state.Stream {
 		q.serveStream()
 		return
@@ -111,6 +115,15 @@
 	q.servePlain()
 }
 
+// promptParts returns the ids of the parts of the request's prompt, or none if it goes to a plain service.
+func (q *request) promptParts() []string {
+	service := q.index.Service(q.service)
+	if q.route.Kind != state.Stream && (service == nil || service.Model == nil) {
+		return nil
+	}
+	return q.relay.Names.ParsePromptParts(q.r.Header.Get(q.relay.Names.PromptParts))
+}
+
 // admitRequest finds the route and the client account of a request and reads its body. It refuses the request and
 // returns false if any of that fails.
 func (q *request) admitRequest() bool {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -49,8 +49,6 @@
 	lostDomain string
 	// refusals counts the endpoints that refused the stream.
 	refusals int
-	// parts are the ids of the prompt's parts. The last one belongs to the request itself.
-	parts []string
 	// eventCount counts the forwarded events; resumeCount counts the attempts after an interruption.
 	eventCount  int
 	resumeCount int
@@ -76,7 +74,7 @@
 
 // serveStream forwards a stream event by event and resumes it at another endpoint when one fails.
 func (q *request) serveStream() {
-	s := &streamRequest{request: q, parts: q.relay.Names.ParsePromptParts(q.r.Header.Get(q.relay.Names.PromptParts))}
+	s := &streamRequest{request: q}
 	if id, err := strconv.ParseInt(q.r.Header.Get(q.relay.Names.LastEvent), 10, 64); err == nil {
 		s.lastEventID, s.resumedByCaller = id, true
 		s.findCachedPrompt()
@@ -90,7 +88,7 @@
 		}
 		result := s.run(a)
 		s.recordResult(a.endpoint, result)
-		s.recordCrash(a, result)
+		s.recordStreamCrash(a, result)
 		s.allowHolderRetry(a, result)
 		if result.outcome == outcomeUnknown {
 			s.lostDomain = a.endpoint.Domain
