Count the crash of a failure domain once before a request is given up

What callers saw: when the engines of a failure domain ended together, a sound generation was refused with crashes-engines (own interface).

Two crashes end a request, so it was given up 5 ms after the domain had gone.

Ruled out: a crash that was counted twice (two endpoints), and an engine that was down before the request was sent (a refused connection does not count; engine-7 had accepted it).

Cause: the rule that engines which crash together count once held for parts, but not for the number of crashes of one request. A request that really crashes engines goes to another domain or comes later, and is stopped as before.

TestDomainCrashDoesNotEndRequest failed before (together: may be sent on false, want true).

--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -29,11 +29,13 @@
 	Sound uint32 `cbor:"4,keyasint,omitempty"`
 	// Age is the time from the crash to the sending of this record.
 	Age time.Duration `cbor:"5,keyasint"`
+	// Domain is the endpoint's failure domain; empty if it is not known.
+	Domain string `cbor:"6,keyasint,omitempty"`
 }
 
-// NewCrash returns the record of a crash that happened now.
-func NewCrash(request, endpoint string, parts []string) Crash {
-	return Crash{Request: limitID(request), Endpoint: limitID(endpoint), Parts: limitParts(parts)}
+// NewCrash returns the record of a crash that happened now at an endpoint in a failure domain.
+func NewCrash(request, endpoint, domain string, parts []string) Crash {
+	return Crash{Request: limitID(request), Endpoint: limitID(endpoint), Domain: limitID(domain), Parts: limitParts(parts)}
 }
 
 // limitParts returns the parts within the bounds of a crash record.
@@ -83,7 +85,7 @@
 // isValid reports whether a record that another process sent is within the bounds.
 func (c *Crash) isValid() bool {
 	if len(c.Parts) == 0 || len(c.Parts) > maxParts || c.Age < 0 || c.Age > CrashLifetime ||
-		len(c.Request) > maxIDBytes || len(c.Endpoint) > maxIDBytes {
+		max(len(c.Request), len(c.Endpoint), len(c.Domain)) > maxIDBytes {
 		return false
 	}
 	for _, p := range c.Parts {
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -133,15 +133,18 @@
 	return out
 }
 
-// MayRetry reports whether a request may be sent to a further engine, given those that it has crashed.
+// MayRetry reports whether a request may be sent to a further engine, given those that it has crashed. Engines of one
+// failure domain that crashed together count once.
 func (t *Table) MayRetry(request string) bool {
 	request = limitID(request)
 	suspicious, all := 0, 0
+	var last *crash
 	for i := range t.crashes {
 		c := &t.crashes[i]
-		if c.Request != request {
+		if c.Request != request || last != nil && c.isSameEvent(last) {
 			continue
 		}
+		last = c
 		all++
 		if !c.sharedPartsSound() {
 			suspicious++
@@ -150,6 +153,11 @@
 	return suspicious < maxRequestCrashes && all < maxOwnCrashes
 }
 
+// isSameEvent reports whether the crash and an earlier one of the same request may be one crash of a failure domain.
+func (c *crash) isSameEvent(earlier *crash) bool {
+	return c.Domain != "" && c.Domain == earlier.Domain && c.at.Sub(earlier.at) < minSpacing
+}
+
 // Quarantined returns the quarantine of one of the parts, or false if none is in quarantine.
 func (t *Table) Quarantined(parts []string, now time.Time) (Quarantine, bool) {
 	if len(t.crashes) == 0 {
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -18,7 +18,7 @@
 
 // crashAt adds a crash at the time to the table.
 func crashAt(tab *Table, when time.Duration, request, endpoint string, parts ...string) []Crash {
-	return tab.Merge([]Crash{NewCrash(request, endpoint, parts)}, at(when))
+	return tab.Merge([]Crash{NewCrash(request, endpoint, "", parts)}, at(when))
 }
 
 // isQuarantined reports whether a part is in quarantine at the time.
@@ -145,7 +145,7 @@
 	for _, processes := range []int{1, 8, 76, 291} {
 		tables := make([]Table, processes)
 		for i := range 3 {
-			c := NewCrash(fmt.Sprint("r", i), fmt.Sprint("e", i), []string{"bad", fmt.Sprint("own", i)})
+			c := NewCrash(fmt.Sprint("r", i), fmt.Sprint("e", i), "", []string{"bad", fmt.Sprint("own", i)})
 			for p := range tables {
 				tables[p].Merge([]Crash{c}, at(time.Duration(i)*500*time.Millisecond))
 			}
@@ -158,7 +158,7 @@
 					continue
 				}
 				trials++
-				c := NewCrash(fmt.Sprint("t", trials), fmt.Sprint("te", trials), []string{"bad", fmt.Sprint("trial", trials)})
+				c := NewCrash(fmt.Sprint("t", trials), fmt.Sprint("te", trials), "", []string{"bad", fmt.Sprint("trial", trials)})
 				for p := range tables {
 					tables[p].Merge([]Crash{c}, at(when))
 				}
@@ -203,6 +203,28 @@
 	}
 }
 
+// A request that meets the crash of a failure domain at two of its engines is not given up for that; a crash elsewhere, or
+// later, counts.
+func TestDomainCrashDoesNotEndRequest(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		domain string
+		after  time.Duration
+		want   bool
+	}{
+		{"together", "a", 20 * time.Millisecond, true},
+		{"another domain", "b", 20 * time.Millisecond, false},
+		{"later", "a", minSpacing, false},
+	} {
+		var tab Table
+		tab.Merge([]Crash{NewCrash("r", "e1", "a", []string{"first", "own"})}, start)
+		tab.Merge([]Crash{NewCrash("r", "e2", x.domain, []string{"first", "own"})}, at(x.after))
+		if got := tab.MayRetry("r"); got != x.want {
+			t.Errorf("%s: the request may be sent on: %v, want %v", x.name, got, x.want)
+		}
+	}
+}
+
 // Whatever the order in which the processes exchange what they know, they decide the same, within the bounds of memory.
 func TestMergeConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -257,12 +279,13 @@
 		{Parts: []string{"a"}, Age: -1},
 		{Parts: []string{"a"}, Age: CrashLifetime + 1},
 		{Parts: []string{"a"}, Request: string(long)},
+		{Parts: []string{"a"}, Domain: string(long)},
 	} {
 		if news := tab.Merge([]Crash{c}, start); len(news) > 0 {
 			t.Errorf("%+v was added", c)
 		}
 	}
-	if n := len(NewCrash("r", "e", many).Parts); n != maxParts {
+	if n := len(NewCrash("r", "e", "", many).Parts); n != maxParts {
 		t.Errorf("%d parts are kept, want %d", n, maxParts)
 	}
 	// Callers choose the ids of requests and parts; long ones must not hide a crash.
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -38,7 +38,8 @@
 
 // Record adds a crash that this process has seen.
 func (g *Guard) Record(c poison.Crash) {
-	g.Log.Info("engine-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.Strings("parts", c.Parts))
+	g.Log.Info("engine-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.String("domain", c.Domain),
+		zap.Strings("parts", c.Parts))
 	g.Metrics.Counter("engine-crashes").Inc(1)
 	g.mu.Lock()
 	now := g.Clock.Now()
--- a/io/itest/process_test.go
+++ b/io/itest/process_test.go
@@ -87,12 +87,21 @@
 	t.Cleanup(func() {
 		p.kill()
 		if t.Failed() {
-			t.Logf("log of %s:\n%s", name, lastLines(p.logText(), 40))
+			t.Logf("log of %s, whole in %s:\n%s", name, p.saveLog(), lastLines(p.logText(), 40))
 		}
 	})
 	return p
 }
 
+// saveLog writes the whole log to a file and returns the path.
+func (p *process) saveLog() string {
+	path := filepath.Join(os.TempDir(), fmt.Sprintf("wasabiweir-%s-%s.log", strings.ReplaceAll(p.t.Name(), "/", "-"), p.name))
+	if err := os.WriteFile(path, []byte(p.logText()), 0o600); err != nil {
+		return err.Error()
+	}
+	return path
+}
+
 // launch starts the process, or starts it again after it has ended.
 func (p *process) launch() {
 	p.cmd = exec.Command(binaryPath, p.args...)
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -24,7 +24,7 @@
 // recordCrash records that the request has crashed an engine if the engine is lost.
 func (q *request) recordCrash(e place.Endpoint) {
 	if q.relay.prober.isLostSince(q.ctx, e, q.relay.Clock.Now()) {
-		q.relay.crashes.Record(poison.NewCrash(q.id, e.ID, q.parts))
+		q.relay.crashes.Record(poison.NewCrash(q.id, e.ID, e.Domain, q.parts))
 	}
 }
 
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -143,7 +143,7 @@
 	defer c.router.guard.Recover("crash-check")
 	defer func() { c.done <- c.attempt.lastActivity() }()
 	if c.isLost(ctx) || serve.Sleep(ctx, lossRecheckDelay) && c.isLost(ctx) {
-		c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.parts))
+		c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.attempt.domain, c.parts))
 	}
 }
 
--- a/io/router/dispatch.go
+++ b/io/router/dispatch.go
@@ -82,6 +82,7 @@
 	// stream is the attempt's entry in the endpoint table.
 	stream  *route.Stream
 	name    string
+	domain  string // failure domain of the endpoint
 	address string
 	// interrupt receives the reason why the session should continue on another endpoint.
 	interrupt chan common.Reason
@@ -236,6 +237,7 @@
 	a := &attempt{
 		stream:    d.table.StartStream(req, e, now),
 		name:      e.Name,
+		domain:    e.Domain,
 		address:   e.Address,
 		interrupt: make(chan common.Reason, 1),
 	}
