--- a/io/keeper/crashfile.go
+++ b/io/keeper/crashfile.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
 	"wasabiweir/core/codec"
@@ -25,6 +26,9 @@
 	maxCrashFileBytes = 1 << 20
 )
 
+// errCrashFileSize is logged for a file that is larger than any that a keeper writes.
+var errCrashFileSize = eris.New("the file of crashes is too large")
+
 // crashFile keeps the crashes of engines on disk, so that they outlive the loss of all processes: otherwise the prompts
 // that crash engines would have to be found once more. It is a copy of what the processes have in memory; a keeper
 // that cannot read it starts without.
@@ -51,7 +55,11 @@
 		return
 	}
 	var content savedCrashes
-	if err == nil && len(data) <= maxCrashFileBytes {
+	switch {
+	case err != nil:
+	case len(data) > maxCrashFileBytes:
+		err = errCrashFileSize
+	default:
 		err = codec.Decode(data, &content)
 	}
 	if err != nil {
@@ -85,10 +93,10 @@
 
 // save writes the file if the known crashes have changed.
 func (f *crashFile) save() error {
-	list, changes := f.keeper.crashes.all()
-	if changes == f.saved {
+	if f.keeper.crashes.changeCount() == f.saved {
 		return nil
 	}
+	list, changes := f.keeper.crashes.all()
 	data, err := codec.Encode(savedCrashes{SavedMS: f.keeper.Clock.Now().UnixMilli(), Crashes: list})
 	if err != nil {
 		return err
--- a/io/keeper/exchange.go
+++ b/io/keeper/exchange.go
@@ -57,6 +57,13 @@
 	return s.known.All(s.keeper.Clock.Now()), s.changes
 }
 
+// changeCount returns the number of changes of what is known.
+func (s *exchange[T]) changeCount() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changes
+}
+
 // sendAllTo sends everything that is known to a process that has just connected.
 func (s *exchange[T]) sendAllTo(l *wire.Link) error {
 	if list, _ := s.all(); len(list) > 0 {
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -58,10 +58,10 @@
 	roster  relayRoster
 	lists   endpointLists
 	// crashes and limits pass what one relay has learnt on to the others.
-	crashes exchange[poison.Crash]
-	limits  exchange[place.LimitNotice]
-	file    crashFile
-	guard   serve.PanicGuard
+	crashes   exchange[poison.Crash]
+	limits    exchange[place.LimitNotice]
+	crashFile crashFile
+	guard     serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
 	ctx context.Context
 	// requests counts the requests of other processes of the system that are being handled.
@@ -104,8 +104,8 @@
 	k.roster.initRoster(k)
 	k.crashes = exchange[poison.Crash]{keeper: k, kind: wire.KindCrashes, known: &poison.Table{}}
 	k.limits = exchange[place.LimitNotice]{keeper: k, kind: wire.KindLimits, known: &place.LimitTable{}}
-	k.file.keeper = k
-	k.file.load()
+	k.crashFile.keeper = k
+	k.crashFile.load()
 	k.group.initReplica()
 	k.peers.dialSeeds(ctx)
 	var g run.Group
@@ -130,7 +130,7 @@
 	serve.AddLoop(ctx, &g, k.lists.loop)
 	serve.AddLoop(ctx, &g, k.crashes.loop)
 	serve.AddLoop(ctx, &g, k.limits.loop)
-	serve.AddLoop(ctx, &g, k.file.loop)
+	serve.AddLoop(ctx, &g, k.crashFile.loop)
 	err := g.Run()
 	cancel()
 	k.requests.Wait()
