Keep turns with their relays when the number of relays changes

What callers of an endpoint in need would see: while relays are stopped in turn and many users come at once, endpoints got more than one and a half times the limit that they had named.

Hypotheses: (1) positions of the relays' counts drift apart; (2) retries and probes add to the sum; (3) turns are used twice when they are dealt to another number of relays. (2) is ruled out by the logs, all 19 are first attempts that were answered; no excess came before the first change, as (1) would have it. By (3) a relay that has used its own last turn may use those of others that came before it, under the new division, three times in four seconds. Besides, a relay that was not listed (one that is stopping) used the turns of the first one.

Class: a right that is derived from a membership view, without memory of who had it under the view before.

Now each division of turns holds for the turns that come under it: those that have come stay with the relay that had them. Relays that are stopping keep their turns until they are gone (keepers tell of them apart), and a relay that is not listed has none.

--- a/core/place/limit.go
+++ b/core/place/limit.go
@@ -53,6 +53,8 @@
 // LimitTable holds the limits that endpoints have named. It is not safe for concurrent use.
 type LimitTable struct {
 	limits map[string]*endpointLimit
+	// relay is this relay's position among those that have turns.
+	relay relayPosition
 }
 
 // endpointLimit is the latest limit of an endpoint, and this relay's turns to send to it.
@@ -134,11 +136,15 @@
 			continue
 		}
 		namedAt := now.Add(-n.Age)
+		isNew := t.limits[n.Endpoint] == nil
 		l := t.get(n.Endpoint, now)
 		if l == nil {
 			continue
 		}
 		l.turns.adopt(n.Position, l.rate(), now)
+		if isNew {
+			l.turns.skipPast()
+		}
 		if namedAt.After(l.namedAt) && l.replace(n, namedAt, now) {
 			news = append(news, l.notice(now))
 		}
@@ -173,7 +179,7 @@
 	if len(t.limits) >= maxLimits {
 		return nil
 	}
-	l := &endpointLimit{turns: turns{position: firstTurn(endpoint)}}
+	l := &endpointLimit{turns: newTurns(firstTurn(endpoint), t.relay)}
 	t.limits[endpoint] = l
 	return l
 }
@@ -191,6 +197,17 @@
 	maps.DeleteFunc(t.limits, func(_ string, l *endpointLimit) bool { return now.Sub(l.namedAt) >= l.lifetime() })
 }
 
+// setRelay sets this relay's position among those that have turns. Turns that have come stay with the relays that had them.
+func (t *LimitTable) setRelay(relay relayPosition, now time.Time) {
+	if relay == t.relay {
+		return
+	}
+	t.relay = relay
+	for _, l := range t.limits {
+		l.turns.redeal(relay, l.rate(), now)
+	}
+}
+
 // keep removes the limits of all other endpoints.
 func (t *LimitTable) keep(endpoints map[string]bool) {
 	maps.DeleteFunc(t.limits, func(endpoint string, _ *endpointLimit) bool { return !endpoints[endpoint] })
@@ -208,20 +225,20 @@
 	return out
 }
 
-// wait returns the time until a relay may send a request to the endpoint.
-func (t *LimitTable) wait(endpoint string, relay relayPosition, now time.Time) time.Duration {
+// wait returns the time until this relay may send a request to the endpoint.
+func (t *LimitTable) wait(endpoint string, now time.Time) time.Duration {
 	l := t.limits[endpoint]
 	if !l.applies(now) {
 		return 0
 	}
 	l.turns.update(l.rate(), now)
-	return l.turns.wait(relay, l.rate(), l.turnLifetime())
+	return l.turns.wait(l.rate(), l.turnLifetime())
 }
 
-// take counts a request that a relay sends to the endpoint.
-func (t *LimitTable) take(endpoint string, relay relayPosition, now time.Time) {
+// take counts a request that this relay sends to the endpoint.
+func (t *LimitTable) take(endpoint string, now time.Time) {
 	if l := t.limits[endpoint]; l.applies(now) {
 		l.turns.update(l.rate(), now)
-		l.turns.take(relay, l.rate(), l.turnLifetime())
+		l.turns.take(l.rate(), l.turnLifetime())
 	}
 }
--- a/core/place/limit_test.go
+++ b/core/place/limit_test.go
@@ -16,7 +16,7 @@
 	for i := range tables {
 		x := &EndpointTable{Rand: rand.New(rand.NewPCG(1, uint64(i)))}
 		x.Update([]Endpoint{{ID: "e", Service: "p", Domain: "d"}})
-		x.SetRelayIndex(i, relays)
+		x.SetTurns(i, relays, testStart)
 		if i == 0 {
 			x.limits.Name("e", limit, testStart)
 		} else {
@@ -52,16 +52,8 @@
 			}
 		}
 		allowed := 1.5*4*limit + 5
-		for i, first := range sent {
-			n := 0
-			for _, at := range sent[i:] {
-				if at-first < 4*time.Second {
-					n++
-				}
-			}
-			if float64(n) > allowed {
-				t.Fatalf("%d requests in four seconds by %d relays, %v are allowed", n, relays, allowed)
-			}
+		if n := mostInFourSeconds(sent); float64(n) > allowed {
+			t.Fatalf("%d requests in four seconds by %d relays, %v are allowed", n, relays, allowed)
 		}
 		// Each relay may have to wait for a whole turn at either end.
 		least := 0.8*limit*length.Seconds() - float64(relays)
@@ -192,3 +184,63 @@
 		t.Error("no holder although all engines that have limits are up")
 	}
 }
+
+// Replays a burst after a lull, while one relay after the other leaves, and each of the rest learns it a little later. Turns
+// that were dealt before must not be used again by those that have them now, or by those that have left.
+func TestRelaysKeepLimitWhileRelaysLeave(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const relays, tick, burstAt, length = 8, 20 * time.Millisecond, 9 * time.Second, 20 * time.Second
+		limit := rapid.Float64Range(1, 10).Draw(t, "limit")
+		gap := time.Duration(rapid.IntRange(400, 1500).Draw(t, "gap-ms")) * time.Millisecond
+		delays := rapid.SliceOfN(rapid.IntRange(0, 200), relays, relays).Draw(t, "delays-ms")
+		tables := limitedTables(relays, limit)
+		listed := make([]int, relays)
+		var sent []time.Duration
+		for now := time.Duration(0); now < length; now += tick {
+			for i, x := range tables {
+				at := testStart.Add(now)
+				x.limits.Name("e", limit, at)
+				learnt := now - burstAt - time.Duration(delays[i])*time.Millisecond
+				if left := min(3, max(0, int(learnt/gap))); listed[i] != left {
+					listed[i] = left
+					x.setTestPosition(i-left, relays-left, at)
+				}
+				if now < burstAt {
+					continue
+				}
+				if e, ok := x.ChooseEndpoint(EndpointRequirements{Service: "p"}, at); ok {
+					x.RequestStarted(e.ID, false, at)
+					sent = append(sent, now)
+				}
+			}
+		}
+		allowed := 1.5*4*limit + 5
+		if n := mostInFourSeconds(sent); float64(n) > allowed {
+			t.Fatalf("%d requests in four seconds, %v are allowed", n, allowed)
+		}
+		// Each relay may have to wait for a whole turn at either end.
+		least := 0.8*limit*(length-burstAt).Seconds() - relays
+		if float64(len(sent)) < least {
+			t.Fatalf("%d requests in all, want %v", len(sent), least)
+		}
+	})
+}
+
+// setTestPosition sets the relay's position; it is not listed if the index is negative.
+func (t *EndpointTable) setTestPosition(index, relays int, now time.Time) {
+	t.SetTurns(max(-1, index), relays, now)
+}
+
+// mostInFourSeconds returns the largest number of the times, which are in order, in any four seconds.
+func mostInFourSeconds(times []time.Duration) (most int) {
+	for i, first := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at-first < 4*time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -139,6 +139,12 @@
 	t.assignPreferredEndpoints()
 }
 
+// SetTurns sets this relay's index among the relays that have turns at endpoints with a limit: those that callers may use, and
+// those that are stopping and still serve requests. The index is -1 if this relay is not among them.
+func (t *EndpointTable) SetTurns(index, relays int, now time.Time) {
+	t.limits.setRelay(relayPosition{index, relays}, now)
+}
+
 // assignPreferredEndpoints assigns the endpoints of each service to the relays in turn, alternating between failure
 // domains, so that each relay prefers some endpoints of every domain.
 func (t *EndpointTable) assignPreferredEndpoints() {
@@ -242,7 +248,7 @@
 
 // isEligible reports whether the endpoint meets the requirements of a request and accepts requests now.
 func (t *EndpointTable) isEligible(s *endpointState, req EndpointRequirements, now time.Time) bool {
-	return s.isSuitable(req, now) && (req.IgnoreLimits || t.limits.wait(s.ID, t.position(), now) == 0)
+	return s.isSuitable(req, now) && (req.IgnoreLimits || t.limits.wait(s.ID, now) == 0)
 }
 
 // isSuitable reports whether the endpoint meets the requirements of a request and accepts requests, apart from its
@@ -258,7 +264,7 @@
 		if !s.isSuitable(req, now) {
 			return true
 		}
-		if d := t.limits.wait(s.ID, t.position(), now); d > 0 && (!limited || d < wait) {
+		if d := t.limits.wait(s.ID, now); d > 0 && (!limited || d < wait) {
 			wait, limited = d, true
 		}
 		return true
@@ -266,9 +272,6 @@
 	return wait, limited
 }
 
-// position returns this relay's position among all relays.
-func (t *EndpointTable) position() relayPosition { return relayPosition{t.relayIndex, t.relayCount} }
-
 // Limits returns the limits that the endpoints have named.
 func (t *EndpointTable) Limits() *LimitTable { return &t.limits }
 
@@ -366,7 +369,7 @@
 // RequestStarted counts a request that is sent to the endpoint; prompt means that the endpoint first has to process a
 // prompt. It uses a turn of the endpoint's limit.
 func (t *EndpointTable) RequestStarted(id string, prompt bool, now time.Time) {
-	t.limits.take(id, t.position(), now)
+	t.limits.take(id, now)
 	if s := t.endpoints.Get(id); s != nil {
 		s.running++
 		if prompt {
--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -110,16 +110,26 @@
 func (s *relayRoster) publishKeepers() {
 	current := wire.Keepers{Addresses: s.keeper.group.memberAddresses()}
 	slices.Sort(current.Addresses)
+	current.Relays, current.Draining = s.liveRelays()
+	s.keeper.feeds.sendKeepers(current)
+}
+
+// liveRelays returns the sorted addresses of the live relays that callers may use, and of those that are draining.
+func (s *relayRoster) liveRelays() (usable, draining []string) {
 	s.mu.Lock()
 	for _, i := range s.table.Instances(s.keeper.Clock.Now()) {
-		if i.Live && !i.Leaving {
-			current.Relays = append(current.Relays, i.Report.Address)
+		switch {
+		case !i.Live:
+		case i.Leaving:
+			draining = append(draining, i.Report.Address)
+		default:
+			usable = append(usable, i.Report.Address)
 		}
 	}
 	s.mu.Unlock()
-	slices.Sort(current.Relays)
-	current.Relays = slices.Compact(current.Relays)
-	s.keeper.feeds.sendKeepers(current)
+	slices.Sort(usable)
+	slices.Sort(draining)
+	return slices.Compact(usable), slices.Compact(draining)
 }
 
 // RelayAddresses returns the addresses of the relays that callers may use now.
@@ -136,7 +146,7 @@
 
 // equalKeepers reports whether two messages list the same keepers and relays.
 func equalKeepers(a, b wire.Keepers) bool {
-	return slices.Equal(a.Relays, b.Relays) && slices.Equal(a.Addresses, b.Addresses)
+	return slices.Equal(a.Relays, b.Relays) && slices.Equal(a.Draining, b.Draining) && slices.Equal(a.Addresses, b.Addresses)
 }
 
 // memberAddresses returns the peer addresses of the Raft group's members.
--- a/io/keeper/roster_test.go
+++ b/io/keeper/roster_test.go
@@ -53,3 +53,22 @@
 		t.Errorf("addresses are %v, want none", got)
 	}
 }
+
+// A relay that is stopping, or whose link has closed, is not given to callers, but is told to the other relays while it may
+// still serve requests.
+func TestRosterListsDrainingRelays(t *testing.T) {
+	now := &clock.Manual{}
+	now.Set(time.Unix(1000, 0))
+	k := &Keeper{Clock: now, Log: zap.NewNop()}
+	k.roster.initRoster(k)
+	k.roster.mergeForwardedReports([]wire.Report{
+		{Name: "first", Address: "10.0.0.1:80", Fresh: true, SentMS: 1}, {Name: "second", Address: "10.0.0.2:80", Draining: true, SentMS: 1},
+	})
+	if usable, draining := k.roster.liveRelays(); len(usable) != 1 || len(draining) != 1 || draining[0] != "10.0.0.2:80" {
+		t.Errorf("usable %v, draining %v, want one each", usable, draining)
+	}
+	now.Advance(relayLifetime + time.Millisecond)
+	if usable, draining := k.roster.liveRelays(); len(usable)+len(draining) > 0 {
+		t.Errorf("usable %v, draining %v, want none after the last report has aged", usable, draining)
+	}
+}
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -241,13 +241,18 @@
 }
 
 // updateRelayIndex tells the table of endpoints how many relays there are and the position of this relay among them,
-// which determines the endpoints that it prefers.
+// which determines the endpoints that it prefers and its turns at endpoints with a limit.
 func (f *keeperFeed) updateRelayIndex(k wire.Keepers) {
+	serving := slices.Concat(k.Relays, k.Draining)
+	slices.Sort(serving)
+	serving = slices.Compact(serving)
 	f.relay.mu.Lock()
 	f.relay.relayCount, f.relay.relayIndex = len(k.Relays), slices.Index(k.Relays, f.relay.CallerAddress)
 	f.relay.table.SetRelayIndex(f.relay.relayIndex, f.relay.relayCount)
+	f.relay.table.SetTurns(slices.Index(serving, f.relay.CallerAddress), len(serving), f.relay.Clock.Now())
 	f.relay.mu.Unlock()
-	f.relay.Log.Info("keepers-updated", zap.Strings("keepers", k.Addresses), zap.Int("relays", len(k.Relays)))
+	f.relay.Log.Info("keepers-updated", zap.Strings("keepers", k.Addresses), zap.Int("relays", len(k.Relays)),
+		zap.Int("draining", len(k.Draining)), zap.Int("turn-index", slices.Index(serving, f.relay.CallerAddress)))
 }
 
 // requestReport makes loopReport send the next report at once.
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -88,4 +88,6 @@
 	Addresses []string `cbor:"1,keyasint"`
 	// Relays are the addresses of the relays that callers may use, sorted.
 	Relays []string `cbor:"2,keyasint"`
+	// Draining are the addresses of relays that callers may no longer use but that may still serve requests, sorted.
+	Draining []string `cbor:"3,keyasint,omitempty"`
 }
