Count the crash of an engine by its last sign of life

Ruled out: the probe does take the engines as lost (engine-unresponsive for each); the search for the part had nothing but bystanders to go by.

Cause: how far an engine had got was measured up to the time at which its loss was noticed, 0.4 to 1.1 s after it fell silent, so that a loss by the part was never early, and that of a stream which happened to be left sooner was. Class: the time of an event taken for that of its discovery. The same on the own interface, where silence shows after 400 ms at the earliest; besides, an engine that hangs still accepts connections, which counted as alive.

Now core/poison Loss holds the last sign of life, which decides whether the loss is early and is the time of the crash. The router asks an engine that accepts connections for its load.

--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -296,3 +296,44 @@
 		t.Error("a request with a long id may crash further engines")
 	}
 }
+
+// A loss that is noticed only after a long silence still counts by the time at which the engine gave its last sign.
+func TestLateNoticedLossIsEarly(t *testing.T) {
+	began := at(time.Second)
+	for _, x := range []struct {
+		loss Loss
+		want bool
+	}{
+		{Loss{LastSign: began}, false},
+		{Loss{Began: began, LastSign: began}, true},
+		{Loss{Began: began, LastSign: began.Add(BeginWindow - time.Millisecond)}, true},
+		{Loss{Began: began, LastSign: began.Add(BeginWindow)}, false},
+	} {
+		if got := x.loss.IsEarly(); got != x.want {
+			t.Errorf("a loss %s after the beginning counts as early: %t", x.loss.Lasted(), got)
+		}
+	}
+}
+
+// Streams that had just begun on the engines of other requests' crashes are noticed earlier, and must not make the first part
+// look guilty.
+func TestBystandersOfSilentCrashesAreNotBlamed(t *testing.T) {
+	var tab Table
+	for i := range 4 {
+		fellSilent := time.Duration(i) * 700 * time.Millisecond
+		engine := fmt.Sprint("e", i)
+		bystander := NewCrash(fmt.Sprint("s", i), engine, "", []string{"first", fmt.Sprint("sound", i)})
+		bystander.Age = 400 * time.Millisecond
+		tab.Merge([]Crash{bystander}, at(fellSilent+bystander.Age))
+		cause := NewCrash(fmt.Sprint("r", i), engine, "", []string{"first", "bad", fmt.Sprint("own", i)})
+		cause.Age = 1100 * time.Millisecond
+		tab.Merge([]Crash{cause}, at(fellSilent+cause.Age))
+	}
+	now := at(4 * time.Second)
+	if _, ok := tab.Quarantined([]string{"first", "sound"}, now); ok {
+		t.Error("the first part is quarantined")
+	}
+	if _, ok := tab.Quarantined([]string{"first", "bad", "x"}, now); !ok {
+		t.Error("the part in all crashes is not quarantined")
+	}
+}
--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -31,6 +31,7 @@
 	set.DurationVar(&engine.OrderLatency, "order-latency", 100*time.Millisecond, "time that an order takes")
 	set.IntVar(&engine.Faults.DieAfterTokens, "die-after-tokens", 0, "end the process after that many tokens; 0 means never")
 	set.StringVar(&engine.Faults.DieOnWord, "die-on-word", "", "end the process when it has processed a prompt with this word; empty means never")
+	set.StringVar(&engine.Faults.HangOnWord, "hang-on-word", "", "stop responding for good after the first tokens for a prompt with this word; empty means never")
 	logLevel := bindLogLevel(set)
 	requireAddress(set, "listen", &engine.Listen)
 	set.AddRule("models", "at least one model", func() bool { return len(models) > 0 })
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -149,6 +149,8 @@
 	// Transport holds the connections to the engine. If it is nil, the client uses one shared by all clients without a
 	// Transport.
 	Transport *Transport
+	// Fresh makes each request open a connection of its own.
+	Fresh bool
 }
 
 // sendRequest sends an HTTP request to the engine and returns the reply, whatever its status. A request other than GET
@@ -169,7 +171,7 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	r, err := tr.RoundTripper(method != http.MethodGet).RoundTrip(req)
+	r, err := tr.RoundTripper(c.Fresh || method != http.MethodGet).RoundTrip(req)
 	if err != nil {
 		return nil, t, classifyError(ctx, err, t)
 	}
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -36,13 +36,14 @@
 	g.logChanges(now)
 }
 
-// Record adds a crash that this process has seen.
-func (g *Guard) Record(c poison.Crash) {
-	g.Log.Info("engine-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.String("domain", c.Domain),
-		zap.Strings("parts", c.Parts))
-	g.Metrics.Counter("engine-crashes").Inc(1)
+// Record adds a crash that this process has seen; it happened at the given time.
+func (g *Guard) Record(c poison.Crash, at time.Time) {
 	g.mu.Lock()
 	now := g.Clock.Now()
+	c.Age = max(0, now.Sub(at))
+	g.Log.Info("engine-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.String("domain", c.Domain),
+		zap.Duration("age", c.Age), zap.Strings("parts", c.Parts))
+	g.Metrics.Counter("engine-crashes").Inc(1)
 	news := g.table.Merge([]poison.Crash{c}, now)
 	g.logChanges(now)
 	g.mu.Unlock()
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -25,7 +25,7 @@
 	told = Guard{Clock: now, Log: zap.New(core), Metrics: tally.NoopScope, Send: func(list []poison.Crash) { seen.Merge(list) }}
 	parts := func(own string) []string { return []string{"bad", own} }
 	for i := range 3 {
-		seen.Record(poison.NewCrash(fmt.Sprint("r", i), fmt.Sprint("e", i), "", parts(fmt.Sprint("own", i))))
+		seen.Record(poison.NewCrash(fmt.Sprint("r", i), fmt.Sprint("e", i), "", parts(fmt.Sprint("own", i))), now.Now())
 		now.Advance(time.Second)
 	}
 	if p := told.Permit("r", parts("x"), 0, 1, false); p != Refused {
--- a/io/itest/crash_test.go
+++ b/io/itest/crash_test.go
@@ -10,10 +10,27 @@
 
 // Generations whose prompts have a part in common that kills each engine must not reach one engine after the other, and
 // other generations with the same beginning must go on.
-func TestPromptsThatCrashEngines(t *testing.T) {
+func TestPromptsThatCrashEngines(t *testing.T) { testPromptsThatCrashEngines(t, "-die-on-word") }
+
+// The same for engines that stop responding and still accept connections.
+func TestPromptsThatSilenceEngines(t *testing.T) { testPromptsThatCrashEngines(t, "-hang-on-word") }
+
+// isResponding reports whether the engine at the address returns its load.
+func isResponding(address string) bool {
+	c := http.Client{Timeout: time.Second}
+	res, err := c.Get("http://" + address + "/metrics")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return true
+}
+
+// testPromptsThatCrashEngines runs the test with engines that crash by the flag.
+func testPromptsThatCrashEngines(t *testing.T, crashFlag string) {
 	t.Parallel()
 	const engines = 12
-	s := newSystem(t, systemSpec{controls: 1, routers: 2, engines: engines, engineArgs: []string{"-die-on-word", "deadly"}})
+	s := newSystem(t, systemSpec{controls: 1, routers: 2, engines: engines, engineArgs: []string{crashFlag, "deadly"}})
 	beginning := strings.Repeat("mouth history of the mare ", 8)
 	complete := func(i int, prompt string) (int, string) {
 		body := fmt.Sprintf(`{"model":"dente","prompt":%q,"max_tokens":40}`, prompt)
@@ -31,16 +48,14 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	dead := 0
-	for _, e := range s.engines {
-		select {
-		case <-e.done:
+	for _, address := range s.engineAddresses {
+		if !isResponding(address) {
 			dead++
-		default:
 		}
 	}
 	// Three requests show which part is to blame, and none of them reaches a third engine.
 	if dead < 3 || dead > 6 {
-		t.Errorf("%d of %d engines have ended, want 3 to 6", dead, engines)
+		t.Errorf("%d of %d engines do not respond, want 3 to 6", dead, engines)
 	}
 	checkRefused := func(router int) {
 		t.Helper()
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -192,7 +192,7 @@
 			return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
 		}
 		s.recordForwarded(e)
-		if w.runProgress().lasted >= poison.BeginWindow {
+		if w.runProgress().Lasted() >= poison.BeginWindow {
 			s.markSound(w)
 		}
 	}
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -21,20 +21,19 @@
 	return q.relay.crashes.Permit(q.id, q.parts, index, relays, q.attempts > 0) != guard.Refused
 }
 
-// recordCrash records that the request has crashed an engine if the engine is lost.
-func (q *request) recordCrash(e place.Endpoint) {
+// recordCrash records that the request has crashed an engine at the given time if the engine is lost.
+func (q *request) recordCrash(e place.Endpoint, at time.Time) {
 	if q.relay.prober.isLostSince(q.ctx, e, q.relay.Clock.Now()) {
-		q.relay.crashes.Record(poison.NewCrash(q.id, e.ID, e.Domain, q.parts))
+		q.relay.crashes.Record(poison.NewCrash(q.id, e.ID, e.Domain, q.parts), at)
 	}
 }
 
 // recordStreamCrash records a crash if the engine of a failed attempt is lost just after it began to answer.
 func (s *streamRequest) recordStreamCrash(a streamAttempt, result attemptResult) {
-	if len(s.parts) == 0 || result.outcome == completed || !result.run.began || result.run.lasted >= poison.BeginWindow ||
-		s.r.Context().Err() != nil {
+	if len(s.parts) == 0 || result.outcome == completed || !result.run.IsEarly() || s.r.Context().Err() != nil {
 		return
 	}
-	s.recordCrash(a.endpoint)
+	s.recordCrash(a.endpoint, result.run.LastSign)
 }
 
 // recordPlainOutcome records what an attempt whose response is one message says about the request's parts. Nothing shows
@@ -45,7 +44,7 @@
 	case result.outcome == completed:
 		q.relay.crashes.MarkSound(q.parts, q.sentAt)
 	case result.outcome == outcomeUnknown && result.cause == common.RetryReset:
-		q.recordCrash(e)
+		q.recordCrash(e, q.relay.Clock.Now())
 	}
 }
 
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -13,6 +13,7 @@
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
 	"wasabiweir/core/state"
 )
 
@@ -62,10 +63,7 @@
 
 // runProgress is how far an endpoint got with a stream in one attempt.
 type runProgress struct {
-	// began is true if the endpoint began to answer.
-	began bool
-	// lasted is the time from the beginning of the answer to the end of the attempt.
-	lasted time.Duration
+	poison.Loss
 	// events is the number of events that arrived.
 	events int64
 }
@@ -209,7 +207,7 @@
 			zap.String("domain", e.Domain), zap.String("cause", string(result.cause)),
 			zap.Bool("may-have-run", result.outcome == outcomeUnknown),
 			zap.Duration("after", q.relay.Clock.Now().Sub(q.startedAt)),
-			zap.Bool("began", result.run.began), zap.Duration("lasted", result.run.lasted), zap.Int64("events", result.run.events),
+			zap.Bool("began", result.run.HasBegun()), zap.Duration("lasted", result.run.Lasted()), zap.Int64("events", result.run.events),
 			zap.String("parts", q.loggedParts()), zap.Duration("suspended", suspended), zap.Error(result.err))
 	}
 }
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wasabiweir/core/common"
+	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
 )
 
@@ -94,12 +95,17 @@
 	w.received.Add(1)
 }
 
-// runProgress returns how far the endpoint got with the stream.
+// runProgress returns how far the endpoint got with the stream until now, or until it fell silent if the watch has closed
+// the connection.
 func (w *silenceWatch) runProgress() runProgress {
 	if w.beganAt.IsZero() {
 		return runProgress{}
 	}
-	return runProgress{began: true, lasted: w.stream.relay.Clock.Now().Sub(w.beganAt), events: w.received.Load() - 1}
+	lastSign := w.stream.relay.Clock.Now()
+	if w.closeCause.Load() != nil {
+		lastSign = lastSign.Add(-w.silentFor())
+	}
+	return runProgress{Loss: poison.Loss{Began: w.beganAt, LastSign: lastSign}, events: w.received.Load() - 1}
 }
 
 // run checks how long the endpoint of a stream attempt has sent nothing, and probes its engine, until ctx ends or the
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -15,6 +15,7 @@
 	"wasabiweir/core/common"
 	"wasabiweir/core/poison"
 	"wasabiweir/core/prefix"
+	"wasabiweir/io/engine"
 	"wasabiweir/io/guard"
 	"wasabiweir/io/serve"
 	"wasabiweir/io/wire"
@@ -23,10 +24,10 @@
 const (
 	// crashResendRounds is the number of exchanges of in-flight counts after which all known crashes are sent once more.
 	crashResendRounds = 20
-	// lostDialTimeout bounds the connection by which a router finds out whether an engine is lost.
-	lostDialTimeout = 250 * time.Millisecond
-	// lossRecheckDelay is the pause before an engine that has reset a connection and still accepts one is dialled again: an
-	// engine that ends may accept some for a moment after that.
+	// lossQueryTimeout bounds the connection and the query by which a router finds out whether an engine is lost.
+	lossQueryTimeout = 250 * time.Millisecond
+	// lossRecheckDelay is the pause before an engine that has reset a connection and still responds is asked again: an
+	// engine that ends may respond for a moment after that.
 	lossRecheckDelay = 50 * time.Millisecond
 	// maxBeginnings bounds the beginnings of a prompt that count as its parts.
 	maxBeginnings = 30
@@ -125,7 +126,16 @@
 	if reason != common.RetryReset && reason != common.RetrySilent {
 		return false
 	}
-	return !t.hasOutput() || s.now().Sub(t.firstOutput) < poison.BeginWindow
+	return !t.hasOutput() || t.loss(reason, s.now()).IsEarly()
+}
+
+// loss returns how far the engine had got when the attempt was lost at the time now for the reason.
+func (t *streamAttempt) loss(reason common.Reason, now time.Time) poison.Loss {
+	l := poison.Loss{Began: t.firstOutput, LastSign: now}
+	if reason == common.RetrySilent {
+		l.LastSign = t.lastActivity()
+	}
+	return l
 }
 
 // crashCheck finds out whether the engine of a lost attempt is down, and records it as a crash by the request if it is.
@@ -134,26 +144,42 @@
 	request string
 	attempt *streamAttempt
 	parts   []string
+	// loss is how far the engine had got.
+	loss poison.Loss
 	// done receives the time of the attempt's last activity when the check is over.
 	done chan<- time.Time
 }
 
-// run dials the engine, and a second time if it still accepts connections.
+// run asks the engine for its load, and a second time if it is not lost.
 func (c *crashCheck) run(ctx context.Context) {
 	defer c.router.guard.Recover("crash-check")
 	defer func() { c.done <- c.attempt.lastActivity() }()
 	if c.isLost(ctx) || serve.Sleep(ctx, lossRecheckDelay) && c.isLost(ctx) {
-		c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.attempt.domain, c.parts))
+		c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.attempt.domain, c.parts), c.loss.LastSign)
 	}
 }
 
-// isLost reports whether the engine refuses a connection or does not respond.
+// isLost reports whether the engine is lost. One that hangs still accepts connections, but if it has sent nothing, it may
+// have hung before the request came.
 func (c *crashCheck) isLost(ctx context.Context) bool {
-	conn, err := (&net.Dialer{Timeout: lostDialTimeout}).DialContext(ctx, "tcp", c.attempt.address)
-	if err == nil {
-		_ = conn.Close()
+	conn, err := (&net.Dialer{Timeout: lossQueryTimeout}).DialContext(ctx, "tcp", c.attempt.address)
+	if err != nil {
+		return ctx.Err() == nil
+	}
+	_ = conn.Close()
+	return c.loss.HasBegun() && c.isHanging(ctx)
+}
+
+// isHanging reports whether the engine does not answer a query of its load.
+func (c *crashCheck) isHanging(ctx context.Context) bool {
+	queryCtx, cancel := context.WithTimeout(ctx, lossQueryTimeout)
+	defer cancel()
+	_, err := (&engine.Client{Address: c.attempt.address, Fresh: true}).Metrics(queryCtx)
+	if err == nil || ctx.Err() != nil {
+		return false
 	}
-	return err != nil && ctx.Err() == nil
+	kind := engine.KindOf(err)
+	return kind != engine.KindRefused && kind != engine.KindProtocol
 }
 
 // markSound records that the engine of the attempt survived the beginning of its answer.
--- a/io/stand/batch.go
+++ b/io/stand/batch.go
@@ -272,7 +272,7 @@
 			if j.prefillLeft > 0 {
 				continue
 			}
-			if e.activeFaults.diesOn(j.promptIDs) {
+			if containsTokens(j.promptIDs, e.activeFaults.deadlyTokens) {
 				return true
 			}
 			e.cache.storeBlocks(e.Clock.Now(), j.model, j.tokenIDs)
@@ -280,6 +280,10 @@
 		if e.generateToken(j) && e.activeFaults.countToken() {
 			return true
 		}
+		if len(j.tokenIDs)-j.promptTokens > hangTokens && containsTokens(j.promptIDs, e.activeFaults.hangingTokens) {
+			e.activeFaults.hang(e.Clock.Now())
+			return false
+		}
 	}
 	e.recordSample()
 	return false
--- a/io/stand/faults.go
+++ b/io/stand/faults.go
@@ -15,6 +15,9 @@
 // codeDraining is the error code with which a simulated engine that is draining refuses new work.
 const codeDraining = "draining"
 
+// hangTokens is the number of tokens that an engine generates for a prompt on which it hangs.
+const hangTokens = 3
+
 // pausePollInterval is the interval at which a simulated engine that a fault has paused checks whether the pause has
 // ended.
 const pausePollInterval = 2 * time.Millisecond
@@ -28,6 +31,8 @@
 	Die bool `json:"die,omitempty"`
 	// DieOnWord kills the engine when it has processed a prompt that contains the word.
 	DieOnWord string `json:"die-on-word,omitempty"`
+	// HangOnWord pauses the whole engine for good when it has begun to answer a prompt that contains the word.
+	HangOnWord string `json:"hang-on-word,omitempty"`
 	// PauseMS pauses the whole engine for this many milliseconds; a negative value means until the faults are replaced.
 	PauseMS int64 `json:"pause-ms,omitempty"`
 	// Silent makes all other open connections drop their traffic until they are closed; new connections work normally.
@@ -44,6 +49,7 @@
 type activeFaults struct {
 	tokensUntilDeath int      // zero means that the engine does not die
 	deadlyTokens     []uint32 // tokens of the word on which the engine dies
+	hangingTokens    []uint32 // tokens of the word on which the engine hangs
 	pausedUntil      time.Time
 	slowFactor       float64
 	refuseWork       bool
@@ -54,10 +60,7 @@
 // year.
 func (s *activeFaults) replaceFaults(now time.Time, f Faults) {
 	*s = activeFaults{tokensUntilDeath: f.DieAfterTokens, slowFactor: f.Slow, refuseWork: f.Refuse}
-	if f.DieOnWord != "" {
-		// A token includes the space before its word.
-		s.deadlyTokens = token.Tokenize(" " + f.DieOnWord)
-	}
+	s.deadlyTokens, s.hangingTokens = wordTokens(f.DieOnWord), wordTokens(f.HangOnWord)
 	if f.ForMS > 0 {
 		s.expiresAt = now.Add(time.Duration(f.ForMS) * time.Millisecond)
 	}
@@ -65,8 +68,20 @@
 	case f.PauseMS > 0:
 		s.pausedUntil = now.Add(time.Duration(f.PauseMS) * time.Millisecond)
 	case f.PauseMS < 0:
-		s.pausedUntil = now.AddDate(1, 0, 0)
+		s.hang(now)
+	}
+}
+
+// hang pauses the engine for good.
+func (s *activeFaults) hang(now time.Time) { s.pausedUntil = now.AddDate(1, 0, 0) }
+
+// wordTokens returns the tokens of a word in the middle of a prompt; none if it is empty.
+func wordTokens(word string) []uint32 {
+	if word == "" {
+		return nil
 	}
+	// A token includes the space before its word.
+	return token.Tokenize(" " + word)
 }
 
 // haveExpired reports whether the time limit of the faults slowFactor and refuseWork has passed.
@@ -91,11 +106,11 @@
 	return s.tokensUntilDeath == 0
 }
 
-// diesOn reports whether an injected fault must kill the engine because of the prompt.
-func (s *activeFaults) diesOn(prompt []uint32) bool {
-	n := len(s.deadlyTokens)
+// containsTokens reports whether the prompt contains the tokens of a word; it does not if there are none.
+func containsTokens(prompt, word []uint32) bool {
+	n := len(word)
 	for i := 0; n > 0 && i+n <= len(prompt); i++ {
-		if slices.Equal(prompt[i:i+n], s.deadlyTokens) {
+		if slices.Equal(prompt[i:i+n], word) {
 			return true
 		}
 	}
