Do not take a router's own pause for slow engines

Trace: the router runs again at 01:46:35.60 (feed-disconnected), the four streams are lost at 35.853. A tick that comes when the tokens of two engines have been read, but not yet those of the third, takes the 1.2 s as that engine's token gap against a median of some milliseconds; its smoothed gap falls by a time constant of 200 ms, so the engine is still marked as slowed 0.2 s later. Class: time in which the process itself did not run counted as another's silence; the detection of stalled attempts allowed for it already (PostponeDeadline).

Now an evaluation that comes 0.3 s late or later drops what was measured since the last one, and gaps count from there.

core/route TestOwnPauseSlowsNoEndpoint failed before and passes now.

--- a/core/route/health.go
+++ b/core/route/health.go
@@ -20,6 +20,8 @@
 	recoveryTimeConstant = 2 * time.Second
 	// minTickInterval is the least time between two evaluations of the endpoints' health.
 	minTickInterval = 50 * time.Millisecond
+	// maxTickInterval is the time between two evaluations above which this router itself did not run meanwhile.
+	maxTickInterval = 300 * time.Millisecond
 )
 
 // Hysteresis for marking endpoints as slowed: an endpoint is marked when its health score stays below slowedBelow for
@@ -49,6 +51,11 @@
 	h.lastToken = now
 }
 
+// discardSamples drops what was measured since the last evaluation, and forgets that the score has crossed a threshold.
+func (h *healthTracker) discardSamples() {
+	h.gapSum, h.gapTokens, h.crossedAt = 0, 0, time.Time{}
+}
+
 // updateSmoothedGap updates the smoothed time between tokens with the gaps since the last evaluation, which was one
 // step ago. pending is the shortest time that any stream has been waiting for its next token, which is a lower bound of
 // the current gap.
@@ -121,12 +128,13 @@
 		return
 	}
 	t.lastTick = now
-	for _, e := range t.ordered {
-		t.measureTokenGap(e, step, now)
-	}
-	t.medianGap = t.medianTokenGap()
-	for _, e := range t.ordered {
-		e.health.updateHealthScore(t.medianGap, step, now)
+	if step > maxTickInterval {
+		t.resumedAt = now
+		for _, e := range t.ordered {
+			e.health.discardSamples()
+		}
+	} else {
+		t.updateHealth(step, now)
 	}
 	for now.Sub(t.lastHistoryStep) >= historyStep {
 		if now.Sub(t.lastHistoryStep) > historyStep*historyLength {
@@ -143,13 +151,32 @@
 	t.deleteRemovedEndpoints()
 }
 
+// updateHealth updates the token gaps and health scores of all endpoints; the last evaluation was one step ago.
+func (t *Table) updateHealth(step time.Duration, now time.Time) {
+	for _, e := range t.ordered {
+		t.measureTokenGap(e, step, now)
+	}
+	t.medianGap = t.medianTokenGap()
+	for _, e := range t.ordered {
+		e.health.updateHealthScore(t.medianGap, step, now)
+	}
+}
+
+// tokenGap returns the time since the stream's last token in which this router ran.
+func (t *Table) tokenGap(s *Stream, now time.Time) time.Duration {
+	if t.resumedAt.After(s.lastToken) {
+		return now.Sub(t.resumedAt)
+	}
+	return now.Sub(s.lastToken)
+}
+
 // measureTokenGap updates the smoothed token gap of the endpoint, or clears it if no token has arrived for gapTTL and
 // none is awaited.
 func (t *Table) measureTokenGap(e *Endpoint, step time.Duration, now time.Time) {
 	pending := time.Duration(math.MaxInt64)
 	for _, s := range e.streams {
 		if s.generatedTokens > 0 {
-			pending = min(pending, now.Sub(s.lastToken))
+			pending = min(pending, t.tokenGap(s, now))
 		}
 	}
 	if pending == math.MaxInt64 {
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -61,7 +61,7 @@
 	if s.generatedTokens == 0 {
 		t.recordFirstToken(s, now)
 	} else {
-		e.health.addSample(now.Sub(s.lastToken), n, now)
+		e.health.addSample(t.tokenGap(s, now), n, now)
 	}
 	e.Own.Tokens -= s.tokensLeft()
 	s.generatedTokens += n
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -89,8 +89,10 @@
 	shortWorkUntil  time.Time
 	shortWorkActive bool
 
-	peerLoadsStale  bool // a load report or counts of another router arrived since the last update
-	lastTick        time.Time
+	peerLoadsStale bool // a load report or counts of another router arrived since the last update
+	lastTick       time.Time
+	// resumedAt is when this router ran again after it had not run for some time.
+	resumedAt       time.Time
 	lastHistoryStep time.Time // time of the last sample in peerLoad.ownHistory
 	sortedGaps      []float64 // buffer for medianTokenGap
 	candidates      []*Endpoint
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -175,6 +175,43 @@
 	}
 }
 
+// A pause of the router itself must not make an engine look slow whose tokens are read a little later than those of others.
+func TestOwnPauseSlowsNoEndpoint(t *testing.T) {
+	for _, readFirst := range []bool{false, true} {
+		tab := Table{Budget: &Budget{}}
+		tab.Configure(specs(3, 8))
+		now := epoch
+		for _, e := range tab.Endpoints() {
+			tab.StartStream(&Request{ID: e.Name, Service: "dente", OutputTokens: 10000, Idempotent: true}, e, now)
+		}
+		fast := func(string) time.Duration { return 40 * time.Millisecond }
+		now = runStreams(&tab, now, 2*time.Second, fast)
+		now = now.Add(1200 * time.Millisecond)
+		if !readFirst {
+			tab.Tick(now)
+		}
+		for _, e := range tab.Endpoints() {
+			if e.Name == "e002" {
+				continue
+			}
+			for _, s := range e.streams {
+				for range 30 {
+					tab.RecordTokens(s, 1, now)
+				}
+			}
+		}
+		tab.Tick(now)
+		now = now.Add(minTickInterval + 10*time.Millisecond)
+		tab.Tick(now)
+		for range 10 {
+			now = runStreams(&tab, now, 100*time.Millisecond, fast)
+			if tab.Endpoint("e002").Slowed() {
+				t.Fatalf("an endpoint counts as slowed after a pause of the router (tokens read before the tick: %t)", readFirst)
+			}
+		}
+	}
+}
+
 // Guards against a prefix index that keeps blocks after a gap in the sequence numbers of the events.
 func TestCacheIsDroppedOnSequenceGap(t *testing.T) {
 	tab := Table{BlockTokens: 16}
