Bound the messages about limits, and take repeated limits for no news

Cause: a notice of a limit went to each relay and keeper on its own, and everything to each keeper each 2 s: relays times endpoints. And a notice was news if it looked later than the one known; it looks later by the time that it was on the way, so when keepers were slow, repeated notices became news and made them slower. Class: a message load that grows as the system slows down.

A relay counts limits for its gauge without sorting their names. LimitTable.Endpoints is gone, tests use Count.

--- a/core/place/limit.go
+++ b/core/place/limit.go
@@ -4,7 +4,6 @@
 	"hash/fnv"
 	"maps"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -26,8 +25,8 @@
 	minLimitLifetime = 10 * time.Second
 	maxLimitLifetime = time.Minute
 	lifetimeTurns    = 5
-	// noticeInterval is the time between two messages about a limit that stays as it is.
-	noticeInterval = 2 * time.Second
+	// noticesPerLifetime is the number of messages about a limit that stays as it is in the time after which it lapses.
+	noticesPerLifetime = 4
 	// limitTolerance is the relative change of a limit that is told to the other relays at once.
 	limitTolerance = 0.1
 	// maxFirstTurn bounds the number of an endpoint's first turn.
@@ -50,6 +49,16 @@
 	Position float64 `cbor:"5,keyasint"`
 }
 
+// Key identifies the endpoint.
+func (n LimitNotice) Key() string { return n.Endpoint }
+
+// Aged returns the notice as it is sent d later. The turns that come meanwhile are not counted: the receiver counts them by
+// itself, or takes over a later position.
+func (n LimitNotice) Aged(d time.Duration) LimitNotice {
+	n.Age += d
+	return n
+}
+
 // LimitTable holds the limits that endpoints have named. It is not safe for concurrent use.
 type LimitTable struct {
 	limits map[string]*endpointLimit
@@ -96,11 +105,28 @@
 	return time.Duration((burst/l.rate() - window) * float64(time.Second))
 }
 
+// noticeInterval returns the time between two messages about the limit while it stays as it is.
+func (l *endpointLimit) noticeInterval() time.Duration { return l.lifetime() / noticesPerLifetime }
+
+// isSame reports whether the notice says the same as the latest one, but for a small change of the number.
+func (l *endpointLimit) isSame(n LimitNotice) bool {
+	return !l.sharedAt.IsZero() && n.Ended == l.Ended && math.Abs(n.PerSecond-l.PerSecond) <= limitTolerance*l.PerSecond
+}
+
+// isOutdated reports whether the notice is no later than the latest one. Notices look younger by the time that they were
+// on the way, so one that says the same must be later by more than that.
+func (l *endpointLimit) isOutdated(n LimitNotice, namedAt time.Time) bool {
+	if l.isSame(n) {
+		return namedAt.Sub(l.namedAt) < l.noticeInterval()/2
+	}
+	return !namedAt.After(l.namedAt)
+}
+
 // replace makes the notice the endpoint's latest one, and reports whether other processes should be told.
 func (l *endpointLimit) replace(n LimitNotice, namedAt, now time.Time) bool {
-	changed := l.sharedAt.IsZero() || n.Ended != l.Ended || math.Abs(n.PerSecond-l.PerSecond) > limitTolerance*l.PerSecond
+	same := l.isSame(n)
 	l.LimitNotice, l.namedAt = n, namedAt
-	if !changed && now.Sub(l.sharedAt) < noticeInterval {
+	if same && now.Sub(l.sharedAt) < l.noticeInterval() {
 		return false
 	}
 	l.sharedAt = now
@@ -145,7 +171,7 @@
 		if isNew {
 			l.turns.skipPast()
 		}
-		if namedAt.After(l.namedAt) && l.replace(n, namedAt, now) {
+		if !l.isOutdated(n, namedAt) && l.replace(n, namedAt, now) {
 			news = append(news, l.notice(now))
 		}
 	}
@@ -213,16 +239,14 @@
 	maps.DeleteFunc(t.limits, func(endpoint string, _ *endpointLimit) bool { return !endpoints[endpoint] })
 }
 
-// Endpoints returns the ids of the endpoints with a limit that applies now, sorted.
-func (t *LimitTable) Endpoints(now time.Time) []string {
-	var out []string
-	for endpoint, l := range t.limits {
+// Count returns the number of endpoints with a limit that applies now.
+func (t *LimitTable) Count(now time.Time) (n int) {
+	for _, l := range t.limits {
 		if l.applies(now) {
-			out = append(out, endpoint)
+			n++
 		}
 	}
-	slices.Sort(out)
-	return out
+	return n
 }
 
 // wait returns the time until this relay may send a request to the endpoint.
--- a/core/place/limit_test.go
+++ b/core/place/limit_test.go
@@ -68,17 +68,17 @@
 	var x LimitTable
 	x.Name("e", 2, testStart)
 	at := testStart.Add(5 * time.Second)
-	if news := x.End("e", testStart.Add(-time.Second), at); len(news) > 0 || len(x.Endpoints(at)) != 1 {
+	if news := x.End("e", testStart.Add(-time.Second), at); len(news) > 0 || x.Count(at) != 1 {
 		t.Error("an answer to a request from before the naming ended the limit")
 	}
-	if news := x.End("e", testStart.Add(time.Second), at); len(news) != 1 || !news[0].Ended || len(x.Endpoints(at)) != 0 {
+	if news := x.End("e", testStart.Add(time.Second), at); len(news) != 1 || !news[0].Ended || x.Count(at) != 0 {
 		t.Error("an answer without a limit did not end it")
 	}
 	x.Name("e", 2, at)
-	if n := len(x.Endpoints(at.Add(minLimitLifetime - time.Millisecond))); n != 1 {
+	if n := x.Count(at.Add(minLimitLifetime - time.Millisecond)); n != 1 {
 		t.Error("the limit lapsed early")
 	}
-	if n := len(x.Endpoints(at.Add(minLimitLifetime))); n != 0 {
+	if n := x.Count(at.Add(minLimitLifetime)); n != 0 {
 		t.Error("the limit has not lapsed")
 	}
 }
@@ -110,11 +110,30 @@
 		t.Error("a limit that goes on is not sent again")
 	}
 	end := relay.End("e", testStart.Add(4*time.Second), testStart.Add(4*time.Second))
-	if first.Merge(end, testStart.Add(4*time.Second)); len(first.Endpoints(testStart.Add(4*time.Second))) != 0 {
+	if first.Merge(end, testStart.Add(4*time.Second)); first.Count(testStart.Add(4*time.Second)) != 0 {
 		t.Error("the end of the limit is not known")
 	}
 }
 
+// What relays and keepers repeat to each other on new connections is no news, however long it was on the way.
+func TestRepeatedLimitsAreNoNews(t *testing.T) {
+	const endpoints = 500
+	var keeper, relay LimitTable
+	for i := range endpoints {
+		relay.Merge(keeper.Name(fmt.Sprint(i), 1, testStart), testStart)
+	}
+	now := testStart
+	for i := range 8 {
+		transit := time.Duration(i) * 100 * time.Millisecond
+		now = now.Add(time.Second)
+		all := relay.All(now)
+		if news := keeper.Merge(all, now.Add(transit)); len(news) > 0 {
+			t.Fatalf("%d notices that were %s on the way count as news", len(news), transit)
+		}
+		relay.Merge(keeper.All(now.Add(transit)), now.Add(2*transit))
+	}
+}
+
 // Statements out of bounds are dropped, and the table does not grow without bound.
 func TestLimitsAreBounded(t *testing.T) {
 	var x LimitTable
--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -38,6 +38,15 @@
 	return Crash{Request: limitID(request), Endpoint: limitID(endpoint), Domain: limitID(domain), Parts: limitParts(parts)}
 }
 
+// Key identifies the crash.
+func (c Crash) Key() string { return c.Request + " " + c.Endpoint }
+
+// Aged returns the record as it is sent d later.
+func (c Crash) Aged(d time.Duration) Crash {
+	c.Age += d
+	return c
+}
+
 // limitParts returns the parts within the bounds of a crash record.
 func limitParts(parts []string) []string {
 	if n := len(parts); n > maxParts {
--- a/io/keeper/crashfile_test.go
+++ b/io/keeper/crashfile_test.go
@@ -19,7 +19,7 @@
 func newCrashKeeper(dir string, c clock.Clock) (*Keeper, *observer.ObservedLogs) {
 	core, logs := observer.New(zapcore.InfoLevel)
 	k := &Keeper{DataDir: dir, Clock: c, Log: zap.New(core)}
-	k.crashes = exchange[poison.Crash]{keeper: k, kind: wire.KindCrashes, known: &poison.Table{}}
+	k.crashes = newExchange[poison.Crash](k, wire.KindCrashes, &poison.Table{}, crashResendInterval)
 	k.crashFile.keeper = k
 	return k, logs
 }
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -58,8 +58,8 @@
 	roster  relayRoster
 	lists   endpointLists
 	// crashes and limits pass what one relay has learnt on to the others.
-	crashes   exchange[poison.Crash]
-	limits    exchange[place.LimitNotice]
+	crashes   *exchange[poison.Crash]
+	limits    *exchange[place.LimitNotice]
 	crashFile crashFile
 	guard     serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
@@ -102,8 +102,8 @@
 	k.machine.keeper, k.group.keeper, k.peers.keeper, k.lists.keeper = k, k, k, k
 	k.feeds.initFeeds(k)
 	k.roster.initRoster(k)
-	k.crashes = exchange[poison.Crash]{keeper: k, kind: wire.KindCrashes, known: &poison.Table{}}
-	k.limits = exchange[place.LimitNotice]{keeper: k, kind: wire.KindLimits, known: &place.LimitTable{}}
+	k.crashes = newExchange[poison.Crash](k, wire.KindCrashes, &poison.Table{}, crashResendInterval)
+	k.limits = newExchange[place.LimitNotice](k, wire.KindLimits, &place.LimitTable{}, limitResendInterval)
 	k.crashFile.keeper = k
 	k.crashFile.load()
 	k.group.initReplica()
--- a/io/keeper/peers.go
+++ b/io/keeper/peers.go
@@ -130,8 +130,18 @@
 
 // broadcast sends a message to all connected keepers; keepers that are not connected do not receive it.
 func (p *keeperPeers) broadcast(kind wire.Kind, body any) {
+	encoded, err := wire.Marshal(body)
+	if err != nil {
+		p.keeper.Log.Warn("peer-message-not-encoded", zap.String("kind", string(kind)), zap.Error(err))
+		return
+	}
+	p.send(wire.Frame{Kind: kind, Body: encoded})
+}
+
+// send sends a frame to all other keepers; messages on broken connections are lost.
+func (p *keeperPeers) send(f wire.Frame) {
 	for _, l := range p.links() {
-		if err := l.Post(kind, "", body); err != nil {
+		if err := l.Send(f); err != nil {
 			p.keeper.Log.Debug("peer-message-lost", zap.String("peer", l.Name), zap.Error(err))
 		}
 	}
--- a/io/relay/limits.go
+++ b/io/relay/limits.go
@@ -34,7 +34,7 @@
 	limited := 0
 	r.withTable(func(t *place.EndpointTable, now time.Time) {
 		t.Limits().Merge(list, now)
-		limited = len(t.Limits().Endpoints(now))
+		limited = t.Limits().Count(now)
 	})
 	r.meter.limitedEndpoints.Update(float64(limited))
 }
