Let relays ask keepers for a confirmation without subscribing

On the large site, after a keeper had been cut off and 87 relays had been killed while all engines named limits, relays and keepers never found together again: 350 to 500 connections of relays began and ended each second until the end.

Cause: a relay whose keeper does not confirm its state within 0.3 s asks others, up to four at a time, and follows the first that confirms. The first request on a link was a subscription: each keeper asked sent its configuration, the list of 517 endpoints, all limits and crashes, and then lost the relay again. Slow keepers so got three times the work. Class: work that grows when the system is slow.

Now a relay asks a new keeper only whether a quorum confirms its state, and subscribes to the one that it follows; its configuration, crashes and limits arrive before the reply, as before, so it serves by nothing that the keeper did not know.

--- a/io/keeper/feeds.go
+++ b/io/keeper/feeds.go
@@ -44,8 +44,12 @@
 }
 
 // confirmState answers a relay's request for the current configuration state after a quorum has confirmed it. The
-// first request on a link also subscribes the relay to new states and lists of endpoints.
+// first request on a link also subscribes the relay to new states and lists of endpoints, unless the relay only asks for
+// the confirmation because it may follow another keeper.
 func (s *relayFeeds) confirmState(ctx context.Context, l *wire.Link, p wire.ConfigUpdateRequest) (wire.ConfigState, error) {
+	if p.OnlyConfirm {
+		return wire.ConfigState{}, s.keeper.confirmApplied(ctx)
+	}
 	s.mu.Lock()
 	_, known := s.links[l]
 	if !known {
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -129,15 +129,11 @@
 	return !f.listReadAt.IsZero() || f.relay.uptime() > maxFirstListWait
 }
 
-// confirmState asks a keeper which configuration state a quorum holds now, and applies it.
+// confirmState asks a keeper which configuration state a quorum holds now, and applies it. The first call on a link
+// subscribes this relay to what the keeper sends.
 func (f *keeperFeed) confirmState(ctx context.Context, l *wire.Link) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	var u wire.ConfigState
-	if err := l.Call(ctx, wire.KindConfigUpdateRequest, "", wire.ConfigUpdateRequest{Revision: f.version.Load()}, &u); err != nil {
-		if ctx.Err() != nil {
-			return errNotConfirmed
-		}
+	u, err := f.requestState(ctx, l, wire.ConfigUpdateRequest{Revision: f.version.Load()})
+	if err != nil {
 		return err
 	}
 	f.mu.Lock()
@@ -181,6 +177,19 @@
 	}
 }
 
+// requestState sends the request to a keeper and returns its reply.
+func (f *keeperFeed) requestState(ctx context.Context, l *wire.Link, req wire.ConfigUpdateRequest) (u wire.ConfigState, err error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	if err := l.Call(ctx, wire.KindConfigUpdateRequest, "", req, &u); err != nil {
+		if ctx.Err() != nil {
+			return u, errNotConfirmed
+		}
+		return u, err
+	}
+	return u, nil
+}
+
 // applyState makes a configuration state the one that the relay uses, unless its version is not newer.
 func (f *keeperFeed) applyState(u wire.ConfigState) error {
 	if len(u.Document) == 0 {
--- a/io/relay/keeperlink.go
+++ b/io/relay/keeperlink.go
@@ -55,14 +55,13 @@
 	err    error
 }
 
-// run dials the keeper if there is no connection yet, asks it to confirm its configuration state, and sends the
-// finished query to the channel out.
+// run asks the keeper to confirm its configuration state, and sends the finished query to the channel out. If there is no
+// connection yet, it dials the keeper and does not subscribe to what it sends: most keepers that are asked are not followed.
 func (q *stateQuery) run(ctx context.Context, out chan<- *stateQuery) {
-	if q.keeper == nil {
-		q.keeper, q.err = q.feed.dialKeeper(ctx, q.address)
-	}
-	if q.err == nil {
+	if q.keeper != nil {
 		q.err = q.feed.confirmState(ctx, q.keeper.link)
+	} else if q.keeper, q.err = q.feed.dialKeeper(ctx, q.address); q.err == nil {
+		_, q.err = q.feed.requestState(ctx, q.keeper.link, wire.ConfigUpdateRequest{OnlyConfirm: true})
 	}
 	out <- q
 }
@@ -86,7 +85,7 @@
 func (f *keeperFeed) loop(ctx context.Context) error {
 	var current *keeperLink
 	for ctx.Err() == nil {
-		current = f.confirmWithAny(ctx, current)
+		current = f.subscribe(ctx, f.confirmWithAny(ctx, current))
 		f.followKeeper(current)
 		if current == nil {
 			serve.Sleep(ctx, redialDelay)
@@ -106,6 +105,22 @@
 	return ctx.Err()
 }
 
+// subscribe subscribes this relay to what a keeper sends unless it follows that keeper already. It returns the keeper, or
+// nil if it fails.
+func (f *keeperFeed) subscribe(ctx context.Context, kl *keeperLink) *keeperLink {
+	f.mu.Lock()
+	follows := kl != nil && f.link == kl.link
+	f.mu.Unlock()
+	if kl == nil || follows {
+		return kl
+	}
+	if err := f.confirmState(ctx, kl.link); err != nil {
+		f.abandonKeeper(kl, kl.address, err)
+		return nil
+	}
+	return kl
+}
+
 // followKeeper makes a keeper the one from which the relay receives its configuration and lists of endpoints, unless
 // the keeper already is that one or is nil.
 func (f *keeperFeed) followKeeper(kl *keeperLink) {
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -61,6 +61,9 @@
 	Revision uint64 `cbor:"1,keyasint"`
 	// Digest is the digest of the sender's configuration at that revision.
 	Digest object.Digest `cbor:"2,keyasint"`
+	// OnlyConfirm asks whether a quorum confirms the keeper's state, without its content and without a subscription to
+	// what the keeper sends to relays.
+	OnlyConfirm bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Routers is the list of live routers; a control process sends it to each router when it changes.
