--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -129,15 +129,20 @@
 	return from.Add(d)
 }
 
+// startOneStreamEach starts a long stream on each endpoint, with the endpoint's name as its id.
+func startOneStreamEach(tab *Table, now time.Time) {
+	for _, e := range tab.Endpoints() {
+		tab.StartStream(&Request{ID: e.Name, Service: "dente", OutputTokens: 10000, Idempotent: true}, e, now)
+	}
+}
+
 // Guards against requests that are still sent to a slowed engine, streams that are not moved off it or are proposed
 // twice, and health that does not recover.
 func TestSlowedEndpointLosesWorkAndRecovers(t *testing.T) {
 	tab := Table{Budget: &Budget{}}
 	tab.Configure(specs(5, 8))
 	now := epoch
-	for _, e := range tab.Endpoints() {
-		tab.StartStream(&Request{ID: e.Name, Service: "dente", OutputTokens: 10000, Idempotent: true}, e, now)
-	}
+	startOneStreamEach(&tab, now)
 	fast := func(string) time.Duration { return 30 * time.Millisecond }
 	now = runStreams(&tab, now, 2*time.Second, fast)
 	if m := tab.ProposeMoves(now); len(m) != 0 {
@@ -181,9 +186,7 @@
 		tab := Table{Budget: &Budget{}}
 		tab.Configure(specs(3, 8))
 		now := epoch
-		for _, e := range tab.Endpoints() {
-			tab.StartStream(&Request{ID: e.Name, Service: "dente", OutputTokens: 10000, Idempotent: true}, e, now)
-		}
+		startOneStreamEach(&tab, now)
 		fast := func(string) time.Duration { return 40 * time.Millisecond }
 		now = runStreams(&tab, now, 2*time.Second, fast)
 		now = now.Add(1200 * time.Millisecond)
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -150,7 +150,7 @@
 	done chan<- time.Time
 }
 
-// run asks the engine for its load, and a second time if it is not lost.
+// run checks the engine, and a second time if it is not lost.
 func (c *crashCheck) run(ctx context.Context) {
 	defer c.router.guard.Recover("crash-check")
 	defer func() { c.done <- c.attempt.lastActivity() }()
