Keep crashes of parts not found yet when the table of crashes is full

Ruled out: relays that disagree (all had found the first part 1.2 s after the first crash).

Cause: a table holds 64 crashes. A full one gave up the oldest crash that supports no quarantine first: those of the next part, which so never had the three crashes that it takes to be found. With one part and its bystanders nothing of use was given up. Class: bounded memory that gives up what it needs next to keep more of what it has enough of; looked for in the other bounded tables, not found.

Now a full table gives up a crash of the quarantined part that has most, if it has more than eight: the one that came soonest after another, so that those stay which count as separate events.

--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -8,6 +9,9 @@
 const (
 	// maxCrashes bounds the crashes in a table.
 	maxCrashes = 64
+	// maxPerQuarantine is the number of crashes of a quarantined part above which the table gives them up first when it is
+	// full.
+	maxPerQuarantine = 8
 	// minCrashes is the number of crashes after which a part is quarantined.
 	minCrashes = 3
 	// minSpacing is the time within which several crashes count as one: the engines of a failure domain that crash
@@ -198,7 +202,8 @@
 	slices.SortStableFunc(t.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 	t.quarantines = findQuarantines(t.crashes)
 	for len(t.crashes) > maxCrashes {
-		t.crashes = slices.Delete(t.crashes, t.leastUseful(), t.leastUseful()+1)
+		i := t.leastUseful()
+		t.crashes = slices.Delete(t.crashes, i, i+1)
 	}
 	for p := range t.trials {
 		if t.quarantines[p] == nil {
@@ -211,9 +216,13 @@
 	}
 }
 
-// leastUseful returns the index of the oldest crash whose shared parts are sound, or of the oldest one that supports no
-// quarantine, or of the oldest one.
+// leastUseful returns the index of the crash that is missed least: one of many that support the same quarantine, or else the
+// oldest one whose shared parts are sound, that supports no quarantine, or of all. Crashes that support no quarantine yet
+// may be those of a further part.
 func (t *Table) leastUseful() int {
+	if i := t.mostRedundant(); i >= 0 {
+		return i
+	}
 	unused := 0
 	for i := len(t.crashes) - 1; i >= 0; i-- {
 		if !t.supportsQuarantine(&t.crashes[i]) {
@@ -228,6 +237,36 @@
 	return unused
 }
 
+// mostRedundant returns the index of the crash that came soonest after another one, among those of the quarantined part that
+// has most; -1 if none has more than maxPerQuarantine.
+func (t *Table) mostRedundant() int {
+	var largest []int
+	for _, part := range slices.Sorted(maps.Keys(t.quarantines)) {
+		if indexes := t.crashesWith(part); len(indexes) > max(maxPerQuarantine, len(largest)) {
+			largest = indexes
+		}
+	}
+	redundant := -1
+	var least time.Duration
+	for k := 1; k < len(largest); k++ {
+		gap := t.crashes[largest[k]].at.Sub(t.crashes[largest[k-1]].at)
+		if redundant < 0 || gap < least {
+			redundant, least = largest[k], gap
+		}
+	}
+	return redundant
+}
+
+// crashesWith returns the indexes of the crashes of requests with the part, in order of time.
+func (t *Table) crashesWith(part string) (indexes []int) {
+	for i := range t.crashes {
+		if t.crashes[i].indexOf(part) >= 0 {
+			indexes = append(indexes, i)
+		}
+	}
+	return indexes
+}
+
 // supportsQuarantine reports whether a part of the crashed request is in quarantine.
 func (t *Table) supportsQuarantine(c *crash) bool {
 	return slices.ContainsFunc(c.Parts, func(p string) bool { return t.quarantines[p] != nil })
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -337,3 +337,32 @@
 		t.Error("the part in all crashes is not quarantined")
 	}
 }
+
+// Replays two parts that crash engines on hundreds of engines, the second after the first: many more crashes than a table
+// holds must neither hide the second part nor end the quarantine of the first.
+func TestManyCrashesHideNoPart(t *testing.T) {
+	var tab Table
+	crashes := func(part string, from time.Duration) {
+		for i := range 100 {
+			when := from + time.Duration(i)*40*time.Millisecond
+			id := fmt.Sprint(part, i)
+			crashAt(&tab, when, id, "e-"+id, "first", part, id)
+			answered := when + 20*time.Millisecond
+			tab.MarkSound([]string{"first", "sound-" + id}, at(answered), at(answered))
+		}
+	}
+	crashes("bad", 0)
+	crashes("worse", 5*time.Second)
+	now := at(9 * time.Second)
+	for _, part := range []string{"bad", "worse"} {
+		if _, ok := tab.Quarantined([]string{"first", part, "x"}, now); !ok {
+			t.Errorf("the part %s is not quarantined", part)
+		}
+	}
+	if _, ok := tab.Quarantined([]string{"first", "sound"}, now); ok {
+		t.Error("the first part is quarantined")
+	}
+	if n := len(tab.crashes); n > maxCrashes {
+		t.Errorf("%d crashes are kept", n)
+	}
+}
