Forward only events of its own in a stream

It happened here too: the text, the header or the JSON reached the caller between two events, and where it ended with a blank line and a framed end, the stream looked complete after it.

Cause: the relay checked only the status of an answer, and forwarded every block of lines without an id as if it were a comment. A status other than 200 never reached the middle of a stream; a status of 200 with the text of an error did, and so did an engine that wrote an error into its own stream.

Ruled out: errors with 302, 400, 404, 429, 500, 502, 503 and 504, with and without the header for "not run", also after an interim response; a header in the place of a chunk; JSON and text without a blank line. These passed before. The own interface decodes tokens and rejects unknown lines.

Why the change works: a 200 that names a content type other than text/event-stream is no stream; each block that is forwarded is an event with exactly one numeric id and fields in lower case, or has only comments and retry times. Anything else ends the attempt (retry reason `foreign`), so the stream goes on elsewhere or is broken off. An answer without a content type is judged by its lines. An error that is written as the next event with its id cannot be told from one.

TestLargeEventsNeedMemory sent an event without an id, which is an error now for another reason than its size; it has one now and checks the same sizes.

--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -89,6 +89,8 @@
 	RetryOversized Reason = "oversized"
 	// RetryStalled means that the endpoint sent bytes, but for too long none that continued the stream.
 	RetryStalled Reason = "stalled"
+	// RetryForeign means that the endpoint sent something that is no part of the stream.
+	RetryForeign Reason = "foreign"
 )
 
 // RefusalReasons lists all reasons for refusing a request, that is, all that a Refusal may have.
@@ -103,5 +105,5 @@
 // RetryReasons lists all reasons for retrying a request or resuming a generation.
 var RetryReasons = []Reason{
 	RetryConnect, RetryReset, RetrySilent, RetryRefused, RetrySlow, RetryHedge, RetryLeaving, RetryTransferred,
-	RetryOversized, RetryStalled,
+	RetryOversized, RetryStalled, RetryForeign,
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -124,6 +124,9 @@
 		_ = c.Close()
 		return attemptResult{outcome: completed, res: res, body: body}
 	}
+	if err := checkStreamType(res); err != nil {
+		return attemptResult{outcome: outcomeUnknown, cause: common.RetryForeign, err: err}
+	}
 	w.beganAt = s.relay.Clock.Now()
 	return s.forwardEvents(ctx, a, c, res, w)
 }
--- a/io/relay/fuzz_test.go
+++ b/io/relay/fuzz_test.go
@@ -80,11 +80,11 @@
 	}
 }
 
-// Guards against a panic, an event that is changed or split, and an event of unlimited size, on any bytes that an
-// endpoint sends.
+// Guards against a panic, an event that is changed or split, text that is no event, and an event of unlimited size, on
+// any bytes that an endpoint sends.
 func FuzzNextEvent(f *testing.F) {
 	for _, seed := range []string{
-		"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\nid:2\n\n", ": alive\n\n", "id: 99999999999999999999\n\n", "weight-versions: 2\nid: 3\n\n", "\n\n\n", "id: 1",
+		"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\nid:2\n\n", ": alive\n\n", "HTTP/1.1 500 Failed\r\n\r\n", "id: 99999999999999999999\n\n", "weight-versions: 2\nid: 3\n\n", "\n\n\n", "id: 1",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -99,6 +99,9 @@
 			if !bytes.HasPrefix(rest, e.raw) || len(e.raw) == 0 || len(e.raw) > maxEventSize {
 				t.Fatalf("event %q is not the next part of %q", e.raw, rest)
 			}
+			if data := bytes.Contains(append([]byte("\n"), e.raw...), []byte("\ndata")); data && e.id < 0 {
+				t.Fatalf("data without an id is passed on: %q", e.raw)
+			}
 			rest = rest[len(e.raw):]
 		}
 	})
@@ -108,7 +111,7 @@
 // small size is an error, and a smaller one is not.
 func TestLargeEventsNeedMemory(t *testing.T) {
 	for size, want := range map[int]bool{smallBuffer / 2: true, 2 * smallBuffer: false} {
-		text := "data: " + strings.Repeat("x", size) + "\n\n"
+		text := "id: 1\ndata: " + strings.Repeat("x", size) + "\n\n"
 		events := &eventReader{br: bufio.NewReader(strings.NewReader(text)), takeBuffer: func(int64) bool { return false }}
 		if _, err := events.nextEvent(); (err == nil) != want {
 			t.Errorf("an event of %d bytes: %v", size, err)
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -191,7 +191,7 @@
 			t.RecordFull(e.ID, fullEndpointPause, now)
 		case !callerDisconnected && result.cause == common.RetryConnect:
 			suspended = t.RecordFailure(e.ID, q.route.Kind == state.Stream, now)
-		case !callerDisconnected && result.cause == common.RetryOversized:
+		case !callerDisconnected && (result.cause == common.RetryOversized || result.cause == common.RetryForeign):
 			suspended = t.RecordFailure(e.ID, false, now)
 		case !callerDisconnected && result.cause == common.RetryReset && q.route.Kind != state.Stream:
 			suspended = t.RecordFailure(e.ID, false, now)
@@ -314,6 +314,9 @@
 	if errors.Is(err, errTooLarge) || errors.Is(err, errEventSize) {
 		return common.RetryOversized
 	}
+	if errors.Is(err, errForeign) {
+		return common.RetryForeign
+	}
 	return common.RetryReset
 }
 
