Ask a second engine before a resumed stream ends without a further event

What callers saw: a stream broke off after three of six events, the next engine answered 200 with no event and a sound end, and the stream ended as if it were complete (ORDER).

Cause: a framed end between two events counted as the end of the stream, also if the attempt had brought no event at all. Streams have no mark for their end, so the answer of an engine that failed looks like that of one that has nothing left.

Ruled out: an empty answer to a stream without any event was an error before (TestStreamThatEndsBeforeItsFirstEvent).

Why the change works: the first empty end only costs one more attempt. An engine with events left goes on; if the second finds nothing either, the stream is complete. A stream that breaks off exactly between its last event and its end, or a caller that resumes after its last event, costs one attempt more. Routes whose requests may have only one attempt are left as they were. The holder of a copy is not asked again. An engine that stops after some events with a sound end of its response is still believed.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -150,6 +150,9 @@
 			err = errNoEvent
 		}
 		if errors.Is(err, io.EOF) && len(events.buf) == 0 && s.isWhole(ctx, a, res) {
+			if !w.firstEventSeen && s.needsConfirmation() {
+				return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: errNoEvent}
+			}
 			s.markSound(w)
 			s.relay.pool.releaseConn(c, res)
 			return attemptResult{outcome: completed, res: res}
@@ -226,6 +229,14 @@
 	return cacheCopy{holder: a.holder, resumeFrom: s.relay.Names.ResumeFromValue(a.holder.Address, s.id), exists: a.hasHolder}
 }
 
+// needsConfirmation reports whether a resumed stream in which an attempt found nothing left must be resumed once more
+// before it counts as complete. The response of an engine that has failed can look the same, and streams have no mark
+// for their end.
+func (s *streamRequest) needsConfirmation() bool {
+	s.emptyEnds++
+	return s.emptyEnds == 1 && s.route.Repeatable() && s.route.MaxAttempts > 1
+}
+
 // isWhole reports whether a stream whose connection has ended between two events is complete. Without a length or
 // chunks, the end of an engine looks the same, so the engine must go on.
 func (s *streamRequest) isWhole(ctx context.Context, a streamAttempt, res *http.Response) bool {
@@ -249,5 +260,5 @@
 	}
 	s.lastEventAt = now
 	s.eventCount++
-	s.lastEventID = e.id
+	s.lastEventID, s.emptyEnds = e.id, 0
 }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -47,8 +48,10 @@
 	resets int
 	// lostDomain is the failure domain of the last endpoint that failed.
 	lostDomain string
-	// refusals counts the endpoints that refused the stream.
-	refusals int
+	// refusals counts the endpoints that refused the stream; emptyEnds counts those that resumed it without an event
+	// since the last one.
+	refusals  int
+	emptyEnds int
 	// eventCount counts the forwarded events; resumeCount counts the attempts after an interruption.
 	eventCount  int
 	resumeCount int
@@ -109,7 +112,7 @@
 // before the first event, since it still has the copy. The last attempt that the route allows goes to another
 // endpoint.
 func (s *streamRequest) allowHolderRetry(a streamAttempt, result attemptResult) {
-	if a.resumeFrom == "" || result.cause != common.RetryReset || s.copies.get().holder.ID != a.endpoint.ID {
+	if a.resumeFrom == "" || result.cause != common.RetryReset || errors.Is(result.err, errNoEvent) || s.copies.get().holder.ID != a.endpoint.ID {
 		return
 	}
 	if s.resets >= maxResets || s.attempts+1 >= s.route.MaxAttempts {
