End an attempt whose events do not follow the last one

What callers saw: a stream broke off after three events, the next engine ignored the header that says where to go on and ran the request anew, and its events from the fourth on were joined to the first three (ORDER). The same where an engine began anew in the middle of its own response.

Cause: the relay dropped events with ids that the caller had and forwarded the rest, as if an engine that resumes could repeat the events of the same run. PROTOCOL.md says nothing of the kind: a run that goes on begins after Last-Event-Id.

Ruled out: a run that skips an id ended the attempt before.

Why the change works: each event's id has to follow the last one's, so that nothing of another run is joined. The engine is suspended like one that sends other foreign parts, and counts as sound only from its first right event on.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -131,7 +131,7 @@
 	return s.forwardEvents(ctx, a, c, res, w)
 }
 
-// forwardEvents sends complete events to the caller as they arrive and checks that no event id is missing.
+// forwardEvents sends complete events to the caller as they arrive and checks that each follows the last.
 func (s *streamRequest) forwardEvents(
 	ctx context.Context, a streamAttempt, c *endpointConn, res *http.Response, w *silenceWatch,
 ) attemptResult {
@@ -171,6 +171,10 @@
 			}
 			continue
 		}
+		if e.id != s.lastEventID+1 {
+			// An engine that repeats events does not go on with the run that the caller has seen, but runs the request anew.
+			return attemptResult{outcome: outcomeUnknown, cause: common.RetryForeign, err: errEventOrder}
+		}
 		if !w.firstEventSeen {
 			w.firstEventSeen = true
 			s.logResumed(a)
@@ -185,13 +189,6 @@
 			go maintainer.run(ctx)
 		}
 		w.lastEventID.Store(e.id)
-		if e.id <= s.lastEventID {
-			// An engine that resumes may repeat the events that the caller has.
-			continue
-		}
-		if e.id != s.lastEventID+1 {
-			return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: errEventGap}
-		}
 		w.recordProgress()
 		idlessBytes = 0
 		if err := s.forwardEvent(flusher, e); err != nil {
--- a/io/relay/event.go
+++ b/io/relay/event.go
@@ -20,9 +20,9 @@
 )
 
 var (
-	errEventSize = eris.New("an event of the stream is too large")
-	errNoEvent   = eris.New("the stream ended before its first event")
-	errEventGap  = eris.New("the stream skips event ids")
+	errEventSize  = eris.New("an event of the stream is too large")
+	errNoEvent    = eris.New("the stream ended before its first event")
+	errEventOrder = eris.New("an event does not follow the last one")
 	// errForeign is wrapped by the errors for what an endpoint sends in a stream, or instead of one, that is no part of
 	// it.
 	errForeign = eris.New("no part of the stream")
