Build the server for callers next to its connection limits

The listener, the hooks and the check of time limits belong together, and a test can then start the same server as the relay does.

--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"wasabiweir/core/state"
 	"wasabiweir/io/serve"
 )
 
@@ -53,6 +52,14 @@
 	c.conns = map[net.Conn]*callerConn{}
 }
 
+// newServer returns the HTTP server for callers and the listener on which it serves them.
+func (c *callerConns) newServer(h http.Handler, l net.Listener) (*http.Server, net.Listener) {
+	return &http.Server{
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		ConnState: c.trackState, ConnContext: c.withConn,
+	}, serve.LimitListener(l, maxCallerConnections)
+}
+
 // withConn is the HTTP server's ConnContext hook: it stores a caller's connection in the context of its requests.
 func (c *callerConns) withConn(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connContextKey{}, conn)
@@ -107,15 +114,19 @@
 // loop closes callers' connections that exceed a time limit of the configuration, until ctx ends.
 func (c *callerConns) loop(ctx context.Context) error {
 	for serve.Sleep(ctx, callerCheckInterval) {
-		if index := c.relay.index.Load(); index != nil {
-			c.closeExpired(index.State.Limits)
-		}
+		c.closeExpired()
 	}
 	return ctx.Err()
 }
 
-// closeExpired closes the callers' connections that are idle, or that send a header, for longer than the limits allow.
-func (c *callerConns) closeExpired(l state.RequestLimits) {
+// closeExpired closes the callers' connections that are idle, or that send a header, for longer than the configuration
+// allows.
+func (c *callerConns) closeExpired() {
+	index := c.relay.index.Load()
+	if index == nil {
+		return
+	}
+	l := index.State.Limits
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.relay.Clock.Now()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -198,11 +198,8 @@
 	if err != nil {
 		return fmt.Errorf("open the listener for callers: %w", err)
 	}
-	server := &http.Server{
-		Handler: r.guard.Handler(r), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
-		ConnState: r.callers.trackState, ConnContext: r.callers.withConn,
-	}
-	serve.AddHTTPServer(&g, server, serve.LimitListener(listener, maxCallerConnections), func() bool { return r.drain.inFlightCount() == 0 })
+	server, listener := r.callers.newServer(r.guard.Handler(r), listener)
+	serve.AddHTTPServer(&g, server, listener, func() bool { return r.drain.inFlightCount() == 0 })
 	for _, s := range r.Servers {
 		l, err := serve.Listen(s.Address)
 		if err != nil {
