Close callers' connections only while no request has been read

What callers saw: a request that crossed the check of the idle limit got neither an answer nor a refusal, although it was sent to an endpoint and ran. A configuration that lowers the limit makes many connections exceed it in one check, while their callers still go by the former limit.

Cause: the check went by the state that net/http reports. That leaves idle only when the whole header has been read, and its report waited for the mutex of the check; between the read of the last byte and the report, the connection counted as idle. The class: a decision on a copy of the state that is older than what the decision is about.

serve.ConnTable goes by the reads themselves. A read and the check exclude each other by a lock of the connection: a read that returns bytes ends the idle phase before net/http sees them; the check closes a connection only while the server waits for bytes, and what a read returns after that is dropped. So a request is either served on an open connection or never read. Bytes in net/http's own buffer are no whole request: it reads from the connection only when it needs more. A connection with bytes in its socket is not idle, however late the process gets to read them.

Ruled out: Shutdown of net/http, which sets its flag before it looks at the states, and drops a request whose report comes after that; the read deadlines of net/http, which return no bytes once they have passed.

--- /dev/null
+++ b/io/relay/callers_test.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiweir/core/clock"
+	"wasabiweir/core/state"
+)
+
+// plainRequest is a whole request of a caller.
+const plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// callerRig is the relay's server for callers with one caller, a manual clock and a hook into the server's progress.
+type callerRig struct {
+	t     *testing.T
+	clock *clock.Manual
+	relay *Relay
+	conn  net.Conn
+	br    *bufio.Reader
+	// served is the number of requests that the handler got.
+	served atomic.Int32
+	// hooks holds the function that is called once at the next moment of its name.
+	hooks atomic.Pointer[callerHook]
+	// idle receives a value each time the server reports an idle connection.
+	idle chan struct{}
+	// closed is closed once the server has ended the connection and no handler runs for it.
+	closed chan struct{}
+}
+
+// callerHook is a function to call at a moment.
+type callerHook struct {
+	moment string
+	f      func(*hookedConn)
+}
+
+// The moments of hooks.
+const (
+	asReadBegins   = "as a read begins"
+	asBytesArrive  = "as bytes arrive"
+	asHeaderIsRead = "as the header is read"
+	asConnIsIdle   = "as the connection becomes idle"
+)
+
+// newCallerRig starts a server with the limits of 3 s for a header and 15 s for idle connections, and connects a caller.
+func newCallerRig(t *testing.T) *callerRig {
+	t.Helper()
+	g := &callerRig{t: t, clock: &clock.Manual{}, idle: make(chan struct{}, 8), closed: make(chan struct{})}
+	g.clock.Set(time.Unix(1e9, 0))
+	g.relay = &Relay{Clock: g.clock, Log: zap.NewNop()}
+	g.relay.meter.initMetrics(nil)
+	g.relay.callers.initConnTable(g.relay)
+	g.setLimits(3*time.Second, 15*time.Second)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { g.served.Add(1) })
+	server, l := g.relay.callers.newServer(handler, &hookedListener{Listener: l, rig: g})
+	track := server.ConnState
+	server.ConnState = func(c net.Conn, s http.ConnState) {
+		if s == http.StateActive {
+			g.reach(asHeaderIsRead, nil)
+		}
+		track(c, s)
+		switch s {
+		case http.StateIdle:
+			g.reach(asConnIsIdle, nil)
+			g.idle <- struct{}{}
+		case http.StateClosed:
+			close(g.closed)
+		}
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	if g.conn, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = g.conn.Close() })
+	_ = g.conn.SetDeadline(time.Now().Add(20 * time.Second))
+	g.br = bufio.NewReader(g.conn)
+	return g
+}
+
+// setLimits puts time limits into force.
+func (g *callerRig) setLimits(header, idle time.Duration) {
+	g.relay.index.Store(state.NewConfigIndex(&state.State{Limits: state.RequestLimits{HeaderTimeout: header, IdleTimeout: idle}}))
+}
+
+// reach calls the hook of a moment once.
+func (g *callerRig) reach(moment string, c *hookedConn) {
+	if h := g.hooks.Load(); h != nil && h.moment == moment && g.hooks.CompareAndSwap(h, nil) {
+		h.f(c)
+	}
+}
+
+// check advances the clock and closes the connections that exceed a limit.
+func (g *callerRig) check(after time.Duration) {
+	g.clock.Advance(after)
+	g.relay.callers.closeExpired()
+}
+
+// send sends text and reports whether a response came.
+func (g *callerRig) send(text string) bool {
+	if _, err := io.WriteString(g.conn, text); err != nil {
+		return false
+	}
+	res, err := http.ReadResponse(g.br, nil)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return true
+}
+
+// sendFirst sends a first request, after which the connection is idle.
+func (g *callerRig) sendFirst() {
+	g.t.Helper()
+	if !g.send(plainRequest) {
+		g.t.Fatal("the first request got no response")
+	}
+	<-g.idle
+}
+
+// hookedListener accepts connections that tell the rig when bytes arrive.
+type hookedListener struct {
+	net.Listener
+	rig *callerRig
+}
+
+// Accept returns the next connection.
+func (l *hookedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &hookedConn{Conn: c, rig: l.rig}, err
+}
+
+// hookedConn tells the rig that bytes have arrived, before the server gets them.
+type hookedConn struct {
+	net.Conn
+	rig *callerRig
+}
+
+// SyscallConn returns the raw connection.
+func (c *hookedConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
+// awaitBytes waits until bytes have arrived, and leaves them in the socket.
+func (c *hookedConn) awaitBytes() {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		c.rig.t.Error(err)
+		return
+	}
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n > 0
+	})
+	if err != nil {
+		c.rig.t.Error(err)
+	}
+}
+
+// Read reads from the connection.
+func (c *hookedConn) Read(p []byte) (int, error) {
+	c.rig.reach(asReadBegins, c)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.rig.reach(asBytesArrive, c)
+	}
+	return n, err
+}
+
+// Guards against a request that is served although the check of the idle limit has closed its connection while it was
+// being read, so that its caller gets no answer.
+func TestRequestDuringIdleCheckIsNotLost(t *testing.T) {
+	for _, moment := range []string{asBytesArrive, asHeaderIsRead} {
+		t.Run(moment, func(t *testing.T) {
+			g := newCallerRig(t)
+			g.sendFirst()
+			g.hooks.Store(&callerHook{moment: moment, f: func(*hookedConn) { g.check(16 * time.Second) }})
+			answered := g.send(plainRequest)
+			if !answered {
+				<-g.closed
+			}
+			if served := g.served.Load() == 2; served != answered {
+				t.Errorf("the request is served: %t, its caller has a response: %t", served, answered)
+			}
+			if g.hooks.Load() != nil {
+				t.Error("the moment was not reached")
+			}
+		})
+	}
+}
+
+// Guards against a connection that is closed as idle although a request has arrived on it, as after a pause of the process.
+func TestUnreadRequestKeepsConnection(t *testing.T) {
+	g := newCallerRig(t)
+	g.hooks.Store(&callerHook{moment: asConnIsIdle, f: func(*hookedConn) {
+		g.hooks.Store(&callerHook{moment: asReadBegins, f: func(c *hookedConn) {
+			c.awaitBytes()
+			g.check(16 * time.Second)
+		}})
+	}})
+	g.sendFirst()
+	if !g.send(plainRequest) {
+		t.Error("the request got no response")
+	}
+	if g.hooks.Load() != nil {
+		t.Error("the moment was not reached")
+	}
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -92,7 +92,6 @@
 		tried: map[string]bool{},
 	}
 	q.log = r.Log.With(zap.String("request", q.id))
-	r.callers.markHeaderReceived(req.Context())
 	r.drain.requestStarted()
 	defer r.drain.requestEnded()
 	defer q.giveBuffers()
--- /dev/null
+++ b/io/serve/conns.go
@@ -0,0 +1,231 @@
+package serve
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"wasabiweir/core/clock"
+)
+
+// ConnLimits bounds what a client may do on a connection, in time; zero values set no bound.
+type ConnLimits struct {
+	// Idle is the time for which a connection may stay without a request.
+	Idle time.Duration
+}
+
+// ClosedConn describes a connection that was closed because it exceeded a limit.
+type ClosedConn struct {
+	Remote net.Addr
+	// Reason names the limit that was exceeded.
+	Reason string
+	// Limit is that limit, and After the time that the connection had spent in its phase.
+	Limit, After time.Duration
+}
+
+// reasonIdle is the reason of connections that were without a request for too long.
+const reasonIdle = "idle"
+
+// ConnTable holds the open connections of an HTTP server and closes those that exceed a time limit. The state that
+// net/http reports leaves idle only when a whole header has been read, so the table goes by the reads: a connection is
+// closed only while the server waits for more bytes, and bytes that arrive after that never reach the server. The
+// exported fields are set before use.
+type ConnTable struct {
+	Clock clock.Clock
+	// Limits returns the limits in force.
+	Limits func() ConnLimits
+
+	mu    sync.Mutex
+	conns map[*clientConn]struct{}
+}
+
+// Listener returns a listener whose connections the table holds. The HTTP server must serve this listener itself, and
+// have TrackState as its ConnState hook.
+func (t *ConnTable) Listener(l net.Listener) net.Listener {
+	t.conns = map[*clientConn]struct{}{}
+	return &trackedListener{Listener: l, table: t}
+}
+
+// TrackState is the HTTP server's ConnState hook.
+func (t *ConnTable) TrackState(nc net.Conn, s http.ConnState) {
+	c, ok := nc.(*clientConn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		c.setPhase(phaseServing)
+	case http.StateIdle:
+		c.setPhase(phaseIdle)
+	case http.StateHijacked:
+		t.remove(c)
+	case http.StateNew, http.StateClosed:
+		// A new connection is in its first phase already, and a closed one has left the table.
+	}
+}
+
+// CloseExpired closes the connections that exceed a limit, and returns them and the number of those that stay open.
+func (t *ConnTable) CloseExpired() (closed []ClosedConn, open int) {
+	limits := t.Limits()
+	conns := t.openConns()
+	for _, c := range conns {
+		if expired, ok := c.closeIfExpired(limits); ok {
+			closed = append(closed, expired)
+		}
+	}
+	return closed, len(conns) - len(closed)
+}
+
+// Expired reports whether the table has closed the connection because it exceeded a limit, and which.
+func (t *ConnTable) Expired(nc net.Conn) (ClosedConn, bool) {
+	c, ok := nc.(*clientConn)
+	if !ok {
+		return ClosedConn{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expiry, c.expired
+}
+
+// openConns returns the connections in the table.
+func (t *ConnTable) openConns() []*clientConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	conns := make([]*clientConn, 0, len(t.conns))
+	for c := range t.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// remove takes a connection out of the table.
+func (t *ConnTable) remove(c *clientConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+// trackedListener is a listener whose connections a table holds.
+type trackedListener struct {
+	net.Listener
+	table *ConnTable
+}
+
+// Accept returns the next connection.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, fmt.Errorf("accept: %w", err)
+	}
+	c := &clientConn{Conn: nc, table: l.table, since: l.table.Clock.Now()}
+	l.table.mu.Lock()
+	l.table.conns[c] = struct{}{}
+	l.table.mu.Unlock()
+	return c, nil
+}
+
+// connPhase is what a connection is used for at the moment.
+type connPhase int
+
+const (
+	// phaseIdle means that the server has got no byte of a request since the last one, or since the connection opened.
+	phaseIdle connPhase = iota
+	// phaseReceiving means that the server has got bytes of a request, but not yet its whole header.
+	phaseReceiving
+	// phaseServing means that a request is served.
+	phaseServing
+)
+
+// clientConn is a connection of a client in a table.
+type clientConn struct {
+	net.Conn
+	table *ConnTable
+
+	mu    sync.Mutex
+	phase connPhase
+	// since is when the phase began.
+	since time.Time
+	// waiting is true while a read waits for bytes. As long as the header of a request is being read, the bytes that the
+	// server has got are then no whole header.
+	waiting bool
+	// expired is true once the connection was closed because it exceeded a limit; expiry says which.
+	expired bool
+	expiry  ClosedConn
+}
+
+// Read reads from the connection. Bytes that arrive when the connection has been closed for a limit are dropped, so that
+// no request of which the client gets no response is served.
+func (c *clientConn) Read(p []byte) (int, error) {
+	c.setWaiting()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if c.expired {
+		return 0, net.ErrClosed
+	}
+	if n > 0 && c.phase == phaseIdle {
+		c.phase, c.since = phaseReceiving, c.table.Clock.Now()
+	}
+	return n, err //nolint:wrapcheck // net/http compares the error with io.EOF
+}
+
+// Close closes the connection and takes it out of its table.
+func (c *clientConn) Close() error {
+	c.table.remove(c)
+	if err := c.Conn.Close(); err != nil {
+		return fmt.Errorf("close connection: %w", err)
+	}
+	return nil
+}
+
+// setWaiting records that a read waits for bytes.
+func (c *clientConn) setWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+}
+
+// setPhase records the beginning of a phase.
+func (c *clientConn) setPhase(p connPhase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.since = p, c.table.Clock.Now()
+}
+
+// closeIfExpired closes the connection if it exceeds a limit.
+func (c *clientConn) closeIfExpired(l ConnLimits) (ClosedConn, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	after := c.table.Clock.Now().Sub(c.since)
+	if c.expired || !c.waiting || c.phase == phaseServing || l.Idle <= 0 || after <= l.Idle || c.hasUnread() {
+		return ClosedConn{}, false
+	}
+	c.expired = true
+	c.expiry = ClosedConn{Remote: c.RemoteAddr(), Reason: reasonIdle, Limit: l.Idle, After: after}
+	_ = c.Close()
+	return c.expiry, true
+}
+
+// hasUnread reports whether bytes have arrived that no read has got yet, as after a pause of the process. It peeks at the
+// socket without blocking.
+func (c *clientConn) hasUnread() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var buf [1]byte
+	n := 0
+	// Control, unlike Read, does not wait for the read that is in progress.
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
--- a/io/serve/limit.go
+++ b/io/serve/limit.go
@@ -1,11 +1,16 @@
 package serve
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 )
 
+// errNoSocket is returned for a connection that is no socket of the operating system.
+var errNoSocket = errors.New("the connection is no socket")
+
 // limitedListener is a listener with a limit on its open connections. It accepts connections beyond the limit and
 // closes them at once, so that the client notices and can connect to another process.
 type limitedListener struct {
@@ -54,5 +59,18 @@
 	return nil
 }
 
+// SyscallConn returns the raw connection, or an error if the connection is no socket of the operating system.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errNoSocket
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("get the socket of a connection: %w", err)
+	}
+	return raw, nil
+}
+
 // releaseSlot removes this connection from the open connections that count towards the listener's limit.
 func (c *limitedConn) releaseSlot() { <-c.openConns }
