Hold a header that is being received to the header limit

What callers saw: a header could take as long as the idle limit (15 s instead of 3 s by default, 10 s on the first request of a connection), and a request that began late in the idle time of its connection was cut off after the rest of that time, within the header limit.

Cause: net/http reports a connection as active only when the whole header has been read, so the check held a header that was being received to the idle limit, counted from the end of the request before.

serve.ConnTable knows when the first byte of a header was read; from then on the header limit applies.

--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -36,7 +36,8 @@
 	if index == nil {
 		return serve.ConnLimits{}
 	}
-	return serve.ConnLimits{Idle: index.State.Limits.IdleTimeout}
+	l := index.State.Limits
+	return serve.ConnLimits{Idle: l.IdleTimeout, Header: l.HeaderTimeout}
 }
 
 // newServer returns the HTTP server for callers and the listener on which it serves them.
@@ -83,6 +84,6 @@
 	}
 	if len(closed) > 0 {
 		c.relay.Log.Info("caller-connections-closed", zap.Int("closed", len(closed)), zap.Int("open", open),
-			zap.Duration("idle-limit", c.limits().Idle))
+			zap.Duration("idle-limit", c.limits().Idle), zap.Duration("header-limit", c.limits().Header))
 	}
 }
--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -218,3 +218,37 @@
 		t.Error("the moment was not reached")
 	}
 }
+
+// Guards against a header that may take as long as the idle limit, and against an idle limit that ends a header early.
+func TestHeaderLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		// kept is true if the connection had a request before.
+		kept bool
+		// took is the time that the header takes.
+		took     time.Duration
+		answered bool
+	}{
+		"first, in time": {false, 2 * time.Second, true},
+		"first, late":    {false, 4 * time.Second, false},
+		"kept, in time":  {true, 2 * time.Second, true},
+		"kept, late":     {true, 4 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newCallerRig(t)
+			if c.kept {
+				g.sendFirst()
+			}
+			g.clock.Advance(14 * time.Second)
+			partRead := make(chan struct{})
+			g.hooks.Store(&callerHook{moment: asBytesArrive, f: func(*hookedConn) {
+				g.hooks.Store(&callerHook{moment: asReadBegins, f: func(*hookedConn) { close(partRead) }})
+			}})
+			_, _ = io.WriteString(g.conn, plainRequest[:20])
+			<-partRead
+			g.check(c.took)
+			if answered := g.send(plainRequest[20:]); answered != c.answered {
+				t.Errorf("the request has a response: %t", answered)
+			}
+		})
+	}
+}
--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -15,6 +15,8 @@
 type ConnLimits struct {
 	// Idle is the time for which a connection may stay without a request.
 	Idle time.Duration
+	// Header is the time within which a client must send the header of a request, from its first byte on.
+	Header time.Duration
 }
 
 // ClosedConn describes a connection that was closed because it exceeded a limit.
@@ -26,8 +28,11 @@
 	Limit, After time.Duration
 }
 
-// reasonIdle is the reason of connections that were without a request for too long.
-const reasonIdle = "idle"
+// The reasons for which connections are closed.
+const (
+	reasonIdle   = "idle"
+	reasonHeader = "header"
+)
 
 // ConnTable holds the open connections of an HTTP server and closes those that exceed a time limit. The state that
 // net/http reports leaves idle only when a whole header has been read, so the table goes by the reads: a connection is
@@ -200,12 +205,16 @@
 func (c *clientConn) closeIfExpired(l ConnLimits) (ClosedConn, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	limit, reason := l.Idle, reasonIdle
+	if c.phase == phaseReceiving {
+		limit, reason = l.Header, reasonHeader
+	}
 	after := c.table.Clock.Now().Sub(c.since)
-	if c.expired || !c.waiting || c.phase == phaseServing || l.Idle <= 0 || after <= l.Idle || c.hasUnread() {
+	if c.expired || !c.waiting || c.phase == phaseServing || limit <= 0 || after <= limit || c.hasUnread() {
 		return ClosedConn{}, false
 	}
 	c.expired = true
-	c.expiry = ClosedConn{Remote: c.RemoteAddr(), Reason: reasonIdle, Limit: l.Idle, After: after}
+	c.expiry = ClosedConn{Remote: c.RemoteAddr(), Reason: reason, Limit: limit, After: after}
 	_ = c.Close()
 	return c.expiry, true
 }
