Let kept connections go by the idle limit that their callers know

What callers saw: beside a configuration that lowers the idle limit, connections that they may still use were closed within half a second, all in one check, and requests that crossed the close got neither an answer nor a refusal.

Cause: a lower limit applied at once to connections that were idle already, although callers reuse a connection that has been idle for up to four fifths of the limit that they know. A connection that has had no request still goes by the limit in force.

--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -252,3 +252,32 @@
 		})
 	}
 }
+
+// Guards against a lower idle limit that closes kept connections whose callers still go by the limit that was in force
+// when they got their last response.
+func TestLowerIdleLimitSparesKeptConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		limit, after time.Duration
+		answered     bool
+	}{
+		"lowered, four fifths of the former": {time.Second, 12 * time.Second, true},
+		"lowered, over the former":           {time.Second, 16 * time.Second, false},
+		"raised, over the former":            {30 * time.Second, 16 * time.Second, true},
+		"raised, over both":                  {30 * time.Second, 31 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newCallerRig(t)
+			waits := make(chan struct{})
+			g.hooks.Store(&callerHook{moment: asConnIsIdle, f: func(*hookedConn) {
+				g.hooks.Store(&callerHook{moment: asReadBegins, f: func(*hookedConn) { close(waits) }})
+			}})
+			g.sendFirst()
+			<-waits
+			g.setLimits(3*time.Second, c.limit)
+			g.check(c.after)
+			if answered := g.send(plainRequest); answered != c.answered {
+				t.Errorf("the request has a response: %t", answered)
+			}
+		})
+	}
+}
--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -13,7 +13,8 @@
 
 // ConnLimits bounds what a client may do on a connection, in time; zero values set no bound.
 type ConnLimits struct {
-	// Idle is the time for which a connection may stay without a request.
+	// Idle is the time for which a connection may stay without a request. A lower limit applies to a connection that
+	// has had a request only after its next one, since its client goes by the limit of the time of its last response.
 	Idle time.Duration
 	// Header is the time within which a client must send the header of a request, from its first byte on.
 	Header time.Duration
@@ -62,9 +63,9 @@
 	}
 	switch s {
 	case http.StateActive:
-		c.setPhase(phaseServing)
+		c.setPhase(phaseServing, 0)
 	case http.StateIdle:
-		c.setPhase(phaseIdle)
+		c.setPhase(phaseIdle, t.Limits().Idle)
 	case http.StateHijacked:
 		t.remove(c)
 	case http.StateNew, http.StateClosed:
@@ -151,8 +152,10 @@
 
 	mu    sync.Mutex
 	phase connPhase
-	// since is when the phase began.
-	since time.Time
+	// since is when the phase began, and idleLimit the limit on idle connections at that time; zero if the connection has
+	// had no request.
+	since     time.Time
+	idleLimit time.Duration
 	// waiting is true while a read waits for bytes. As long as the header of a request is being read, the bytes that the
 	// server has got are then no whole header.
 	waiting bool
@@ -194,11 +197,11 @@
 	c.waiting = true
 }
 
-// setPhase records the beginning of a phase.
-func (c *clientConn) setPhase(p connPhase) {
+// setPhase records the beginning of a phase and the limit on idle connections.
+func (c *clientConn) setPhase(p connPhase, idleLimit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.since = p, c.table.Clock.Now()
+	c.phase, c.since, c.idleLimit = p, c.table.Clock.Now(), idleLimit
 }
 
 // closeIfExpired closes the connection if it exceeds a limit.
@@ -206,6 +209,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	limit, reason := l.Idle, reasonIdle
+	if limit > 0 {
+		limit = max(limit, c.idleLimit)
+	}
 	if c.phase == phaseReceiving {
 		limit, reason = l.Header, reasonHeader
 	}
