Find whole requests that crash engines by a fingerprint

Cause: crashes are kept by the parts of a prompt, and such a request has none. Given one part, the table would still not do: crashes of several failure domains within 250 ms counted as one; all requests that were running on a lost engine were quarantined with the one to blame, since unshared parts explain no crash of others; a full table of 64 gave up the crashes of what was not found yet; and MayRetry took a single part for sound.

Whole requests are judged apart from parts: crashes count once for each engine and once for a failure domain within 250 ms, three quarantine, unless all come within 100 ms. Of several requests with enough crashes the one that says most about those not explained yet is taken first; many such requests on each engine speak against it, since one that is often sent is on most engines that are lost. Two that say the same are both quarantined, with a first trial after 5 s instead of 20 s. The table holds 256 such crashes beside the 64 of parts, three of one request on one engine, and gives up answered ones first, then redundant, explained and single ones; late news of an answered crash do not count again.

--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -23,7 +23,8 @@
 	// Request and Endpoint identify the crash.
 	Request  string `cbor:"1,keyasint"`
 	Endpoint string `cbor:"2,keyasint"`
-	// Parts are the ids of the prompt's parts in order. The last one belongs to the request itself.
+	// Parts are the ids of the prompt's parts in order. The last one belongs to the request itself. A request without parts
+	// has its fingerprint as the only one.
 	Parts []string `cbor:"3,keyasint"`
 	// Sound has bit i set if a request with Parts[i] has been answered since the crash.
 	Sound uint32 `cbor:"4,keyasint,omitempty"`
@@ -105,11 +106,18 @@
 	return -1
 }
 
+// isWholeRequest reports whether the record is of a request with no parts but itself.
+func (c *Crash) isWholeRequest() bool { return len(c.Parts) == 1 }
+
 // isSound reports whether the part at position i has been answered since the crash.
 func (c *Crash) isSound(i int) bool { return c.Sound&(1<<i) != 0 }
 
-// sharedPartsSound reports whether all parts that other requests may share have been answered since the crash.
+// sharedPartsSound reports whether all parts that other requests may share have been answered since the crash. A whole request
+// comes again, so other requests share its only part.
 func (c *Crash) sharedPartsSound() bool {
+	if c.isWholeRequest() {
+		return c.isSound(0)
+	}
 	shared := uint32(1)<<(len(c.Parts)-1) - 1
 	return c.Sound&shared == shared
 }
--- a/core/poison/evidence.go
+++ b/core/poison/evidence.go
@@ -25,6 +25,9 @@
 	for {
 		best := bestExplanation(crashes, explained, out)
 		if best == nil {
+			for _, q := range findRequests(crashes, explained) {
+				out[q.Part] = q
+			}
 			return out
 		}
 		q := best.Quarantine
@@ -48,11 +51,16 @@
 		}
 		for k := range crashes {
 			c := &crashes[k]
-			explained[k] = explained[k] || c.Endpoint == cause.Endpoint && c.at.Sub(cause.at).Abs() < sameCrash
+			explained[k] = explained[k] || c.isSameEngine(cause)
 		}
 	}
 }
 
+// isSameEngine reports whether the crashes are the loss of one engine that two requests saw.
+func (c *crash) isSameEngine(o *crash) bool {
+	return c.Endpoint == o.Endpoint && c.at.Sub(o.at).Abs() < sameCrash
+}
+
 // bestExplanation returns the next part to quarantine, or nil if there is none.
 func bestExplanation(crashes []crash, explained []bool, found map[string]*Quarantine) (best *evidence) {
 	for part, e := range collectEvidence(crashes, explained) {
@@ -85,10 +93,10 @@
 	out := map[string]*evidence{}
 	counted := map[string]time.Time{}
 	for i := range crashes {
-		if explained[i] {
+		c := &crashes[i]
+		if explained[i] || c.isWholeRequest() {
 			continue
 		}
-		c := &crashes[i]
 		for j, p := range c.Parts {
 			if c.isSound(j) {
 				continue
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -7,8 +7,10 @@
 )
 
 const (
-	// maxCrashes bounds the crashes in a table.
-	maxCrashes = 64
+	// maxCrashes bounds the crashes of prompts with several parts in a table, and maxWholeCrashes those of whole requests. The
+	// latter are smaller, and each engine that is lost has one for each request that it was running.
+	maxCrashes      = 64
+	maxWholeCrashes = 256
 	// maxPerQuarantine is the number of crashes of a quarantined part above which the table gives them up first when it is
 	// full.
 	maxPerQuarantine = 8
@@ -35,6 +37,9 @@
 	quarantines map[string]*Quarantine
 	// trials holds when this process last allowed a trial of a part.
 	trials map[string]time.Time
+	// answered holds, for whole requests that were answered after a crash which the table has given up, the time of the last such
+	// crash.
+	answered map[string]time.Time
 	// nextExpiry is when the oldest crash expires.
 	nextExpiry time.Time
 }
@@ -53,6 +58,8 @@
 	// Since is when the quarantine takes effect, and LastCrash the time of the last crash.
 	Since     time.Time
 	LastCrash time.Time
+	// Ambiguous is true if another whole request explains the crashes as well.
+	Ambiguous bool
 }
 
 // Merge adds crashes that this process has seen or that another one sent. It returns those of which the table had not
@@ -65,6 +72,7 @@
 		at := now.Add(-c.Age)
 		known := t.find(c.Request, c.Endpoint)
 		switch {
+		case known == nil && c.isWholeRequest() && t.isKnownRequest(&c, at):
 		case known == nil:
 			c.Parts = slices.Clone(c.Parts)
 			t.crashes = append(t.crashes, crash{Crash: c, at: at})
@@ -127,6 +135,9 @@
 	return out
 }
 
+// HasCrashes reports whether the table holds any crash.
+func (t *Table) HasCrashes() bool { return len(t.crashes) > 0 }
+
 // All returns all crashes, for a process that may not know them.
 func (t *Table) All(now time.Time) []Crash {
 	t.expire(now)
@@ -201,10 +212,7 @@
 func (t *Table) update(now time.Time) {
 	slices.SortStableFunc(t.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 	t.quarantines = findQuarantines(t.crashes)
-	for len(t.crashes) > maxCrashes {
-		i := t.leastUseful()
-		t.crashes = slices.Delete(t.crashes, i, i+1)
-	}
+	t.trim()
 	for p := range t.trials {
 		if t.quarantines[p] == nil {
 			delete(t.trials, p)
@@ -216,21 +224,39 @@
 	}
 }
 
-// leastUseful returns the index of the crash that is missed least: one of many that support the same quarantine, or else the
+// trim removes crashes above maxCrashes and maxWholeCrashes.
+func (t *Table) trim() {
+	whole := 0
+	for i := range t.crashes {
+		if t.crashes[i].isWholeRequest() {
+			whole++
+		}
+	}
+	for ; whole > maxWholeCrashes; whole-- {
+		t.forget(t.leastUsefulRequest())
+	}
+	for len(t.crashes)-whole > maxCrashes {
+		i := t.leastUseful()
+		t.crashes = slices.Delete(t.crashes, i, i+1)
+	}
+}
+
+// leastUseful returns the index of the crash that is missed least among those of prompts with several parts: one of many that support the same quarantine, or else the
 // oldest one whose shared parts are sound, that supports no quarantine, or of all. Crashes that support no quarantine yet
 // may be those of a further part.
 func (t *Table) leastUseful() int {
-	if i := t.mostRedundant(); i >= 0 {
+	hasParts := func(c *crash) bool { return !c.isWholeRequest() }
+	if i := t.mostRedundant(hasParts); i >= 0 {
 		return i
 	}
-	unused := 0
+	unused := slices.IndexFunc(t.crashes, func(c crash) bool { return hasParts(&c) })
 	for i := len(t.crashes) - 1; i >= 0; i-- {
-		if !t.supportsQuarantine(&t.crashes[i]) {
+		if c := &t.crashes[i]; hasParts(c) && !t.supportsQuarantine(c) {
 			unused = i
 		}
 	}
 	for i := range t.crashes {
-		if t.crashes[i].sharedPartsSound() && !t.supportsQuarantine(&t.crashes[i]) {
+		if c := &t.crashes[i]; hasParts(c) && c.sharedPartsSound() && !t.supportsQuarantine(c) {
 			return i
 		}
 	}
@@ -238,11 +264,11 @@
 }
 
 // mostRedundant returns the index of the crash that came soonest after another one, among those of the quarantined part that
-// has most; -1 if none has more than maxPerQuarantine.
-func (t *Table) mostRedundant() int {
+// has most, of the crashes for which is returns true; -1 if none has more than maxPerQuarantine.
+func (t *Table) mostRedundant(is func(c *crash) bool) int {
 	var largest []int
 	for _, part := range slices.Sorted(maps.Keys(t.quarantines)) {
-		if indexes := t.crashesWith(part); len(indexes) > max(maxPerQuarantine, len(largest)) {
+		if indexes := t.crashesWith(part, is); len(indexes) > max(maxPerQuarantine, len(largest)) {
 			largest = indexes
 		}
 	}
@@ -257,10 +283,10 @@
 	return redundant
 }
 
-// crashesWith returns the indexes of the crashes of requests with the part, in order of time.
-func (t *Table) crashesWith(part string) (indexes []int) {
+// crashesWith returns the indexes of the crashes of requests with the part for which is returns true, in order of time.
+func (t *Table) crashesWith(part string, is func(c *crash) bool) (indexes []int) {
 	for i := range t.crashes {
-		if t.crashes[i].indexOf(part) >= 0 {
+		if c := &t.crashes[i]; c.indexOf(part) >= 0 && is(c) {
 			indexes = append(indexes, i)
 		}
 	}
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -8,6 +8,9 @@
 const (
 	// trialWindow is the time in which the same processes may allow a trial. A trial shows its result within it.
 	trialWindow = 5 * time.Second
+	// ambiguousTrial is the time from the last crash to the first trial of a request if another one explains the crashes as well:
+	// one of the two is probably sound.
+	ambiguousTrial = 5 * time.Second
 	// trialMargin is the part at the end of a window in which no trial starts: the clocks of processes differ.
 	trialMargin = time.Second
 	// maxTrialDoublings bounds the exponent of the number of processes that may allow a trial in a window.
@@ -16,7 +19,11 @@
 
 // TrialDelay returns the time from the last crash to the first trial of the part.
 func (q *Quarantine) TrialDelay() time.Duration {
-	return min(CrashLifetime, firstTrial<<min(max(0, q.Crashes-minCrashes), maxTrialDoublings))
+	first := firstTrial
+	if q.Ambiguous {
+		first = ambiguousTrial
+	}
+	return min(CrashLifetime, first<<min(max(0, q.Crashes-minCrashes), maxTrialDoublings))
 }
 
 // AllowTrial reports whether this process, one of several by index, may send one request with the quarantined part to
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -74,6 +74,13 @@
 	return g.table.All(g.Clock.Now())
 }
 
+// HasCrashes reports whether any crash is known. While there is none, callers need not compute a fingerprint.
+func (g *Guard) HasCrashes() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.HasCrashes()
+}
+
 // SendAll sends all known crashes, for processes that may have missed some.
 func (g *Guard) SendAll() { g.send(g.All()) }
 
@@ -139,7 +146,7 @@
 		current[q.Part] = q
 		if g.logged[q.Part].Crashes != q.Crashes {
 			g.Log.Warn("part-quarantined", zap.String("part", q.Part), zap.Int("crashes", q.Crashes),
-				zap.Duration("last-crash", now.Sub(q.LastCrash)), zap.Duration("trial-after", q.TrialDelay()))
+				zap.Duration("last-crash", now.Sub(q.LastCrash)), zap.Duration("trial-after", q.TrialDelay()), zap.Bool("ambiguous", q.Ambiguous))
 		}
 	}
 	for part := range g.logged {
