Keep plain requests that crash endpoints away from them

Cause: a request to a plain service was neither recorded nor asked about, and nothing could tell that its endpoint was lost: the check asks for an engine's report, which plain services do not have.

Now a request without prompt parts is known by the fingerprint of its account, method, host, target and body. The fingerprint is computed only while crashes are known or an attempt has failed, and stands in `attempt-failed`, `engine-crashed` and `part-refused`. A body that is not buffered (over 128 KB, or no memory for it) has none: such a request is not known when it comes again.

--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -22,9 +22,9 @@
 	// minSuspicion is the time from the first crash to the quarantine of a part. In that time, sound requests with the
 	// part are answered.
 	minSuspicion = time.Second
-	// maxRequestCrashes is the number of crashes after which a request is not sent to a further engine, unless its
+	// MaxRequestCrashes is the number of crashes after which a request is not sent to a further engine, unless its
 	// shared parts have been answered since; maxOwnCrashes is that number if they have.
-	maxRequestCrashes = 2
+	MaxRequestCrashes = 2
 	maxOwnCrashes     = 3
 	// firstTrial is the time from the last crash to the first trial of a quarantined part; it doubles with each
 	// further crash.
@@ -165,7 +165,7 @@
 			suspicious++
 		}
 	}
-	return suspicious < maxRequestCrashes && all < maxOwnCrashes
+	return suspicious < MaxRequestCrashes && all < maxOwnCrashes
 }
 
 // isSameEvent reports whether the crash and an earlier one of the same request may be one crash of a failure domain.
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -289,7 +289,7 @@
 		t.Errorf("%d parts are kept, want %d", n, maxParts)
 	}
 	// Callers choose the ids of requests and parts; long ones must not hide a crash.
-	for i := range maxRequestCrashes {
+	for i := range MaxRequestCrashes {
 		crashAt(&tab, time.Duration(i)*time.Second, string(long), fmt.Sprint("e", i), string(long), "own")
 	}
 	if tab.MayRetry(string(long)) {
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"strings"
 	"time"
 
 	"wasabiweir/core/common"
@@ -9,57 +10,108 @@
 	"wasabiweir/io/guard"
 )
 
+// crashParts returns what the relay knows the request by when it comes again and crashes engines: the parts of its prompt, or
+// its fingerprint if it has none. A request whose body was not buffered has none.
+func (q *request) crashParts() []string {
+	if len(q.parts) > 0 {
+		return q.parts
+	}
+	if q.bodyReader != nil {
+		return nil
+	}
+	if q.fingerprint == "" {
+		q.fingerprint = poison.Fingerprint(q.body, q.account, q.r.Method, strings.ToLower(q.r.Host), q.r.RequestURI)
+	}
+	return []string{q.fingerprint}
+}
+
+// goesToModelEngine reports whether the request's service has model engines, which have liveness requests.
+func (q *request) goesToModelEngine() bool {
+	service := q.index.Service(q.service)
+	return service != nil && service.Model != nil
+}
+
 // passesQuarantine reports whether the request may be sent to an engine, given the quarantined parts. It may once if it is
 // the trial of a part.
 func (q *request) passesQuarantine() bool {
-	if len(q.parts) == 0 {
+	if !q.relay.crashes.HasCrashes() {
 		return true
 	}
 	q.relay.mu.Lock()
 	index, relays := q.relay.relayIndex, q.relay.relayCount
 	q.relay.mu.Unlock()
-	return q.relay.crashes.Permit(q.id, q.parts, index, relays, q.attempts > 0) != guard.Refused
+	return q.relay.crashes.Permit(q.id, q.crashParts(), index, relays, q.attempts > 0) != guard.Refused
 }
 
 // recordCrash records that the request has crashed an engine at the given time if the engine is lost.
 func (q *request) recordCrash(e place.Endpoint, at time.Time) {
 	if q.relay.prober.isLostSince(q.ctx, e, q.relay.Clock.Now()) {
-		q.relay.crashes.Record(poison.NewCrash(q.id, e.ID, e.Domain, q.parts), at)
+		q.relay.crashes.Record(poison.NewCrash(q.id, e.ID, e.Domain, q.crashParts()), at)
 	}
 }
 
 // recordStreamCrash records a crash if the engine of a failed attempt is lost just after it began to answer.
 func (s *streamRequest) recordStreamCrash(a streamAttempt, result attemptResult) {
-	if len(s.parts) == 0 || result.outcome == completed || !result.run.IsEarly() || s.r.Context().Err() != nil {
+	if len(s.crashParts()) == 0 || result.outcome == completed || !result.run.IsEarly() || s.r.Context().Err() != nil {
 		return
 	}
 	s.recordCrash(a.endpoint, result.run.LastSign)
 }
 
-// recordPlainOutcome records what an attempt whose response is one message says about the request's parts. Nothing shows
+// recordPlainOutcome records what an attempt whose response is one message says about the request. Nothing shows
 // when the engine began to answer, so each loss by a reset counts as a crash, and only a response as sound.
 func (q *request) recordPlainOutcome(e place.Endpoint, result attemptResult) {
 	switch {
-	case len(q.parts) == 0 || q.r.Context().Err() != nil:
+	case q.r.Context().Err() != nil || len(q.parts) == 0 && q.bodyReader != nil:
 	case result.outcome == completed:
-		q.relay.crashes.MarkSound(q.parts, q.sentAt)
-	case result.outcome == outcomeUnknown && result.cause == common.RetryReset:
+		q.recordAnswer()
+	case result.outcome != outcomeUnknown || result.cause != common.RetryReset && result.cause != common.RetrySilent:
+	case !q.goesToModelEngine():
+		q.startCrashCheck(e, result.cause == common.RetrySilent)
+	case result.cause == common.RetryReset:
 		q.recordCrash(e, q.relay.Clock.Now())
 	}
 }
 
+// recordAnswer records that an engine has outlived the request.
+func (q *request) recordAnswer() {
+	if q.relay.crashes.HasCrashes() {
+		q.relay.crashes.MarkSound(q.crashParts(), q.sentAt)
+	}
+}
+
+// startCrashCheck starts to find out whether an endpoint of a plain service is lost, and records it as a crash if it is. Only
+// a request that could be sent to a third endpoint waits for the result.
+func (q *request) startCrashCheck(e place.Endpoint, silent bool) {
+	c := &crashCheck{
+		relay: q.relay, endpoint: e, crash: poison.NewCrash(q.id, e.ID, e.Domain, q.crashParts()), at: q.relay.Clock.Now(), silent: silent,
+		done: make(chan struct{}),
+	}
+	go c.run()
+	if q.attempts < poison.MaxRequestCrashes || !q.canRetry() {
+		return
+	}
+	t := time.NewTimer(lossCheckWait)
+	defer t.Stop()
+	select {
+	case <-c.done:
+	case <-t.C:
+	case <-q.ctx.Done():
+	}
+}
+
 // markSound records that the engine of an attempt survived the beginning of its answer.
 func (s *streamRequest) markSound(w *silenceWatch) {
 	if w.soundMarked {
 		return
 	}
 	w.soundMarked = true
-	s.relay.crashes.MarkSound(s.parts, w.beganAt)
+	s.relay.crashes.MarkSound(s.crashParts(), w.beganAt)
 }
 
 // quarantineRetryAfter returns the Retry-After time of a request that is refused because its prompt crashes engines.
 func (q *request) quarantineRetryAfter() time.Duration {
-	return max(retryAfterCrash, q.relay.crashes.RetryAfter(q.parts))
+	return max(retryAfterCrash, q.relay.crashes.RetryAfter(q.crashParts()))
 }
 
 // retryAfter returns the Retry-After time of a stream that is refused for the reason.
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -215,8 +216,11 @@
 // maxLoggedParts bounds the size in bytes of a list of prompt parts in a log line.
 const maxLoggedParts = 256
 
-// loggedParts returns the list of the request's prompt parts, cut to maxLoggedParts.
+// loggedParts returns the list of the request's prompt parts, cut to maxLoggedParts, or the fingerprint of one that has none.
 func (q *request) loggedParts() string {
+	if len(q.parts) == 0 {
+		return strings.Join(q.crashParts(), "")
+	}
 	parts := q.header.Get(q.relay.Names.PromptParts)
 	return parts[:min(len(parts), maxLoggedParts)]
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -137,6 +137,7 @@
 	feed    keeperFeed
 	pool    connPool
 	prober  prober
+	losses  lossChecker
 	finder  promptFinder
 	drain   drain
 	callers callerConns
@@ -188,6 +189,7 @@
 	r.guard = serve.PanicGuard{Log: r.Log, Metrics: r.meter.scope}
 	r.pool.initPool(r)
 	r.prober.initProber(r)
+	r.losses.initLossChecker(r)
 	r.finder.initFinder(r)
 	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope, Send: r.feed.sendCrashes}
 	r.feed.initFeed(r)
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -72,6 +72,8 @@
 	// parts are the ids of the parts of the prompt, if the request goes to model engines. The last one belongs to the request
 	// itself.
 	parts []string
+	// fingerprint stands for a request without prompt parts; it is empty until crashParts computes it.
+	fingerprint string
 	// tried holds the ids of the endpoints that may have run the request or refused it.
 	tried map[string]bool
 	// sentAt is when the current attempt was sent.
