Try further endpoints for a call that was refused connections

Callers of a plain service with six endpoints, three of them down, got 502 endpoint-failed for sound calls: "no connection to an endpoint could be made". An idempotent call was reported as unknown although no byte of it had been sent, so its caller could not know that it had not run.

Cause: a call tries three endpoints, and one that accepts no connection counted like one that the call may have reached. After the first attempt, each failure of an idempotent call was reported as unknown.

Ruled out: the pause of endpoints after a failure. It is each router's own and begins with a quarter of a second, so a router meets endpoints that others have found down.

An attempt without a connection now counts apart, up to ten, costs nothing of the retry budget, and leaves the outcome not-run. No byte is written before a connection is made, so a call still reaches three endpoints at most, and a non-idempotent one only one. A non-idempotent call ends its attempts when its deadline is over.

Evidence: go test ./io/router -run OutlastsRefused failed before ("GET with one endpoint that serves is refused with endpoint-failed (unknown)", and the same for POST) and passes now.

--- a/io/router/call.go
+++ b/io/router/call.go
@@ -31,8 +31,10 @@
 	defaultCallTimeout = 10 * time.Second
 	// maxResponseBytes is the largest response body of a plain service in bytes.
 	maxResponseBytes = 8 << 20
-	// maxCallAttempts is the largest number of endpoints that are tried for one call.
+	// maxCallAttempts is the largest number of endpoints that one call may reach.
 	maxCallAttempts = 3
+	// maxRefusedConnections is the largest number of endpoints that are tried for one call and accept no connection.
+	maxRefusedConnections = 10
 	// maxEndpointWait is how long a call waits while every endpoint of its service is in its backoff after a failure.
 	maxEndpointWait = 2 * time.Second
 	// callRetryCost is the number of tokens that repeating one plain call takes from the retry budget.
@@ -89,6 +91,8 @@
 	key string
 	// deadline is the longest time the call may take.
 	deadline time.Duration
+	// sent counts the attempts that may have reached an endpoint, and unconnected the others that failed.
+	sent, unconnected int
 }
 
 // endpointResponse is the complete HTTP response of an endpoint to a call of a plain service.
@@ -188,10 +192,12 @@
 	ctx, cancel := context.WithTimeout(ctx, x.deadline)
 	defer cancel()
 	failed := route.NameSet{}
-	for attemptNumber := 1; ; attemptNumber++ {
+	for {
 		a, err := c.pickEndpoint(ctx, x, failed)
 		if err != nil {
-			return nil, endpointRefusal(attemptNumber, err)
+			f := *common.AsRefusal(err)
+			f.Outcome = x.outcome()
+			return nil, &f
 		}
 		client, _ := newSingleUseClient()
 		out, err := c.sendAttempt(ctx, x, a, client)
@@ -200,18 +206,41 @@
 		}
 		failed[a.name] = struct{}{}
 		if ctx.Err() != nil {
-			return nil, &common.Refusal{Reason: common.ReasonDeadline, Outcome: common.OutcomeUnknown, Message: "the service did not answer in time"}
+			return nil, &common.Refusal{Reason: common.ReasonDeadline, Outcome: x.outcome(), Message: "the service did not answer in time"}
 		}
-		if attemptNumber == maxCallAttempts {
-			return nil, &common.Refusal{Reason: common.ReasonEndpointFailed, Outcome: common.OutcomeUnknown, Message: callErrorMessage(err)}
+		if !x.hasAttemptsLeft() {
+			return nil, &common.Refusal{Reason: common.ReasonEndpointFailed, Outcome: x.outcome(), Message: callErrorMessage(err)}
 		}
-		if !c.router.dispatcher.spendRetryBudget(callRetryCost) {
-			return nil, &common.Refusal{Reason: common.ReasonRetryBudget, Outcome: common.OutcomeUnknown, Message: callErrorMessage(err)}
+		// An endpoint that accepts no connection has done no work, so the next attempt is free.
+		if callRetryReason(err) != common.RetryConnect && !c.router.dispatcher.spendRetryBudget(callRetryCost) {
+			return nil, &common.Refusal{Reason: common.ReasonRetryBudget, Outcome: x.outcome(), Message: callErrorMessage(err)}
 		}
 		c.router.Metrics.CountRetry(callRetryReason(err))
 	}
 }
 
+// countFailure counts a failed attempt.
+func (c *serviceCall) countFailure(err error) {
+	if callRetryReason(err) == common.RetryConnect {
+		c.unconnected++
+	} else {
+		c.sent++
+	}
+}
+
+// hasAttemptsLeft reports whether a further endpoint may be tried after the failed attempts.
+func (c *serviceCall) hasAttemptsLeft() bool {
+	return c.sent < maxCallAttempts && c.unconnected < maxRefusedConnections
+}
+
+// outcome returns the outcome of the call if all its attempts so far have failed.
+func (c *serviceCall) outcome() common.Outcome {
+	if c.sent > 0 {
+		return common.OutcomeUnknown
+	}
+	return common.OutcomeNotRun
+}
+
 // pickEndpoint selects an endpoint of the plain service for the call. If all endpoints failed recently, it waits for
 // the first backoff to end, up to maxEndpointWait: a service with one endpoint would otherwise refuse each call for a
 // quarter of a second after one connection reset.
@@ -229,16 +258,6 @@
 	}
 }
 
-// endpointRefusal returns the refusal for a plain call that found no endpoint for its attempt with the given number.
-// After the first attempt, it is unknown whether the call ran.
-func endpointRefusal(attemptNumber int, err error) error {
-	f := *common.AsRefusal(err)
-	if attemptNumber > 1 {
-		f.Outcome = common.OutcomeUnknown
-	}
-	return &f
-}
-
 // routeRequest returns the request with which an endpoint is selected for the call.
 func (c *serviceCall) routeRequest() *route.Request {
 	return &route.Request{ID: c.key, Service: c.service.Name, OutputTokens: 1, Short: true, Idempotent: c.idempotent()}
@@ -248,6 +267,7 @@
 func (c *callSender) sendAttempt(ctx context.Context, x *serviceCall, a *attempt, client *http.Client) (*endpointResponse, error) {
 	out, err := x.roundTrip(ctx, client, a.address)
 	if err != nil {
+		x.countFailure(err)
 		c.router.dispatcher.attemptFailed(a, callRetryReason(err))
 		c.router.Log.Info("call-failed", zap.String("service", x.service.Name), zap.String("endpoint", a.name),
 			zap.String("account", x.account.Name), zap.Error(err))
--- a/io/router/execution.go
+++ b/io/router/execution.go
@@ -238,7 +238,7 @@
 // been written, there is no further attempt.
 func (e *execution) sendUntilWritten(ctx context.Context) (out *endpointResponse, wrote bool, err error) {
 	failed := route.NameSet{}
-	for range maxCallAttempts {
+	for e.call.hasAttemptsLeft() {
 		a, pickErr := e.calls.pickEndpoint(ctx, e.call, failed)
 		if pickErr != nil {
 			return nil, false, pickErr
@@ -248,6 +248,9 @@
 		if err == nil || written.Load() {
 			return out, true, err
 		}
+		if ctx.Err() != nil {
+			break
+		}
 		failed[a.name] = struct{}{}
 		e.calls.router.Metrics.CountRetry(callRetryReason(err))
 	}
--- a/io/router/resend_test.go
+++ b/io/router/resend_test.go
@@ -16,8 +16,10 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/clock"
+	"wasabiweir/core/common"
 	"wasabiweir/core/object"
 	"wasabiweir/io/metric"
+	"wasabiweir/io/stand"
 )
 
 // cuttingServer is an HTTP service that answers the first request of each connection and closes the connection at the
@@ -124,6 +126,40 @@
 	expectRetries(t, c.router.Metrics, "reset")
 }
 
+// sendAnyCall sends a call and returns its refusal, or nil. A non-idempotent one is sent as after its claim.
+func sendAnyCall(t *testing.T, c *callSender, method string) *common.Refusal {
+	t.Helper()
+	x := newCall(method, "")
+	var err error
+	if x.idempotent() {
+		_, err = c.sendIdempotent(t.Context(), x)
+	} else {
+		_, _, err = (&execution{calls: c, call: x}).sendUntilWritten(t.Context())
+	}
+	if err == nil {
+		return nil
+	}
+	return common.AsRefusal(err)
+}
+
+// Guards against calls that fail because three endpoints accept no connections while others serve, and against a call that
+// reached no endpoint and is reported as unknown.
+func TestCallOutlastsRefusedConnections(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		s := newCuttingServer(t)
+		var addresses []string
+		for range maxRefusedConnections - 1 {
+			addresses = append(addresses, stand.FreeAddress())
+		}
+		if f := sendAnyCall(t, newCalls(t, addresses...), method); f == nil || f.Outcome != common.OutcomeNotRun {
+			t.Errorf("%s with all endpoints down is refused with %+v, want not-run", method, f)
+		}
+		if f := sendAnyCall(t, newCalls(t, append(addresses, s.server.Listener.Addr().String())...), method); f != nil {
+			t.Errorf("%s with one endpoint that serves is refused with %+v", method, f)
+		}
+	}
+}
+
 // echoTwiceServer answers each request with its path. Each request on a connection after the first is answered with a
 // second copy of the response before.
 type echoTwiceServer struct{ listener net.Listener }
