Refuse calls of plain services that crash their endpoints

What callers saw: a call that ends each endpoint which runs it came again under a new idempotency key, at any router, and ended one endpoint after the other.

Cause: on the own interface only generations were recorded and asked about, by the parts of their prompts. A plain call was neither, and a non-idempotent one is sent once for each key, so nothing in one call's own attempts shows the pattern.

Ruled out: the retries of one call. They are three at most, and POST has none after the first byte. Also ruled out as a remedy: the refusal of a non-idempotent call before its key is claimed. Only the ledger knows whether the key has run, and not-run would be wrong for one that has.

Now a call counts by the fingerprint of its account and contents, without the key. When a connection breaks and the endpoint then refuses connections, the crash goes to all routers before the caller is answered. An endpoint that only lost its response accepts connections and is not blamed. An answer speaks for the call unless a gateway may have sent it (429, 5xx). Each attempt asks before it picks an endpoint; the claim of a refused key is settled as not run, so the key may be sent again, and a key that has run keeps its recorded outcome. While no crash is known, no fingerprint is computed.

The check of the engine's loss is the one of generations, which now takes the attempt that both have; TestEndingEngineIsCrashed follows that change of a field.

--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -50,9 +50,10 @@
 
 // bindStandinServiceCommand registers the settings of the standin service command, which simulates a plain service.
 func bindStandinServiceCommand(set *flags.Set, inv *invocation) runFunc {
-	service := &stand.Service{}
+	service := &stand.Service{Exit: os.Exit}
 	set.StringVar(&service.Listen, "listen", "127.0.0.1:7090", "address of the service")
 	set.DurationVar(&service.Latency, "latency", 5*time.Millisecond, "time from the execution of a call to its reply")
+	set.StringVar(&service.Faults.DieOnWord, "die-on-word", "", "end the process when it has received a call with this word in its query or body; empty means never")
 	logLevel := bindLogLevel(set)
 	requireAddress(set, "listen", &service.Listen)
 	return func(ctx context.Context) error {
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -93,6 +93,7 @@
 	deadline time.Duration
 	// sent counts the attempts that may have reached an endpoint, and unconnected the others that failed.
 	sent, unconnected int
+	crashRecord
 }
 
 // endpointResponse is the complete HTTP response of an endpoint to a call of a plain service.
@@ -153,6 +154,7 @@
 	if c.deadline <= 0 {
 		c.deadline = defaultCallTimeout
 	}
+	c.crashRecord = c.newCrashRecord()
 	return c, nil
 }
 
@@ -241,12 +243,15 @@
 	return common.OutcomeNotRun
 }
 
-// pickEndpoint selects an endpoint of the plain service for the call. If all endpoints failed recently, it waits for
-// the first backoff to end, up to maxEndpointWait: a service with one endpoint would otherwise refuse each call for a
+// pickEndpoint selects an endpoint of the plain service for the call, unless the call crashes endpoints. If all endpoints
+// failed recently, it waits for the first backoff to end, up to maxEndpointWait: a service with one endpoint would otherwise refuse each call for a
 // quarter of a second after one connection reset.
 func (c *callSender) pickEndpoint(ctx context.Context, x *serviceCall, failed route.NameSet) (*attempt, error) {
 	end := c.router.Clock.Now().Add(maxEndpointWait)
 	for {
+		if err := c.refuseCrashing(x); err != nil {
+			return nil, err
+		}
 		a, err := c.router.dispatcher.pickEndpoint(x.routeRequest(), failed)
 		if err == nil {
 			return a, nil
@@ -265,15 +270,18 @@
 
 // sendAttempt sends the call to one endpoint and records whether the endpoint failed.
 func (c *callSender) sendAttempt(ctx context.Context, x *serviceCall, a *attempt, client *http.Client) (*endpointResponse, error) {
+	sentAt := c.router.Clock.Now()
 	out, err := x.roundTrip(ctx, client, a.address)
 	if err != nil {
 		x.countFailure(err)
 		c.router.dispatcher.attemptFailed(a, callRetryReason(err))
-		c.router.Log.Info("call-failed", zap.String("service", x.service.Name), zap.String("endpoint", a.name),
+		c.router.Log.Info("call-failed", zap.String("request", x.request), zap.String("service", x.service.Name), zap.String("endpoint", a.name),
 			zap.String("account", x.account.Name), zap.Error(err))
+		c.recordCrash(ctx, x, a, err)
 		return nil, err
 	}
 	c.router.dispatcher.attemptFinished(a)
+	c.markSound(x, out, sentAt)
 	return out, nil
 }
 
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -142,18 +142,24 @@
 type crashCheck struct {
 	router  *Router
 	request string
-	attempt *streamAttempt
+	attempt *attempt
 	parts   []string
 	// loss is how far the engine had got.
 	loss poison.Loss
-	// done receives the time of the attempt's last activity when the check is over.
-	done chan<- time.Time
+	// lastActivity is the time of the attempt's last activity, which done receives when the check is over.
+	lastActivity time.Time
+	done         chan<- time.Time
 }
 
-// run checks the engine, and a second time if it is not lost.
+// run records the crash in the background of a session.
 func (c *crashCheck) run(ctx context.Context) {
 	defer c.router.guard.Recover("crash-check")
-	defer func() { c.done <- c.attempt.lastActivity() }()
+	defer func() { c.done <- c.lastActivity }()
+	c.recordCrash(ctx)
+}
+
+// recordCrash checks the engine, and a second time if it is not lost, and records a crash if it is.
+func (c *crashCheck) recordCrash(ctx context.Context) {
 	if c.isLost(ctx) || serve.Sleep(ctx, lossRecheckDelay) && c.isLost(ctx) {
 		c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.attempt.domain, c.parts), c.loss.LastSign)
 	}
--- a/io/router/crashes_test.go
+++ b/io/router/crashes_test.go
@@ -26,7 +26,7 @@
 	done := make(chan time.Time, 1)
 	c := &crashCheck{
 		router: r, request: "r", parts: []string{"own"}, loss: poison.Loss{LastSign: time.Now()}, done: done,
-		attempt: &streamAttempt{attempt: &attempt{name: "e", address: l.Addr().String()}},
+		attempt: &attempt{name: "e", address: l.Addr().String()},
 	}
 	time.AfterFunc(lossRecheckDelay/4, func() { _ = l.Close() })
 	c.run(t.Context())
--- a/io/router/resend_test.go
+++ b/io/router/resend_test.go
@@ -72,7 +72,8 @@
 		Services:  map[string]object.Service{"rondas-app": {Name: "rondas-app", Type: object.ServicePlain}},
 		Endpoints: endpoints,
 	})
-	r.calls.router = r
+	r.calls.router, r.peers.router = r, r
+	r.initCrashes()
 	return &r.calls
 }
 
@@ -130,6 +131,7 @@
 func sendAnyCall(t *testing.T, c *callSender, method string) *common.Refusal {
 	t.Helper()
 	x := newCall(method, "")
+	x.crashRecord = x.newCrashRecord()
 	var err error
 	if x.idempotent() {
 		_, err = c.sendIdempotent(t.Context(), x)
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -277,7 +277,10 @@
 		return
 	}
 	if s.lostAtBeginning(t, reason) {
-		c := &crashCheck{router: s.router, request: s.id, attempt: t, parts: s.promptParts(), loss: t.loss(reason, s.now()), done: s.crashChecked}
+		c := &crashCheck{
+			router: s.router, request: s.id, attempt: t.attempt, parts: s.promptParts(), loss: t.loss(reason, s.now()),
+			lastActivity: t.lastActivity(), done: s.crashChecked,
+		}
 		go c.run(ctx)
 		return
 	}
--- a/io/stand/service.go
+++ b/io/stand/service.go
@@ -5,6 +5,8 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +27,8 @@
 	Latency time.Duration
 	// Faults are the injected faults that are active from the service's start.
 	Faults ServiceFaults
+	// Exit, if set, is called when a fault kills the service; the standin service command ends the process with it.
+	Exit func(code int)
 
 	serviceMu    sync.Mutex // guards the fields below
 	activeFaults ServiceFaults
@@ -45,6 +49,8 @@
 	Silent bool `json:"silent,omitempty"`
 	// SlowMS is the time in milliseconds that is added to the service's Latency.
 	SlowMS int64 `json:"slow-ms,omitempty"`
+	// DieOnWord kills the service when it has received a call whose query or body contains the word.
+	DieOnWord string `json:"die-on-word,omitempty"`
 	// ForMS ends SlowMS after this many milliseconds; zero means that it stays until the faults are replaced.
 	ForMS int64 `json:"for-ms,omitempty"`
 }
@@ -116,6 +122,10 @@
 		return
 	}
 	key := r.Header.Get(IdempotencyKeyHeader)
+	if s.isDeadly(r.URL.RawQuery, string(body)) {
+		s.die()
+		return
+	}
 	n, wait := s.countExecution(key)
 	defer s.endCall()
 	drop := s.takeFault(&s.activeFaults.DropReplies)
@@ -131,6 +141,23 @@
 	})
 }
 
+// isDeadly reports whether a fault kills the service on a call with the texts.
+func (s *Service) isDeadly(texts ...string) bool {
+	s.serviceMu.Lock()
+	defer s.serviceMu.Unlock()
+	word := s.activeFaults.DieOnWord
+	return word != "" && slices.ContainsFunc(texts, func(t string) bool { return strings.Contains(t, word) })
+}
+
+// die simulates the sudden death of the service: it calls Exit, if it is set, and resets all connections.
+func (s *Service) die() {
+	s.Log.Warn("service-killed")
+	if s.Exit != nil {
+		s.Exit(1)
+	}
+	s.resetConnections()
+}
+
 // takeFault decrements the number of upcoming service calls that a fault still applies to. It returns false if the
 // number is zero.
 func (s *Service) takeFault(count *int) bool {
