Keep what endpoints announce of themselves in placement

Endpoints may say in their answers that they are leaving, or that they want no requests for some time. Placement knew neither: it learnt that an endpoint leaves from the platform's list or from 421, and left a full one alone for 100 ms.

What an endpoint has said is kept with its entry in the table of endpoints, so it is bounded by the endpoints that exist and doesn't apply to the next endpoint at the address. New requests, cached prompts and copies go to no leaving endpoint, and nothing is sent within a pause. Streams of before may still resume from a copy on a leaving holder. NextTurn counts pauses like limits.

Nothing records announcements yet.

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -91,8 +91,10 @@
 	// addressReusedUntil is the time up to which the endpoint gets no requests because another endpoint has its
 	// address.
 	addressReusedUntil time.Time
-	reportedLoad       EndpointLoad
-	loadReceived       time.Time // when reportedLoad arrived
+	// announced is what the endpoint has said of itself.
+	announced    announced
+	reportedLoad EndpointLoad
+	loadReceived time.Time // when reportedLoad arrived
 	// preferenceCost is the term of the endpoint's cost that depends on the relay: 0 if the endpoint is assigned to
 	// this relay, and otherRelayCost otherwise.
 	preferenceCost float64
@@ -114,6 +116,9 @@
 	for _, e := range endpoints {
 		seen[e.ID] = true
 		if s := t.endpoints.Get(e.ID); s != nil {
+			if s.Address != e.Address {
+				s.announced = announced{}
+			}
 			s.Endpoint, s.listed = e, true
 			continue
 		}
@@ -248,23 +253,24 @@
 
 // isEligible reports whether the endpoint meets the requirements of a request and accepts requests now.
 func (t *EndpointTable) isEligible(s *endpointState, req EndpointRequirements, now time.Time) bool {
-	return s.isSuitable(req, now) && (req.IgnoreLimits || t.limits.wait(s.ID, now) == 0)
+	return s.isSuitable(req, now) && s.announced.pauseLeft(now) == 0 && (req.IgnoreLimits || t.limits.wait(s.ID, now) == 0)
 }
 
 // isSuitable reports whether the endpoint meets the requirements of a request and accepts requests, apart from its
-// limit.
+// limit and a pause that it has asked for.
 func (s *endpointState) isSuitable(req EndpointRequirements, now time.Time) bool {
-	return s.Service == req.Service && !req.Exclude[s.ID] && s.acceptsRequests(now)
+	return s.Service == req.Service && !req.Exclude[s.ID] && s.takesNew(now) &&
+		(!now.Before(s.fullUntil) || s.announced.pauseLeft(now) > 0)
 }
 
 // NextTurn returns the time until the first of the endpoints that meet the request's requirements may get a request
-// under its limit, or false if none of them has a limit.
+// under its limit and after the pause that it has asked for, or false if none of them has any.
 func (t *EndpointTable) NextTurn(req EndpointRequirements, now time.Time) (wait time.Duration, limited bool) {
 	t.endpoints.Each(func(_ string, s *endpointState) bool {
 		if !s.isSuitable(req, now) {
 			return true
 		}
-		if d := t.limits.wait(s.ID, now); d > 0 && (!limited || d < wait) {
+		if d := max(t.limits.wait(s.ID, now), s.announced.pauseLeft(now)); d > 0 && (!limited || d < wait) {
 			wait, limited = d, true
 		}
 		return true
@@ -275,9 +281,14 @@
 // Limits returns the limits that the endpoints have named.
 func (t *EndpointTable) Limits() *LimitTable { return &t.limits }
 
-// acceptsRequests reports whether the endpoint is up, not draining and not full.
+// acceptsRequests reports whether the endpoint is up, not leaving, not full and has not asked for a pause.
 func (s *endpointState) acceptsRequests(now time.Time) bool {
-	return s.isUp(now) && !s.Draining && !now.Before(s.fullUntil)
+	return s.takesNew(now) && !now.Before(s.fullUntil) && s.announced.pauseLeft(now) == 0
+}
+
+// takesNew reports whether the endpoint is up and not leaving, by the platform's list or by its own answers.
+func (s *endpointState) takesNew(now time.Time) bool {
+	return s.isUp(now) && !s.Draining && !s.announced.isLeaving()
 }
 
 // isUp reports whether the endpoint is in the platform's list, is not in backoff after a failure, and has not lost its
