Keep to what endpoints say of themselves in their answers

Endpoints that leave say so in all their answers (Server-Leaving: 1), and a 503 may say for how long the endpoint wants no requests (Retry-After). The relay read neither. A leaving endpoint got new requests until the platform's list showed it, streams kept their copies on it, and a full one was asked again after 100 ms.

Each answer's header now goes to the table of endpoints: answers to requests and streams, to surveys, probes and searches for cached prompts, and to orders for copies, where the call's context carries the endpoint. Status 421 comes from another endpoint at the address and says nothing. A pause is checked once more after the connection was found, just before a request is sent. Copies are requested at another engine when their holder says that it is leaving.

Ruled out: ending a pause at the next success, as a full endpoint's backoff ends: successes of requests that were sent before it arrive during it. Ending "leaving" by any answer without it: answers to probes may lack the header.

--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -36,8 +36,8 @@
 	ReasonEndpointFailed Reason = "endpoint-failed"
 	// ReasonRetryBudget means that the request failed and the retry budget is exhausted.
 	ReasonRetryBudget Reason = "retry-budget"
-	// ReasonEndpointLimit means that the endpoints of the service take no more requests now, by limits that they have
-	// named.
+	// ReasonEndpointLimit means that the endpoints of the service take no more requests now, by limits or pauses that
+	// they have named.
 	ReasonEndpointLimit Reason = "endpoint-limit"
 	// ReasonCrashesEngines means that the request, or a part of its prompt, crashes engines.
 	ReasonCrashesEngines Reason = "crashes-engines"
--- a/io/relay/copy.go
+++ b/io/relay/copy.go
@@ -83,20 +83,20 @@
 	}
 }
 
-// engineSendsCopies reports whether the serving engine still sends KV cache copies, unasked, to a holder that is
-// alive.
+// engineSendsCopies reports whether the serving engine still sends KV cache copies, unasked, to a holder that keeps
+// them.
 func (m *copyMaintainer) engineSendsCopies() bool {
 	if m.requested.exists || !m.attempt.hasHolder {
 		return false
 	}
-	return m.stream.relay.isEndpointUp(m.attempt.holder.ID)
+	return m.stream.relay.keepsCopies(m.attempt.holder.ID)
 }
 
 // requestCopy makes the serving engine copy the stream's KV cache to another engine. It returns false if the serving
 // engine no longer runs the request.
 func (m *copyMaintainer) requestCopy(ctx context.Context) bool {
 	s := m.stream
-	if !m.requested.exists || !s.relay.isEndpointUp(m.requested.holder.ID) {
+	if !m.requested.exists || !s.relay.keepsCopies(m.requested.holder.ID) {
 		m.releaseHolder()
 		s.relay.withTable(func(t *place.EndpointTable, now time.Time) {
 			m.requested.holder, m.requested.exists = t.ChooseCopyHolder(m.attempt.endpoint, "", now)
@@ -110,6 +110,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
+	ctx = s.relay.withControlCall(ctx, m.attempt.endpoint)
 	name, err := s.relay.Engines.RequestCopy(ctx, m.attempt.endpoint.Address, s.id, m.requested.holder.Address)
 	if err != nil {
 		s.log.Info("copy-failed", zap.String("from", m.attempt.endpoint.ID), zap.String("to", m.requested.holder.ID), zap.Error(err))
@@ -145,6 +146,7 @@
 	}
 	ctx, cancel := context.WithTimeout(m.stream.relay.ctx, copyTimeout)
 	defer cancel()
+	ctx = m.stream.relay.withControlCall(ctx, m.attempt.endpoint)
 	if err := m.stream.relay.Engines.FreeCopy(ctx, m.attempt.endpoint.Address, name); err != nil {
 		m.stream.log.Debug("copy-not-freed", zap.String("from", m.attempt.endpoint.ID), zap.Error(err))
 	}
--- a/io/relay/finder.go
+++ b/io/relay/finder.go
@@ -108,7 +108,7 @@
 	defer q.relay.guard.Recover("prompt-query")
 	ctx, cancel := context.WithTimeout(q.relay.ctx, searchTimeout)
 	defer cancel()
-	parts, err := q.relay.Engines.CachedParts(ctx, q.endpoint.Address)
+	parts, err := q.relay.Engines.CachedParts(q.relay.withControlCall(ctx, q.endpoint), q.endpoint.Address)
 	if err != nil {
 		q.relay.Log.Debug("prompt-query-failed", zap.String("endpoint", q.endpoint.ID), zap.Error(err))
 	}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -262,6 +262,10 @@
 	if err != nil {
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryConnect, err: err}
 	}
+	if q.relay.isPaused(e.ID) {
+		q.relay.pool.putIdle(c)
+		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryRefused, err: errPaused}
+	}
 	q.sentAt = q.relay.Clock.Now()
 	o := q.buildOutgoing(e, q.sentAt)
 	if addHeaders != nil {
@@ -335,9 +339,10 @@
 	return nil
 }
 
-// recordLoad stores the load and the limit that an endpoint reports in a response header.
+// recordLoad stores the load and the limit that an endpoint reports in a response header, and what it announces.
 func (q *request) recordLoad(id string, res *http.Response) {
 	q.recordLimit(id, res)
+	q.recordAnnouncement(id, res)
 	if l, ok := q.relay.Names.ParseLoad(res.Header.Get(q.relay.Names.Load)); ok {
 		q.relay.withTable(func(t *place.EndpointTable, now time.Time) { t.RecordLoad(id, l, now) })
 	}
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -130,7 +130,7 @@
 	defer close(pr.done)
 	ctx, cancel := context.WithTimeout(p.relay.ctx, probeTimeout)
 	defer cancel()
-	pr.report, pr.err = p.relay.Engines.Report(ctx, e.Address)
+	pr.report, pr.err = p.relay.Engines.Report(p.relay.withControlCall(ctx, e), e.Address)
 	pr.alive = pr.err == nil
 	p.relay.meter.countReason("engine-questions", aliveLabel(pr.alive))
 	if pr.alive {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -82,6 +82,8 @@
 	// returns false if the value is invalid.
 	Limit      string
 	ParseLimit func(value string) (perSecond float64, ok bool)
+	// ParseAnnouncement returns what the status and the header of an endpoint's answer say about the requests that it takes.
+	ParseAnnouncement func(status int, h http.Header) place.Announcement
 	// PromptParts lists the parts of a request's prompt; ParsePromptParts returns their ids in order. The last one is
 	// specific to the request.
 	PromptParts      string
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -68,7 +68,7 @@
 	for len(s.promptEndpoints) > 0 {
 		id := s.promptEndpoints[0]
 		s.promptEndpoints = s.promptEndpoints[1:]
-		if t.IsUp(id, now) {
+		if t.AcceptsCached(id, now) {
 			return t.Get(id)
 		}
 	}
@@ -191,11 +191,11 @@
 	}
 }
 
-// hasUsableCopy reports whether there is a copy of the stream's KV cache whose holder was not tried yet and is not
-// known to be down.
+// hasUsableCopy reports whether there is a copy of the stream's KV cache whose holder was not tried yet and accepts the
+// stream.
 func (s *streamRequest) hasUsableCopy() bool {
 	c := s.copies.get()
-	return c.exists && !s.tried[c.holder.ID] && s.relay.isEndpointUp(c.holder.ID)
+	return c.exists && !s.tried[c.holder.ID] && s.acceptsResumed(c.holder.ID)
 }
 
 // requirements returns which endpoints are suitable for the stream's prompt.
@@ -210,7 +210,7 @@
 // of both to the table of endpoints. A survey of candidates decides among them if there is one.
 func (s *streamRequest) chooseAttempt(v *survey) (a streamAttempt, ok bool) {
 	s.relay.withTable(func(t *place.EndpointTable, now time.Time) {
-		if c := s.copies.get(); c.exists && !s.tried[c.holder.ID] && t.IsUp(c.holder.ID, now) {
+		if c := s.copies.get(); c.exists && !s.tried[c.holder.ID] && t.AcceptsResumed(c.holder.ID, s.startedAt, now) {
 			a.endpoint, a.resumeFrom, ok = c.holder, c.resumeFrom, true
 		} else if a.endpoint, ok = s.nextPromptEndpoint(t, now); ok {
 			a.promptCached = true
--- a/io/relay/survey.go
+++ b/io/relay/survey.go
@@ -37,7 +37,7 @@
 func (q *engineQuery) run(ctx context.Context, done chan<- struct{}) {
 	defer q.survey.relay.guard.Recover("engine-survey")
 	defer func() { done <- struct{}{} }()
-	report, err := q.survey.relay.Engines.Report(ctx, q.endpoint.Address)
+	report, err := q.survey.relay.Engines.Report(q.survey.relay.withControlCall(ctx, q.endpoint), q.endpoint.Address)
 	if err != nil {
 		q.survey.relay.Log.Debug("survey-unanswered", zap.String("endpoint", q.endpoint.ID), zap.Error(err))
 		// No prompt is sent to this engine, so nothing else would show that it is down.
