Answer requests that arrive as a relay's graceful shutdown ends

What callers saw: a request that reached a relay just after its shutdown had found no request left could get neither an answer nor the refusal that was being written; all responses in progress were cut off.

Cause: whether the server finishes its responses was decided anew when it closed, by the number of requests at that moment, and not by why the shutdown had ended. One late request made the server cut everything off. The shutdown now records that it ended because no request was left; requests that arrive after that are refused at once, so finishing them takes no time. A shutdown that ends at its grace period cuts off as before.

--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -37,6 +37,8 @@
 	startedAt time.Time
 	// inFlight is the number of requests that are being served.
 	inFlight int
+	// finishedQuiet is true once the shutdown has ended because no request was left.
+	finishedQuiet bool
 }
 
 // setRelay sets the relay that the graceful shutdown ends.
@@ -63,6 +65,14 @@
 	return d.inFlight
 }
 
+// endsGracefully reports whether the server for callers must finish the responses in progress before it closes. Requests
+// that arrive after the last one has ended are refused at once.
+func (d *drain) endsGracefully() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.finishedQuiet
+}
+
 // hasStarted reports whether the relay's graceful shutdown has started.
 func (d *drain) hasStarted() bool {
 	d.mu.Lock()
@@ -102,7 +112,11 @@
 			break
 		}
 	}
-	d.relay.Log.Info("drain-finished", zap.Int("running", d.inFlightCount()),
+	d.mu.Lock()
+	running := d.inFlight
+	d.finishedQuiet = running == 0
+	d.mu.Unlock()
+	d.relay.Log.Info("drain-finished", zap.Int("running", running),
 		zap.Duration("took", d.relay.Clock.Now().Sub(d.startedAt)))
 	return errDrained
 }
