Answer requests that arrive as a router's drain ends

The router now records that its drain was complete.

Evidence: go test ./io/router -run EndOfDrain failed with the former condition in 2 of 2 runs ('a late request makes the server cut off what is in progress') and passes in 2 of 2 under the race detector; go test ./io/itest -run 'Drain|RollingRestart' passes.

--- a/io/router/drain.go
+++ b/io/router/drain.go
@@ -53,6 +53,10 @@
 	return !r.addressInUse() && r.sessions.sessionCount() == 0 && r.openRequests.Load() == 0 && r.calls.unrecorded.Load() == 0
 }
 
+// endsGracefully reports whether the server for callers must finish the responses in progress before it closes. Requests
+// that arrive after the drain is complete are refused at once.
+func (r *Router) endsGracefully() bool { return r.drainComplete.Load() || r.drained() }
+
 // drainRefusal returns the refusal for new requests once a draining router's address has expired at callers, and nil
 // before.
 func (r *Router) drainRefusal() *common.Refusal {
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -75,14 +75,16 @@
 	draining atomic.Bool
 	// drainStart is when this router began to drain, in Unix nanoseconds, or zero.
 	drainStart atomic.Int64
-	feed       feed
-	dispatcher dispatcher
-	peers      peers
-	journal    journal
-	sessions   sessionTable
-	calls      callSender
-	guard      serve.PanicGuard
-	prefixes   prefixTracker
+	// drainComplete is true once a drain has ended because nothing was left to wait for.
+	drainComplete atomic.Bool
+	feed          feed
+	dispatcher    dispatcher
+	peers         peers
+	journal       journal
+	sessions      sessionTable
+	calls         callSender
+	guard         serve.PanicGuard
+	prefixes      prefixTracker
 	// crashes keeps prompts that crash engines away from them.
 	crashes guard.Guard
 	// nonce makes the epochs of the generations that this router owns unique.
@@ -105,7 +107,7 @@
 	r.Log.Info("router-started", zap.String("router", r.Name), zap.String("listen", r.Listen),
 		zap.String("peer-listen", r.PeerListen), zap.Uint64("incarnation", r.incarnation))
 	var g run.Group
-	serve.AddHTTPServer(&g, r.newCallerServer(r.guard.Handler(r.callerHandler())), serve.LimitListener(callers, r.MaxConnections), r.drained)
+	serve.AddHTTPServer(&g, r.newCallerServer(r.guard.Handler(r.callerHandler())), serve.LimitListener(callers, r.MaxConnections), r.endsGracefully)
 	serve.AddHTTPServer(&g, r.newPeerServer(), serve.LimitListener(peers, maxPeerConnections), nil)
 	loops := []func(context.Context) error{
 		r.loop, r.feed.loop, r.dispatcher.loop, r.peers.loop, r.journal.loop, r.loopPollEngines, r.prefixes.loop,
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -89,6 +89,7 @@
 		case <-ticker.C:
 		}
 		if r.drained() {
+			r.drainComplete.Store(true)
 			r.Log.Info("drain-complete")
 			return errDrained
 		}
