Test that a shutdown loses no request that is being read

One of the hypotheses of the incident: Shutdown of net/http goes by the same state as the check of time limits did. It sets its flag before it looks at the states, and the server drops a request whose state it reports after that, so a request is served only on an open connection.

--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -26,8 +27,10 @@
 	t     *testing.T
 	clock *clock.Manual
 	relay *Relay
-	conn  net.Conn
-	br    *bufio.Reader
+	// server is the server for callers; conn is the caller's connection, and br reads from it.
+	server *http.Server
+	conn   net.Conn
+	br     *bufio.Reader
 	// handler serves the requests; nil responds with an empty body.
 	handler http.Handler
 	// served is the number of requests that the handler got.
@@ -68,6 +71,7 @@
 		t.Fatal(err)
 	}
 	server, l := g.relay.callers.newServer(http.HandlerFunc(g.serve), &hookedListener{Listener: l, rig: g})
+	g.server = server
 	track := server.ConnState
 	server.ConnState = func(c net.Conn, s http.ConnState) {
 		if s == http.StateActive {
@@ -226,6 +230,30 @@
 	}
 }
 
+// Guards against a request that is served although the shutdown of the server has closed its connection while it was being
+// read.
+func TestRequestDuringShutdownIsNotLost(t *testing.T) {
+	for _, moment := range []string{asBytesArrive, asHeaderIsRead} {
+		t.Run(moment, func(t *testing.T) {
+			g := newCallerRig(t)
+			g.sendFirst()
+			began, ended := make(chan struct{}), make(chan error, 1)
+			g.server.RegisterOnShutdown(func() { close(began) })
+			g.hooks.Store(&callerHook{moment: moment, f: func(*hookedConn) {
+				go func() { ended <- g.server.Shutdown(context.Background()) }()
+				<-began
+			}})
+			answered := g.send(plainRequest)
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+			if served := g.served.Load() == 2; served != answered {
+				t.Errorf("the request is served: %t, its caller has a response: %t", served, answered)
+			}
+		})
+	}
+}
+
 // Guards against a connection that is closed as idle although a request has arrived on it, as after a pause of the process.
 func TestUnreadRequestKeepsConnection(t *testing.T) {
 	g := newCallerRig(t)
