Survive temporary errors of accepting connections

What callers would see: a process that has no free file descriptor at the moment of one accept ends, and with it all requests in flight.

Cause: net/http goes on after errors that say that they are temporary, and finds that out by a type assertion. The listener that limits connections wrapped the error, so net/http gave up, and the run group ended the process. All servers of relay, router, keeper and control process use that listener. Errors of accepting are passed on as they are now.

Evidence: go test ./io/serve -run TestTemporaryAcceptError failed for both listeners ('the server ends: accept: accept tcp: accept4: too many open files') and passes in 3 of 3 runs, and once under the race detector.

--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -124,7 +124,7 @@
 func (l *trackedListener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
 	if err != nil {
-		return nil, fmt.Errorf("accept: %w", err)
+		return nil, err //nolint:wrapcheck // net/http looks for temporary errors by their type
 	}
 	c := &clientConn{Conn: nc, table: l.table, since: l.table.Clock.Now()}
 	l.table.mu.Lock()
--- a/io/serve/limit.go
+++ b/io/serve/limit.go
@@ -31,7 +31,7 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
-			return nil, fmt.Errorf("accept: %w", err)
+			return nil, err //nolint:wrapcheck // net/http looks for temporary errors by their type
 		}
 		select {
 		case l.openConns <- struct{}{}:
