Free no request that crashes engines by an error response

Cause: each complete response to a request counted as proof that the engine had outlived it. An endpoint that fails part of its requests answers 500 without having run them, so that one beside a request that crashes engines would free that request everywhere; the crashes would have to come again.

Now a response counts if its status is below 500 and neither 408 nor 429. Other 4xx count: a request that is always answered 404 is sound.

Evidence: TestErrorResponsesFreeNoCrashingRequest failed before for 408, 429, 500, 502 and 503. TestFingerprintOfRequest passes on the commit before too; it guards what the fingerprint consists of.

--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net/http"
 	"strings"
 	"time"
 
@@ -64,7 +65,7 @@
 	switch {
 	case q.r.Context().Err() != nil || len(q.parts) == 0 && q.bodyReader != nil:
 	case result.outcome == completed:
-		q.recordAnswer()
+		q.recordAnswer(result.res.StatusCode)
 	case result.outcome != outcomeUnknown || result.cause != common.RetryReset && result.cause != common.RetrySilent:
 	case !q.goesToModelEngine():
 		q.startCrashCheck(e, result.cause == common.RetrySilent)
@@ -73,9 +74,11 @@
 	}
 }
 
-// recordAnswer records that an engine has outlived the request.
-func (q *request) recordAnswer() {
-	if q.relay.crashes.HasCrashes() {
+// recordAnswer records that an engine has outlived the request, if its response with the status shows that. An endpoint that
+// fails or is full may have answered without running it.
+func (q *request) recordAnswer(status int) {
+	ran := status < http.StatusInternalServerError && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout
+	if ran && q.relay.crashes.HasCrashes() {
 		q.relay.crashes.MarkSound(q.crashParts(), q.sentAt)
 	}
 }
--- /dev/null
+++ b/io/relay/crashes_test.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
+	"wasabiweir/io/guard"
+	"wasabiweir/io/wall"
+)
+
+// newCrashRequest returns a request without prompt parts at a relay that knows three crashes by it.
+func newCrashRequest(t *testing.T) *request {
+	r := &Relay{Clock: wall.Clock{}, Log: zap.NewNop(), ctx: t.Context()}
+	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: tally.NoopScope, Send: func([]poison.Crash) {}}
+	q := &request{relay: r, r: httptest.NewRequest(http.MethodPost, "/x", http.NoBody), id: "r", body: []byte("body"), ctx: t.Context()}
+	for i := range 3 {
+		age := time.Duration(3-i) * time.Second
+		r.crashes.Record(poison.NewCrash(fmt.Sprint("r", i), fmt.Sprint("e", i), "", q.crashParts()), r.Clock.Now().Add(-age))
+	}
+	return q
+}
+
+// An endpoint that answers with an error may not have run the request, so that its response must not free one that crashes
+// endpoints.
+func TestErrorResponsesFreeNoCrashingRequest(t *testing.T) {
+	for status, free := range map[int]bool{500: false, 502: false, 503: false, 429: false, 408: false, 200: true, 204: true, 302: true, 404: true} {
+		q := newCrashRequest(t)
+		q.sentAt = q.relay.Clock.Now()
+		q.recordPlainOutcome(place.Endpoint{ID: "e"}, attemptResult{outcome: completed, res: &http.Response{StatusCode: status}})
+		if got := q.passesQuarantine(); got != free {
+			t.Errorf("after a response with status %d the request may be sent: %t", status, got)
+		}
+	}
+}
+
+// Requests that differ in one of the fields must not be taken for the one that crashes endpoints, and the same one must be known
+// under another id.
+func TestFingerprintOfRequest(t *testing.T) {
+	q := newCrashRequest(t)
+	for name, change := range map[string]func(o *request){
+		"id":      func(o *request) { o.id = "other" },
+		"host":    func(o *request) { o.r.Host = strings.ToUpper(o.r.Host) },
+		"account": func(o *request) { o.account = "other" },
+		"method":  func(o *request) { o.r.Method = http.MethodPut },
+		"query":   func(o *request) { o.r.RequestURI = "/x?y" },
+		"body":    func(o *request) { o.body = []byte("bodies") },
+		"stream":  func(o *request) { o.body, o.bodyReader = nil, http.NoBody },
+	} {
+		o := &request{relay: q.relay, r: httptest.NewRequest(http.MethodPost, "/x", http.NoBody), id: "r", body: []byte("body"), ctx: t.Context()}
+		change(o)
+		if same := name == "id" || name == "host"; o.passesQuarantine() == same {
+			t.Errorf("a request with another %s may be sent: %t", name, !same)
+		}
+	}
+}
