Let an answer free equal requests whichever of their crashes are kept

Cause: of many equal requests on a lost engine a table keeps three, and processes may keep different ones. An answer is told as a change of a crash, by request and endpoint, so that another process whose table holds other crashes of the same engine dropped it and went on refusing a sound request until a trial, 20 s later.

Now the news that a whole request has been answered marks all its crashes of that engine.

Evidence: TestAnswerIsKnownWhicheverCrashesAreKept failed before ("the request is still in quarantine").

--- a/core/poison/request.go
+++ b/core/poison/request.go
@@ -180,13 +180,32 @@
 	if answered, ok := t.answered[c.lastPart()]; ok && !at.After(answered.Add(minSpacing)) {
 		return true
 	}
-	n := 0
+	return len(t.sameRequest(c, at)) >= maxPerEngine
+}
+
+// sameRequest returns the known crashes of the same engine and whole request as the crash at the given time.
+func (t *Table) sameRequest(c *Crash, at time.Time) (out []*crash) {
 	for i := range t.crashes {
 		if o := &t.crashes[i]; o.isWholeRequest() && o.lastPart() == c.lastPart() && o.isSameEngine(&crash{Crash: *c, at: at}) {
-			n++
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// markSameRequest marks the other crashes of the same engine and whole request as answered if this one is, and returns those for
+// which this is news: processes may keep different ones of them.
+func (t *Table) markSameRequest(c *Crash, at, now time.Time) (news []Crash) {
+	if !c.isWholeRequest() || !c.isSound(0) {
+		return nil
+	}
+	for _, o := range t.sameRequest(c, at) {
+		if !o.isSound(0) && o.Request != c.Request {
+			o.Sound = 1
+			news = append(news, o.withAge(now))
 		}
 	}
-	return n >= maxPerEngine
+	return news
 }
 
 // firstRequest returns the index of the oldest crash of a whole request for which is returns true, or -1.
--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -265,6 +265,23 @@
 	}
 }
 
+// Processes that keep different ones of many equal requests on the lost engines must still learn from each other that such a
+// request has been answered.
+func TestAnswerIsKnownWhicheverCrashesAreKept(t *testing.T) {
+	tables := make([]Table, 2)
+	for p := range tables {
+		for i := range 3 {
+			for r := range maxPerEngine {
+				crashAt(&tables[p], time.Duration(i)*time.Second, fmt.Sprint("r", p, i, r), fmt.Sprint("e", i), "popular")
+			}
+		}
+	}
+	tables[1].Merge(tables[0].MarkSound([]string{"popular"}, at(4*time.Second), at(4*time.Second)), at(4*time.Second))
+	if isQuarantined(&tables[1], 5*time.Second, "popular") {
+		t.Error("the request is still in quarantine")
+	}
+}
+
 // A request without parts that has crashed two engines is not sent to a third.
 func TestRequestWithoutPartsIsNotSentToThirdEngine(t *testing.T) {
 	var tab Table
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -70,6 +70,7 @@
 			continue
 		}
 		at := now.Add(-c.Age)
+		news = append(news, t.markSameRequest(&c, at, now)...)
 		known := t.find(c.Request, c.Endpoint)
 		switch {
 		case known == nil && c.isWholeRequest() && t.isKnownRequest(&c, at):
