--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // load is a replay of requests without prompt parts on the endpoints of one service, one in each failure domain, through
@@ -306,3 +308,44 @@
 		seen[f] = i
 	}
 }
+
+// Whatever the order in which the processes exchange what they know, they quarantine the same requests, within the bounds of memory.
+func TestMergeOfRequestsConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := make([]Table, 3)
+		now := time.Duration(0)
+		for step := range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 800).Draw(t, "wait")) * time.Millisecond
+			tab := &tables[rapid.IntRange(0, 2).Draw(t, "process")]
+			part := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "request")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1, 2:
+				engine := rapid.IntRange(0, 5).Draw(t, "engine")
+				c := NewCrash(fmt.Sprint("r", step), fmt.Sprint("e", engine, "-", now/(3*time.Second)), fmt.Sprint("domain-", engine%3), []string{part})
+				tab.Merge([]Crash{c}, at(now))
+			case 3:
+				tab.MarkSound([]string{part}, at(now-BeginWindow), at(now))
+			default:
+				tab.Merge(tables[rapid.IntRange(0, 2).Draw(t, "from")].All(at(now)), at(now))
+			}
+		}
+		for range 3 {
+			for i := range tables {
+				for j := range tables {
+					tables[i].Merge(tables[j].All(at(now)), at(now))
+				}
+			}
+		}
+		later := now + minSuspicion
+		for i := range tables {
+			if n := len(tables[i].crashes); n > maxWholeCrashes {
+				t.Fatalf("%d crashes are kept", n)
+			}
+			for _, p := range []string{"a", "b", "c"} {
+				if isQuarantined(&tables[i], later, p) != isQuarantined(&tables[0], later, p) {
+					t.Fatalf("processes 0 and %d disagree on %s", i, p)
+				}
+			}
+		}
+	})
+}
