Drop the output with which an engine gives a generation up

What callers saw: a stream had begun and broke off, and the next engine answered 200 with an event whose finish reason is "error" and whose text is the error message. The caller found the message in the text of its stream, before the output of the engine after that: "engine failure: out of memory 1mqdw1s" for the token " 1mqdw1s". With a token in that event, the stream had a foreign token.

Cause: the owner of a generation collected the output of a chunk before it looked at the finish reason.

Ruled out, by the same test: errors as JSON, HTML or plain text, with an error status or 200, as an error event or in its place, a head in the stream or behind the head, and truncated or empty responses. Each is a lost attempt, and the answer continues on another engine token by token.

A chunk with the finish reason "error" or "abort" is now dropped whole and is no sign that the engine survived the prompt. Tokens in it, if they were sound, come again from the next engine, since the answer continues from the last token that was kept.

Evidence: go test ./io/itest -run ErrorAfterBroken failed before in 2 of 17 kinds (error_as_finish_reason, the same with a token) and passes now, also with -count=3.

--- a/core/stream/owner.go
+++ b/core/stream/owner.go
@@ -69,7 +69,8 @@
 type OwnerStats struct {
 	// Attempts is the number of attempts that were started.
 	Attempts int
-	// Dropped is the number of output tokens that were discarded, since their attempt was not the current one any more.
+	// Dropped is the number of output tokens that were discarded, since their attempt was not the current one any more or
+	// came with its failure.
 	Dropped int
 	// Reused is the sum, over all attempts, of the answer tokens that an attempt continued from.
 	Reused int
@@ -195,12 +196,14 @@
 	if len(o.Record.Prompt) == 0 {
 		o.Record.Prompt = out.Prompt
 	}
-	o.pending.IDs = append(o.pending.IDs, out.IDs...)
-	o.pending.Text += out.Text
 	if out.Finish == FinishAbort || out.Finish == FinishError {
+		// The text that comes with it may be an error message.
+		o.stats.Dropped += len(out.IDs)
 		o.attemptRunning = false
 		return AttemptLost
 	}
+	o.pending.IDs = append(o.pending.IDs, out.IDs...)
+	o.pending.Text += out.Text
 	o.pending.Finish = out.Finish
 	o.finishAtMaxTokens()
 	if !o.isAnswerComplete() {
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -207,7 +207,7 @@
 		e.from.cancel()
 		return
 	}
-	if len(e.chunk.TokenIDs) > 0 {
+	if len(e.chunk.TokenIDs) > 0 && action != stream.AttemptLost {
 		s.lastProgress = s.now()
 		s.stallDetector.Output(s.now())
 		if first := e.from.recordOutput(s.now()); first > 0 {
