Continue a stream when one engine rejects it as invalid

What callers saw: a stream had begun and broke off, the next engine answered 400, and the stream ended with an error event that holds the engine's message ("reason":"bad-request","outcome":"ran"), although a third engine was sound.

Cause: any engine's 400 or 422 counted as proof that the request is invalid, also after another engine had accepted it and returned output.

Ruled out: that the rest of a generation may be invalid by itself.

A rejection before any output still ends the generation. After output it is a lost attempt, and the second one ends the generation, so that a request which all engines reject is not tried without end.

Evidence: go test ./io/itest -run 'ErrorAfterBroken|EnginesReject' failed before ("2 attempts, want the failure and another engine", "2 attempts, want the first and two that are rejected") and passes now, also with -count=2.

--- a/io/itest/enginerror_test.go
+++ b/io/itest/enginerror_test.go
@@ -18,10 +18,12 @@
 )
 
 // failingEngines are proxies in front of engines. They break the first attempt of a generation off in the middle of its
-// output, answer the second with an error, and pass on all others.
+// output, answer the next ones with an error, and pass on all others.
 type failingEngines struct {
 	attempts atomic.Int32
-	// failure is the whole response to the second attempt, from its status line on.
+	// failures is the number of attempts that get an error.
+	failures int32
+	// failure is the whole error response, from its status line on.
 	failure atomic.Value
 }
 
@@ -37,10 +39,10 @@
 			proxy.ServeHTTP(w, r)
 			return
 		}
-		switch f.attempts.Add(1) {
-		case 1:
+		switch n := f.attempts.Add(1); {
+		case n == 1:
 			breakOff(w, r, address)
-		case 2:
+		case n <= 1+f.failures:
 			f.fail(w, r)
 		default:
 			proxy.ServeHTTP(w, r)
@@ -111,6 +113,7 @@
 	statusOK     = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
 	streamHead   = statusOK + "Content-Type: text/event-stream\r\n\r\n"
 	serverError  = "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n"
+	badRequest   = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Type: application/json\r\n\r\n"
 	plainError   = "engine failure: out of memory\n"
 	jsonError    = `{"error":{"message":"engine failure: out of memory","code":500}}`
 	chunkOfError = `{"choices":[{"text":"engine failure: out of memory","token_ids":[],"finish_reason":"error"}]}`
@@ -123,10 +126,11 @@
 	t.Parallel()
 	const tokens = 40
 	s := newSystem(t, systemSpec{controls: 1, routers: 1, engines: 3, engineArgs: []string{"-tokens-per-second", "300"}})
-	f := &failingEngines{}
+	f := &failingEngines{failures: 1}
 	f.start(s)
 	for _, x := range []struct{ name, failure string }{
 		{"json", serverError + "Content-Type: application/json\r\n\r\n" + jsonError},
+		{"invalid request", badRequest + jsonError},
 		{"html", "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Type: text/html\r\n\r\n<html>" + plainError + "</html>"},
 		{"error status with event stream", serverError + "Content-Type: text/event-stream\r\n\r\ndata: " + jsonError + "\n\n"},
 		{"plain text with status 200", statusOK + "Content-Type: text/plain\r\n\r\n" + plainError},
@@ -158,6 +162,22 @@
 	}
 }
 
+// Guards against a stream that all engines reject as invalid after one of them has begun it, and that is tried without end.
+func TestStreamThatEnginesReject(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, systemSpec{controls: 1, routers: 1, engines: 4})
+	f := &failingEngines{failures: 1000}
+	f.failure.Store(badRequest + jsonError)
+	f.start(s)
+	l := s.startCompletion(0, 40).readToEnd()
+	if got := l.received.String(); !strings.Contains(got, `event: error`) || !strings.Contains(got, `"reason":"bad-request","outcome":"ran"`) {
+		t.Errorf("the stream ended with %s", lastLines(got, 2))
+	}
+	if n := f.attempts.Load(); n != 3 {
+		t.Errorf("%d attempts, want the first and two that are rejected", n)
+	}
+}
+
 // verifyText checks that the text of each event is that of its tokens, and that the stream ended as a complete one.
 func (l *streamResponse) verifyText() {
 	l.t.Helper()
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -35,6 +35,8 @@
 	// attempt means starting over, which the retry budget limits, so that waiting in an engine's queue at peak load
 	// must not count as a stall.
 	firstOutputTimeout = 2 * time.Second
+	// maxRejections is the number of engines that reject a generation with output as invalid before it is given up.
+	maxRejections = 2
 	// endpointRetryDelay is the pause before an engine is selected again when none was available.
 	endpointRetryDelay = 100 * time.Millisecond
 )
@@ -66,6 +68,7 @@
 	retryAt    time.Time
 	lastTick   time.Time
 	mayHaveRun bool // whether the generation request may have reached an engine
+	rejections int  // engines that rejected the generation request as invalid
 	// stallDetector detects that the current attempt returns no more output.
 	stallDetector stream.StallDetector
 	// resumeTurn receives a value when the resume queue lets this session continue.
@@ -227,8 +230,8 @@
 	}
 }
 
-// handleAttemptFailure ends a failed attempt: the generation fails if the engine rejected the request as invalid, and
-// otherwise continues on another engine.
+// handleAttemptFailure ends a failed attempt: the generation fails if the engine rejected the request as invalid and no
+// other one had accepted it, and otherwise continues on another engine.
 func (s *session) handleAttemptFailure(ctx context.Context, e attemptEvent) {
 	if e.from != s.current {
 		return
@@ -239,9 +242,13 @@
 		s.router.dispatcher.markLeaving(e.from.name)
 	}
 	if f := invalidRequestRefusal(e.err); f != nil && !e.from.hasOutput() {
-		s.finishAttempt()
-		s.failGeneration(s.withGenerationOutcome(f))
-		return
+		s.rejections++
+		// An engine that has returned output had accepted the request, so the engine that rejects it may be at fault.
+		if s.owner.Tokens() == 0 || s.rejections >= maxRejections {
+			s.finishAttempt()
+			s.failGeneration(s.withGenerationOutcome(f))
+			return
+		}
 	}
 	s.loseAttempt(ctx, reason)
 }
