Count an engine that refuses a probe as alive

Callers' streams were moved from a sound engine, and their prompts were recorded as crashing it, when it answered a probe of a quiet stream with 503. With Retry-After, engines may refuse the relay's own calls as well.

Cause: any status but 200 counted as no answer to a probe, so the engine was suspended for 2.5 s like one that has ended. A refusal is an answer: EngineClient returns ErrCallRefused for 503, and the prober takes it as a sign of life. A survey starts no probe after it. Other statuses count as before.

--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -131,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(p.relay.ctx, probeTimeout)
 	defer cancel()
 	pr.report, pr.err = p.relay.Engines.Report(p.relay.withControlCall(ctx, e), e.Address)
-	pr.alive = pr.err == nil
+	pr.alive = pr.err == nil || errors.Is(pr.err, ErrCallRefused)
 	p.relay.meter.countReason("engine-questions", aliveLabel(pr.alive))
 	if pr.alive {
 		return
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -39,6 +39,10 @@
 // ErrRequestNotRunning is returned by RequestCopy when the engine does not run the request.
 var ErrRequestNotRunning = eris.New("the engine does not run the request")
 
+// ErrCallRefused is returned by the methods of EngineClient when the engine refuses the call because it wants none now; it is
+// alive.
+var ErrCallRefused = eris.New("the engine refused the call")
+
 // EngineReport is an engine's report about itself; its data is some hundred milliseconds old.
 type EngineReport struct {
 	// Events is the number of events that each running request has produced, by request id.
--- a/io/relay/survey.go
+++ b/io/relay/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -40,8 +41,10 @@
 	report, err := q.survey.relay.Engines.Report(q.survey.relay.withControlCall(ctx, q.endpoint), q.endpoint.Address)
 	if err != nil {
 		q.survey.relay.Log.Debug("survey-unanswered", zap.String("endpoint", q.endpoint.ID), zap.Error(err))
-		// No prompt is sent to this engine, so nothing else would show that it is down.
-		q.survey.relay.prober.startProbe(q.endpoint)
+		if !errors.Is(err, ErrCallRefused) {
+			// No prompt is sent to this engine, so nothing else would show that it is down.
+			q.survey.relay.prober.startProbe(q.endpoint)
+		}
 		return
 	}
 	q.survey.mu.Lock()
