Tell callers when the first endpoint is back while all want no requests

While all endpoints of a service had asked for a pause, a caller whose request they had refused was told to come back after 0.7 s, streams waited for 0.5 s before they were refused, and all others were told the same moment, so that they would have come back in one wave.

Cause: the time to an endpoint's return left out the endpoints that the request had tried, and the answer had no spread. FirstReturn looks at all endpoints of the service, also at those that have failed or are only full, and SpreadRetry adds up to half of the time, or a second. Streams are refused at once if the first return comes later than they may wait.

TestRefusedCallersReturnSpread replays 200 callers a second in a pause of 4 s of all endpoints: none is told to come back before its end, and at most a quarter of them come back within 0.2 s. The two tests in core use functions that are new.

Not done: a limit on the load of an endpoint in the first moments after its pause.

--- a/core/place/announcement.go
+++ b/core/place/announcement.go
@@ -113,3 +113,38 @@
 	s := t.endpoints.Get(id)
 	return s != nil && s.announced.pauseLeft(now) > 0
 }
+
+const (
+	// retryMargin is how much later than the end of a pause refused callers are told to come back at the earliest.
+	retryMargin = 50 * time.Millisecond
+	// minRetrySpread and retrySpread give the span over which they come back: the longer of the time itself and the part of
+	// the pause that is left.
+	minRetrySpread = time.Second
+	retrySpread    = 0.5
+)
+
+// FirstReturn returns the time until the first endpoint of the service accepts requests again. It returns false if one does
+// now, or if no endpoint has asked for a pause.
+func (t *EndpointTable) FirstReturn(service string, now time.Time) (wait time.Duration, paused bool) {
+	accepts, first := false, maxPause
+	t.endpoints.Each(func(_ string, s *endpointState) bool {
+		if s.Service != service || !s.listed || s.Draining || s.announced.isLeaving() {
+			return true
+		}
+		left := s.announced.pauseLeft(now)
+		paused = paused || left > 0
+		for _, until := range []time.Time{s.backoffUntil, s.fullUntil, s.addressReusedUntil} {
+			left = max(left, until.Sub(now))
+		}
+		first, accepts = min(first, left), accepts || left <= 0
+		return true
+	})
+	return first, paused && !accepts
+}
+
+// SpreadRetry returns the Retry-After time of a request that is refused until an endpoint returns after the given time; random is
+// from 0 to 1. Callers that are refused in the same pause come back over some time, so that they don't fill the endpoints at once.
+func SpreadRetry(wait time.Duration, random float64) time.Duration {
+	spread := max(minRetrySpread, time.Duration(retrySpread*float64(wait)))
+	return wait + retryMargin + time.Duration(random*float64(spread))
+}
--- a/core/place/announcement_test.go
+++ b/core/place/announcement_test.go
@@ -141,3 +141,51 @@
 		t.Errorf("the first endpoint is back after %s (%v), want %s", wait, limited, want)
 	}
 }
+
+// Guards against a wait that is too long because an endpoint that has failed, or is only full, returns before the pauses end, and
+// against a wait though an endpoint accepts requests.
+func TestFirstReturn(t *testing.T) {
+	x := newTable(3)
+	if _, paused := x.FirstReturn("m", at(0)); paused {
+		t.Error("endpoints without a pause count as paused")
+	}
+	x.RecordAnnouncement("e00", Announcement{Pause: 5 * time.Second}, at(0), at(0))
+	x.RecordAnnouncement("e01", Announcement{Pause: 9 * time.Second}, at(0), at(0))
+	if _, paused := x.FirstReturn("m", at(0)); paused {
+		t.Error("a service with an endpoint that accepts requests counts as paused")
+	}
+	x.RecordFailure("e02", true, at(0))
+	if wait, paused := x.FirstReturn("m", at(1)); !paused || wait != downBackoff-time.Second {
+		t.Errorf("the first return is after %s (%v), want that of the endpoint that failed", wait, paused)
+	}
+	x.RecordAnnouncement("e02", Announcement{Leaving: true}, at(1), at(1))
+	if wait, paused := x.FirstReturn("m", at(2)); !paused || wait != 3*time.Second {
+		t.Errorf("the first return is after %s (%v), want the end of the first pause", wait, paused)
+	}
+}
+
+// Replays a load on a service whose endpoints all want no requests for 4 s: 200 callers a second that come back when they were told
+// to. Guards against a return in one wave, and against one before the pause ends.
+func TestRefusedCallersReturnSpread(t *testing.T) {
+	x := newTable(3)
+	for _, e := range testEngines(3) {
+		x.RecordAnnouncement(e.ID, Announcement{Pause: 4 * time.Second}, at(0), at(0))
+	}
+	const callers, tick = 800, 200 * time.Millisecond
+	returns := map[time.Duration]int{}
+	for i := range callers {
+		now := testStart.Add(time.Duration(i) * 5 * time.Millisecond)
+		wait, paused := x.FirstReturn("m", now)
+		back := now.Add(SpreadRetry(wait, x.Rand.Float64())).Sub(testStart)
+		if !paused || back < 4*time.Second {
+			t.Fatalf("a caller of %s is told to return after %s", now.Sub(testStart), back)
+		}
+		returns[back/tick]++
+	}
+	for _, n := range returns {
+		// All at once would be 800; the load itself is 40 in each tick.
+		if n > callers/4 {
+			t.Errorf("%d of %d callers return within %s", n, callers, tick)
+		}
+	}
+}
--- a/io/relay/announcements.go
+++ b/io/relay/announcements.go
@@ -91,3 +91,19 @@
 	s.relay.withTable(func(t *place.EndpointTable, now time.Time) { ok = t.AcceptsResumed(id, s.startedAt, now) })
 	return ok
 }
+
+// firstReturn returns the time until the first endpoint of the request's service accepts requests again, or false if none of
+// them has asked for a pause or one accepts requests now.
+func (q *request) firstReturn() (wait time.Duration, paused bool) {
+	q.relay.withTable(func(t *place.EndpointTable, now time.Time) { wait, paused = t.FirstReturn(q.service, now) })
+	return wait, paused
+}
+
+// firstTurn returns the time until the stream may be sent to an endpoint that has asked for a pause or has a limit, or false if
+// none of these holds it back.
+func (s *streamRequest) firstTurn() (wait time.Duration, limited bool) {
+	if wait, paused := s.firstReturn(); paused {
+		return wait, true
+	}
+	return s.nextTurn(s.requirements())
+}
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -123,6 +124,9 @@
 	case common.ReasonCrashesEngines:
 		return s.quarantineRetryAfter()
 	case common.ReasonEndpointLimit:
+		if wait, paused := s.firstReturn(); paused {
+			return place.SpreadRetry(wait, rand.Float64())
+		}
 		turn, _ := s.nextTurn(s.requirements())
 		return max(retryElsewhere, turn)
 	}
--- a/io/relay/limits.go
+++ b/io/relay/limits.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -62,6 +63,10 @@
 
 // failWithoutEndpoint ends a request for which no endpoint accepts requests now.
 func (q *request) failWithoutEndpoint(req place.EndpointRequirements) {
+	if wait, paused := q.firstReturn(); paused {
+		q.failRequest(common.ReasonEndpointLimit, place.SpreadRetry(wait, rand.Float64()))
+		return
+	}
 	if turn, limited := q.nextTurn(req); limited {
 		q.failRequest(common.ReasonEndpointLimit, turn)
 		return
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -175,7 +175,7 @@
 			return a, ""
 		}
 		now := s.relay.Clock.Now()
-		if turn, limited := s.nextTurn(s.requirements()); limited && !s.headerSent && now.Add(turn).After(until) {
+		if turn, limited := s.firstTurn(); limited && !s.headerSent && now.Add(turn).After(until) {
 			return streamAttempt{}, common.ReasonEndpointLimit
 		}
 		if now.After(until) || !s.sleep(resumeRetryInterval) {
