Test that callers of equal sound calls are not refused beside a crashing one

Adds to the refusal of calls that crash their endpoints: status 408 does not speak for a call either, since a gateway may send it for a lost endpoint, and a test with twelve callers of equal sound calls beside the deadly one.

--- a/io/itest/crashcall_test.go
+++ b/io/itest/crashcall_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -18,12 +20,12 @@
 }
 
 // newCallSystem starts the system with n endpoints of the plain service that end on a deadly call.
-func newCallSystem(t *testing.T, routers, n int) *callSystem {
+func newCallSystem(t *testing.T, routers, n int, args ...string) *callSystem {
 	s := &callSystem{system: newSystem(t, systemSpec{controls: 1, routers: routers, engines: 1})}
 	objects := []map[string]any{}
 	for i, a := range freeAddresses(n) {
 		name := fmt.Sprintf("rondas-%d", i+2)
-		s.services = append(s.services, startProcess(t, name, "standin", "service", "-listen", a, "-die-on-word", "deadly"))
+		s.services = append(s.services, startProcess(t, name, append([]string{"standin", "service", "-listen", a, "-die-on-word", "deadly"}, args...)...))
 		s.addresses = append(s.addresses, a)
 		objects = append(objects, map[string]any{"kind": "endpoint", "name": name, "service": "rondas-app", "address": a, "domain": domains[i%3]})
 	}
@@ -158,6 +160,60 @@
 	}
 }
 
+// bystanders send equal sound calls without pause, and count them by outcome.
+type bystanders struct {
+	*callSystem
+	wg                    sync.WaitGroup
+	stopped               atomic.Bool
+	served, lost, refused atomic.Int32
+}
+
+// loop sends calls of the method until the bystanders are stopped.
+func (b *bystanders) loop(method string) {
+	defer b.wg.Done()
+	for n := 0; !b.stopped.Load(); n++ {
+		switch status, text := b.send(n, method, "", "", newIdempotencyKey(b.t)); {
+		case status == http.StatusOK:
+			b.served.Add(1)
+		case strings.Contains(text, "crashes-engines"):
+			b.refused.Add(1)
+		default:
+			b.lost.Add(1)
+		}
+	}
+}
+
+// Equal sound calls are on each endpoint that a deadly call ends, in larger numbers than the deadly one. They must not be refused
+// with it.
+func TestBystandersOfCrashingCalls(t *testing.T) {
+	t.Parallel()
+	const workers, calls = 12, 12
+	b := &bystanders{callSystem: newCallSystem(t, 3, 6, "-latency", "60ms")}
+	for i := range workers {
+		b.wg.Add(1)
+		go b.loop([]string{http.MethodGet, http.MethodPost}[i%2])
+	}
+	crashes := 0
+	for i := range calls {
+		b.send(i, http.MethodPost, "", `{"visit":"deadly"}`, newIdempotencyKey(t))
+		time.Sleep(300 * time.Millisecond)
+		crashes += b.relaunchEnded()
+		want := b.served.Load() + 2*workers
+		eventually(t, startTimeout, func() error {
+			if n := b.served.Load(); n < want {
+				return fmt.Errorf("%d sound calls were served, want %d", n, want)
+			}
+			return nil
+		})
+	}
+	b.stopped.Store(true)
+	b.wg.Wait()
+	t.Logf("%d endpoints have ended; of the sound calls, %d were served, %d lost and %d refused", crashes, b.served.Load(), b.lost.Load(), b.refused.Load())
+	if crashes < 3 || crashes > 6 || b.refused.Load() > 0 {
+		t.Errorf("%d endpoints have ended, want 3 to 6; %d sound calls were refused with the deadly one", crashes, b.refused.Load())
+	}
+}
+
 // checkListening returns an error unless the stand-in service at the address answers its health check.
 func checkListening(address string) error {
 	res, err := http.Get("http://" + address + "/health")
--- a/io/router/callcrashes_test.go
+++ b/io/router/callcrashes_test.go
@@ -59,7 +59,7 @@
 		c.router.crashes.Merge([]poison.Crash{crash})
 		advance(c, time.Second)
 	}
-	for _, status := range []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
 		c.markSound(x, &endpointResponse{status: status}, c.router.Clock.Now())
 		if f := sendAnyCall(t, c, http.MethodGet); f == nil || f.Reason != common.ReasonCrashesEngines || s.calls.Load() > 0 {
 			t.Fatalf("after status %d the call is refused with %v and sent %d times, want it in quarantine", status, f, s.calls.Load())
