--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -220,10 +220,6 @@
 // readUntilDeadline reads up to maxBufferedBody of the caller's request body, and reports whether that is all of it. It
 // fails with os.ErrDeadlineExceeded if the request's deadline passes first.
 func (q *request) readUntilDeadline(body io.Reader) (data []byte, complete bool, err error) {
-	if q.contentLength == 0 {
-		// net/http already waits for the caller to disconnect and would take a read that times out for that.
-		return nil, true, nil
-	}
 	rc := http.NewResponseController(q.w)
 	if err := rc.SetReadDeadline(q.deadline); err != nil {
 		return nil, false, fmt.Errorf("bound the time for the body: %w", err)
