Let the configuration alone limit the idle time of callers' connections

What callers would see: under a configuration with an idle limit above 75 s, requests on connections that have been idle for 60 s to four fifths of that limit cross the relay's close and get neither an answer nor a refusal. They are never read.

Cause: net/http had an idle limit of 60 s of its own, below the one that callers go by. The check of the configuration's limits is enough now that it goes by reads; 60 s hold only before the first configuration.

Evidence: go test ./io/relay -run ConfigurationAlone failed before ('the server closes idle connections after 1m0s, whatever the configuration says'; 'without a configuration, nothing limits the idle time') and passes in three runs under the race detector; TestSlowCallers and TestPlannedStop pass.

--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -30,11 +30,11 @@
 	c.table.Clock, c.table.Limits = r.Clock, c.limits
 }
 
-// limits returns the time limits of the configuration in force, or none before the first one.
+// limits returns the time limits of the configuration in force, or those of the relay itself before the first one.
 func (c *callerConns) limits() serve.ConnLimits {
 	index := c.relay.index.Load()
 	if index == nil {
-		return serve.ConnLimits{}
+		return serve.ConnLimits{Idle: callerIdleTimeout, Header: callerHeaderTimeout}
 	}
 	l := index.State.Limits
 	return serve.ConnLimits{Idle: l.IdleTimeout, Header: l.HeaderTimeout}
@@ -43,7 +43,7 @@
 // newServer returns the HTTP server for callers and the listener on which it serves them.
 func (c *callerConns) newServer(h http.Handler, l net.Listener) (*http.Server, net.Listener) {
 	return &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout,
 		ConnState: c.table.TrackState, ConnContext: c.withConn,
 	}, c.table.Listener(serve.LimitListener(l, maxCallerConnections))
 }
--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -360,3 +360,23 @@
 		t.Error("the request got no response")
 	}
 }
+
+// Guards against an idle limit of the server's own that is lower than the configuration's, which callers go by, and against
+// idle connections without any limit before the first configuration.
+func TestConfigurationAloneLimitsIdleTime(t *testing.T) {
+	g := newCallerRig(t)
+	if got := g.server.IdleTimeout; got != 0 {
+		t.Errorf("the server closes idle connections after %s, whatever the configuration says", got)
+	}
+	waits := make(chan struct{})
+	g.hooks.Store(&callerHook{moment: asConnIsIdle, f: func(*hookedConn) {
+		g.hooks.Store(&callerHook{moment: asReadBegins, f: func(*hookedConn) { close(waits) }})
+	}})
+	g.relay.index.Store(nil)
+	g.sendFirst()
+	<-waits
+	g.check(callerIdleTimeout + time.Second)
+	if g.send(plainRequest) {
+		t.Error("without a configuration, nothing limits the idle time")
+	}
+}
