Test that a pipelined request is not lost to the check of time limits

Requests that were read together with the one before are in net/http's buffer when the connection becomes idle.

--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -230,6 +230,17 @@
 	}
 }
 
+// Guards against a request that is lost in the same way when it was read together with the one before.
+func TestPipelinedRequestIsNotLost(t *testing.T) {
+	g := newCallerRig(t)
+	g.hooks.Store(&callerHook{moment: asConnIsIdle, f: func(*hookedConn) { g.check(16 * time.Second) }})
+	first := g.send(plainRequest + plainRequest)
+	_, err := http.ReadResponse(g.br, nil)
+	if !first || err != nil {
+		t.Errorf("first response: %t, second: %v", first, err)
+	}
+}
+
 // Guards against a request that is served although the shutdown of the server has closed its connection while it was being
 // read.
 func TestRequestDuringShutdownIsNotLost(t *testing.T) {
