Send crashes of engines to draining routers too

What callers saw: a draining router serves callers with an old address list for the time to live, and sent on a call that the other routers refused with crashes-engines; it ended one more endpoint.

Cause: crashes went to the routers that may take new work, which leaves draining ones out. A draining router got the crashes that were known when it connected, and none after that.

Ruled out: the lost connection of a leaving router. It stays linked until it ends, and its own crashes reached the others.

Crashes now go to all connected routers. Journals and in-flight counts still go only to those that are not draining.

Evidence: go test ./io/itest -run DrainingRouterLearns failed before ("the draining router answers the deadly call with 502 ... outcome-unknown") and passes now, also with -count=3.

--- a/io/itest/crashcall_test.go
+++ b/io/itest/crashcall_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -20,8 +22,8 @@
 }
 
 // newCallSystem starts the system with n endpoints of the plain service that end on a deadly call.
-func newCallSystem(t *testing.T, routers, n int, args ...string) *callSystem {
-	s := &callSystem{system: newSystem(t, systemSpec{controls: 1, routers: routers, engines: 1})}
+func newCallSystem(t *testing.T, spec systemSpec, n int, args ...string) *callSystem {
+	s := &callSystem{system: newSystem(t, spec)}
 	objects := []map[string]any{}
 	for i, a := range freeAddresses(n) {
 		name := fmt.Sprintf("rondas-%d", i+2)
@@ -109,8 +111,8 @@
 // testCallsThatCrashEndpoints sends the deadly call and sound ones to all routers in turn.
 func testCallsThatCrashEndpoints(t *testing.T, method, query, body string) {
 	t.Parallel()
-	const routers, endpoints, calls, resends = 3, 6, 10, 8
-	s := newCallSystem(t, routers, endpoints)
+	const endpoints, calls, resends = 6, 10, 8
+	s := newCallSystem(t, systemSpec{controls: 1, routers: 3, engines: 1}, endpoints)
 	crashes := 0
 	first := newIdempotencyKey(t)
 	var firstStatus int
@@ -188,7 +190,7 @@
 func TestBystandersOfCrashingCalls(t *testing.T) {
 	t.Parallel()
 	const workers, calls = 12, 12
-	b := &bystanders{callSystem: newCallSystem(t, 3, 6, "-latency", "60ms")}
+	b := &bystanders{callSystem: newCallSystem(t, systemSpec{controls: 1, routers: 3, engines: 1}, 6, "-latency", "60ms")}
 	for i := range workers {
 		b.wg.Add(1)
 		go b.loop([]string{http.MethodGet, http.MethodPost}[i%2])
@@ -214,6 +216,34 @@
 	}
 }
 
+// A router that drains serves callers with an old address list for some time. It must learn of crashes in that time.
+func TestDrainingRouterLearnsOfCrashes(t *testing.T) {
+	t.Parallel()
+	s := newCallSystem(t, systemSpec{controls: 1, routers: 2, engines: 1, routerArgs: []string{"-address-ttl", "20s"}}, 4)
+	s.routers[1].signal(syscall.SIGTERM)
+	eventually(t, startTimeout, func() error {
+		if _, _, list := sendRequest(t, http.MethodGet, s.routerAddresses[0], "/v1/addresses", "", nil); strings.Contains(list, s.routerAddresses[1]) {
+			return errors.New("the other router does not know yet that the router drains")
+		}
+		return nil
+	})
+	deadly := func(router int) (int, string) {
+		return s.send(router, http.MethodPost, "", `{"visit":"deadly"}`, newIdempotencyKey(t))
+	}
+	crashes := 0
+	for range 3 {
+		deadly(0)
+		time.Sleep(300 * time.Millisecond)
+		crashes += s.relaunchEnded()
+	}
+	if crashes != 3 {
+		t.Fatalf("%d endpoints have ended, want 3", crashes)
+	}
+	if status, text := deadly(1); !strings.Contains(text, "crashes-engines") {
+		t.Errorf("the draining router answers the deadly call with %d %s", status, text)
+	}
+}
+
 // checkListening returns an error unless the stand-in service at the address answers its health check.
 func checkListening(address string) error {
 	res, err := http.Get("http://" + address + "/health")
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -43,12 +43,10 @@
 	}
 }
 
-// sendCrashes sends crashes of engines to all other routers.
+// sendCrashes sends crashes of engines to all other routers. Draining ones still serve callers.
 func (s *peers) sendCrashes(list []poison.Crash) {
-	for _, r := range s.linkedRouters() {
-		if r.Name != s.router.Name {
-			s.postToRouter(r.PeerAddress, wire.KindCrashes, list)
-		}
+	for _, r := range s.connectedRouters() {
+		s.postToRouter(r.PeerAddress, wire.KindCrashes, list)
 	}
 }
 
--- a/io/router/peers.go
+++ b/io/router/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -150,11 +151,16 @@
 
 // linkedRouters returns the connected routers that are not draining.
 func (s *peers) linkedRouters() []wire.Report {
+	return slices.DeleteFunc(s.connectedRouters(), func(r wire.Report) bool { return r.Draining })
+}
+
+// connectedRouters returns the other routers to which there is a connection.
+func (s *peers) connectedRouters() []wire.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []wire.Report
 	for _, r := range s.routers {
-		if r.Name == s.router.Name || r.Draining {
+		if r.Name == s.router.Name {
 			continue
 		}
 		if p := s.peerByAddress[r.PeerAddress]; p != nil && p.Link() != nil {
