Close a connection on which the read of a body has failed

What callers saw: after a request whose deadline passed while its body was read (408), the connection was kept, and the next whole request on it got neither an answer nor a refusal.

Cause: net/http ends the context of the connection, not only that of the request, when a read of a body fails, also by a read deadline. Each later request begins with its context ended, and the relay takes its caller for one that has left. lingerWriter kept the connection because it had read the rest of the body with a new deadline.

Ruled out: a relay's fault alone. The servers of router, keeper and control process have a ReadTimeout and the same writer.

Why it works: a response to a request whose context has ended announces that the connection closes, so the caller sends its next one on another. This also covers a read in the background that times out.

--- a/io/serve/guard_test.go
+++ b/io/serve/guard_test.go
@@ -176,3 +176,44 @@
 		t.Errorf("%d panics were logged, want 2", got)
 	}
 }
+
+// Guards against a kept connection on which each later request begins with a cancelled context, because a read of an earlier
+// body timed out.
+func TestRequestAfterTimedOutBodyHasContext(t *testing.T) {
+	guard := &serve.PanicGuard{Log: zap.NewNop()}
+	failed := make(chan struct{}, 1)
+	arrived := make(chan struct{})
+	s := httptest.NewUnstartedServer(guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			failed <- struct{}{}
+			<-arrived
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if err := r.Context().Err(); err != nil {
+			t.Errorf("the request begins with its context ended: %v", err)
+		}
+	})))
+	s.Config.ReadTimeout = 100 * time.Millisecond
+	s.Start()
+	t.Cleanup(s.Close)
+	c := connect(t, s.Listener.Addr().String())
+	br := bufio.NewReader(c)
+	_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+	<-failed
+	_, _ = io.WriteString(c, "body")
+	close(arrived)
+	res, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	if res.Close {
+		return
+	}
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if res, err = http.ReadResponse(br, nil); err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+}
--- a/io/serve/linger.go
+++ b/io/serve/linger.go
@@ -25,6 +25,7 @@
 // sends the response at once, announces that the connection closes, and reads the rest of the body for a bounded time.
 type lingerWriter struct {
 	http.ResponseWriter
+	request *http.Request
 	// body is the request body; nil if the request has none.
 	body *trackedBody
 	// length is the length of the request body in bytes, or -1 if the client did not send it.
@@ -54,7 +55,7 @@
 // newLingerWriter returns a response writer for a request and replaces the request's body by one that the writer
 // observes.
 func newLingerWriter(w http.ResponseWriter, r *http.Request) *lingerWriter {
-	lw := &lingerWriter{ResponseWriter: w, length: r.ContentLength}
+	lw := &lingerWriter{ResponseWriter: w, request: r, length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody {
 		return lw
 	}
@@ -70,12 +71,12 @@
 // Unwrap returns the underlying response writer to http.ResponseController.
 func (w *lingerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// WriteHeader sends the response header. If the request body was not read to its end, the header announces that the
-// connection closes.
+// WriteHeader sends the response header. If the request body was not read to its end, or a read of it failed, the header
+// announces that the connection closes: after a failed read, net/http cancels the contexts of all further requests on it.
 func (w *lingerWriter) WriteHeader(status int) {
 	if status >= http.StatusOK {
 		w.headerSent = true
-		if !w.drainEarly() {
+		if !w.drainEarly() || w.request.Context().Err() != nil {
 			w.Header().Set("Connection", "close")
 		}
 	}
