Close a connection to an endpoint only for the request that has it

What callers would see: a request that may run once gets 502 and may have run, a stream breaks off, or a repeatable request costs a retry, because the connection that it has just taken from the pool is closed by the request before.

Cause: a response that is complete gives its connection back before the attempt stops watching its context. If the deadline passes or the caller leaves in between, the context's end closes the connection, which may carry the next request already. The watch for silent engines has the same gap at the end of a stream.

Evidence: TestPooledConnectionSurvivesEndOfFormerRequest fails with closeUse closing whatever the number is, 3 of 3 ("use of closed network connection"), and passes 5 of 5, and once under the race detector.

Why it works: a connection counts how often it was given back, and what ends a request closes it only if that number is still its own. If the end comes first, the pool has a closed connection, which isReusable finds.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -53,7 +53,7 @@
 			zap.Bool("from-copy", a.resumeFrom != ""), zap.Int64("last-event", s.lastEventID),
 			zap.Duration("pause", start.Sub(s.lastEventAt)))
 	}
-	w.conn = c
+	w.conn, w.use = c, c.use()
 	w.lastActivity.Store(int64(s.relay.uptime()))
 	go w.run(ctx)
 	result := s.receiveStream(ctx, a, c, w)
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -71,6 +71,34 @@
 	idleTimeout time.Duration
 	// bodyStreamed is true if a request body is sent while the response is being read.
 	bodyStreamed bool
+
+	mu sync.Mutex
+	// uses counts how often the connection was put into the pool. It identifies the request that has the connection.
+	uses int
+}
+
+// use returns the number that identifies the request that has the connection.
+func (c *endpointConn) use() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.uses
+}
+
+// closeUse closes the connection if the request that the number identifies still has it. What ends a request, such as its
+// deadline, can come when the connection already carries the next one.
+func (c *endpointConn) closeUse(use int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.uses == use {
+		_ = c.Close()
+	}
+}
+
+// endUse takes the connection from the request that has it.
+func (c *endpointConn) endUse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uses++
 }
 
 // newEndpointConn returns an endpoint connection over a network connection on which nothing was sent yet.
@@ -219,6 +247,7 @@
 		_ = c.Close()
 		return
 	}
+	c.endUse()
 	c.idleSince = p.relay.Clock.Now()
 	p.mu.Lock()
 	p.idleConns[c.endpoint.ID] = append(p.idleConns[c.endpoint.ID], c)
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -271,7 +271,8 @@
 	if addHeaders != nil {
 		addHeaders(o.header)
 	}
-	stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	use := c.use()
+	stop = context.AfterFunc(ctx, func() { c.closeUse(use) })
 	if sent, err := c.writeRequest(o); err != nil {
 		stop()
 		_ = c.Close()
--- /dev/null
+++ b/io/relay/pool_test.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiweir/core/clock"
+	"wasabiweir/core/place"
+)
+
+// answerAll answers each request on the listener's first connection with an empty response of its id.
+func answerAll(l net.Listener) {
+	c, err := l.Accept()
+	if err != nil {
+		return
+	}
+	br := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+req.Header.Get("X-Id")+"\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n")
+	}
+}
+
+// Guards against a connection to an endpoint that is closed under the request that took it from the pool, because the request
+// before ended, or its endpoint was found silent, while it gave the connection back.
+func TestPooledConnectionSurvivesEndOfFormerRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go answerAll(l)
+	r := &Relay{Clock: &clock.Manual{}, Log: zap.NewNop(), Names: HeaderNames{
+		RequestID: "X-Id", Deadline: "X-Deadline", ExpectedEndpoint: "X-Endpoint", Signature: "X-Signature", Limit: "X-Limit", NotExecuted: "X-Not-Run", Load: "X-Load",
+		ParseAnnouncement: func(int, http.Header) place.Announcement { return place.Announcement{} },
+		ParseLimit:        func(string) (float64, bool) { return 0, false },
+		ParseLoad:         func(string) (place.EndpointLoad, bool) { return place.EndpointLoad{}, false },
+	}}
+	r.meter.initMetrics(nil)
+	r.pool.initPool(r)
+	e := place.Endpoint{ID: "e", Address: l.Addr().String()}
+	send := func(ctx context.Context, id string) (*request, *endpointConn, func() bool) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://h/", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.RequestURI = "/"
+		q := &request{relay: r, r: req, id: id, log: zap.NewNop(), header: http.Header{"X-Id": {id}}}
+		c, stop, failed := q.sendRequest(ctx, e, time.Minute, nil)
+		if failed != nil {
+			t.Fatal(failed.err)
+		}
+		return q, c, stop
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	first, c, _ := send(ctx, "first")
+	use := c.use()
+	if res := first.receiveResponse(c); res.outcome != completed {
+		t.Fatal(res.err)
+	}
+	// The next request takes the connection before the first one stops watching its context.
+	second, taken, stop := send(t.Context(), "second")
+	defer stop()
+	if taken != c {
+		t.Fatal("the connection is not reused")
+	}
+	ended := make(chan struct{})
+	context.AfterFunc(ctx, func() { close(ended) })
+	cancel()
+	<-ended
+	time.Sleep(10 * time.Millisecond)
+	c.closeUse(use)
+	if res := second.receiveResponse(taken); res.outcome != completed {
+		t.Errorf("the next request on the connection got no response: %v", res.err)
+	}
+	taken.closeUse(taken.use())
+	if taken.isReusable() {
+		t.Error("a request cannot close its own connection")
+	}
+}
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -58,6 +58,8 @@
 	stream  *streamRequest
 	attempt streamAttempt
 	conn    *endpointConn
+	// use identifies the attempt's use of the connection.
+	use int
 	// lastActivity is when data last arrived that continues the stream: the response header or the next event. It is a
 	// time since the start of the process in nanoseconds.
 	lastActivity atomic.Int64
@@ -139,7 +141,7 @@
 		}
 		if cause := w.closeReason(ctx, p); cause != nil {
 			w.closeCause.Store(cause)
-			_ = w.conn.Close()
+			w.conn.closeUse(w.use)
 			return
 		}
 		if !serve.Sleep(ctx, probePause) {
