Do not return a refused request's connection to the pool

What callers could see: a request that must not be repeated, whose connection was closed under it by another request, gets 502 though its endpoint is sound.

Cause: receiveResponse put the connection back into the pool after a refusal, and sendAndReceive then closed it, as after every attempt that did not complete. Between the two, another request could take it. Otherwise the pool kept a closed connection until the next look at it.

Evidence: `go test ./io/relay -run TestConnectionIsNotPooledAfterRefusal` on the code before: 1 connection in the pool after each of four refusals. The race itself is not played.

Why the change works: the connection of a refusal is only closed, as it was before in effect, so refusals cost as many new connections as they did. Weighed against keeping it with a memory of the ids that were answered on it: that saves connections to full endpoints, but a faulty engine's copy of a refusal that comes in pieces may take the next answer's id, and none can be read from a connection that is closed.

--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -297,11 +297,7 @@
 		if res.StatusCode == http.StatusMisdirectedRequest {
 			cause = common.RetryLeaving
 		}
-		if err := discardBody(res); err != nil {
-			_ = c.Close()
-		} else {
-			q.relay.pool.releaseConn(c, res)
-		}
+		// The caller closes the connection: a copy of this refusal must not be read in another attempt at the request.
 		return attemptResult{outcome: notExecuted, cause: cause}
 	}
 	if err := q.validateResponse(res); err != nil {
