Close a connection that has delivered a response to another request

What callers saw: operators of similar systems report that a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran (REFUSED), or these ran at a second engine (TWICE).

Found here: a copy of a refusal is never read, because the connection of a refused request was and is closed, for plain requests as for streams; TestEarlierRefusalOfTheSameRequest, in which a caller sends a request again under its id or without one, passes before any change. In one request the same endpoint is not tried twice but by a stream, whose failed attempts close their connections. Calls to engines have a connection each. A copy of a complete answer, which comes late on a kept connection, was skipped by its id, but the connection was then used on.

Why the change works: a connection that has delivered a response to another request is closed after the request that it serves, and a line `response-skipped` names its endpoint. Not held: a request without an id accepts a copy without one, and a copy of a complete answer (not of a refusal) passes for the answer to a request that its caller sends once more under the same id.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -69,6 +69,8 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
+	// hasForeign is true once a response to another request was skipped.
+	hasForeign bool
 	// bodyStreamed is true if a request body is sent while the response is being read.
 	bodyStreamed bool
 
@@ -414,6 +416,7 @@
 		if res.Header.Get(idName) == id {
 			return res, nil
 		}
+		c.hasForeign = true
 		if err := discardBody(res); err != nil || res.Close {
 			return nil, errMismatchedResponse
 		}
@@ -464,9 +467,12 @@
 
 // releaseConn returns an endpoint connection to the pool if the response was read completely and no data follows it. A
 // connection whose request body was streamed is closed: the endpoint may still be reading that body and would take the
-// next request for the rest of it.
+// next request for the rest of it. One that has delivered a response to another request may deliver more of them.
 func (p *connPool) releaseConn(c *endpointConn, res *http.Response) {
-	if res.Close || c.bodyStreamed || c.br.Buffered() > 0 {
+	if c.hasForeign {
+		p.relay.Log.Info("response-skipped", zap.String("endpoint", c.endpoint.ID), zap.String("address", c.endpoint.Address))
+	}
+	if res.Close || c.bodyStreamed || c.hasForeign || c.br.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
