Do not pass on the status of a refusal from an endpoint that may have run the request

What callers saw: an endpoint answered 408, 429 or 503 without stating that it did not run the request, and the relay passed that on. To callers these statuses say that the request did not run and never will (REFUSED). Found while looking for refusals that are read twice.

Cause: the relay took any signed answer for the engine's own failure, whose status is returned unchanged. PROTOCOL.md says that no response but one with X-Not-Executed states that the request did not run, while 408, 429 and 503 state it to callers.

Ruled out: 421 states it by itself; refusals with X-Not-Executed lead to another endpoint as before.

Why the change works: such an answer has an unknown outcome. A request that may be repeated goes to another endpoint, another gets 502 without the endpoint's signature. The endpoint pauses like one that is full.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -114,7 +114,7 @@
 		return attemptResult{outcome: notExecuted, cause: cause, err: errors.New(res.Status)}
 	}
 	if err := s.validateResponse(res); err != nil {
-		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+		return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
 	}
 	if res.StatusCode != http.StatusOK {
 		body, complete, err := s.readBuffered(res.Body, maxBufferedResponse)
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -301,7 +301,7 @@
 		return attemptResult{outcome: notExecuted, cause: cause}
 	}
 	if err := q.validateResponse(res); err != nil {
-		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+		return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
 	}
 	body, complete, err := q.readBuffered(res.Body, maxBufferedResponse)
 	if err != nil {
@@ -322,14 +322,26 @@
 	if errors.Is(err, errForeign) {
 		return common.RetryForeign
 	}
+	if errors.Is(err, errUnprovenRefusal) {
+		return common.RetryRefused
+	}
 	return common.RetryReset
 }
 
 // errInvalidResponse is returned for an endpoint's response without its signature or with a content encoding.
 var errInvalidResponse = errors.New("the response lacks the endpoint's signature or has a content encoding")
 
-// validateResponse checks that an endpoint's response has its signature header and no content encoding.
+// errUnprovenRefusal is returned for an endpoint's response whose status tells callers that the request did not run,
+// although the endpoint does not state so.
+var errUnprovenRefusal = errors.New("the endpoint does not state that the request did not run")
+
+// validateResponse checks that an endpoint's response has its signature header and no content encoding, and that its
+// status does not promise more to the caller than the endpoint does.
 func (q *request) validateResponse(res *http.Response) error {
+	switch res.StatusCode {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return fmt.Errorf("status %d: %w", res.StatusCode, errUnprovenRefusal)
+	}
 	if res.Header.Get(q.relay.Names.Signature) == "" || res.Header.Get("Content-Encoding") != "" {
 		return errInvalidResponse
 	}
