Leave an engine alone for the time that it names on our own interface

An engine that refused a generation with 503 and Retry-After got the next one at once: the header was read, but nothing used it. A value above 292 years overflowed to a negative time.

The dispatcher now records the time with the endpoint, which is left out of the choice and of the capacity until then; a refusal for lack of endpoints names the first end. Fractions and dates count as no time, as before; responses of plain services are passed on as they are.

--- a/core/route/capacity.go
+++ b/core/route/capacity.go
@@ -36,7 +36,7 @@
 	var ownStreams int
 	var sharedSlots, unreservedSlots, ownSharedStreams, allSharedStreams int // on endpoints that also serve long requests
 	for _, e := range t.ordered {
-		if e.Service != service || e.Unavailable() || !e.backoff.acceptsRequest(now) {
+		if e.Service != service || e.Unavailable() || !e.acceptsRequest(now) {
 			continue
 		}
 		endpointSlots := e.slotCount()
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -42,10 +42,12 @@
 	removed         bool // no longer configured, but streams are still in flight
 	reportedLeaving bool // leaving (being drained) by its own announcement or by the instance list
 	// dedicated says that the endpoint serves only short requests while there are any.
-	dedicated    bool
-	peerLoad     peerLoad
-	health       healthTracker
-	backoff      failureBackoff
+	dedicated bool
+	peerLoad  peerLoad
+	health    healthTracker
+	backoff   failureBackoff
+	// pausedUntil is the end of the pause that the endpoint has asked for.
+	pausedUntil  time.Time
 	cachedBlocks cachedBlocks
 	// streams holds this router's streams on the endpoint in no particular order; Stream.endpointIndex is the index.
 	streams []*Stream
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -142,7 +142,7 @@
 			t.clearCachedBlocks(e)
 			e.cachedBlocks.lastSeq = 0
 			e.backoff.clearFailures()
-			e.reportedLeaving = false
+			e.reportedLeaving, e.pausedUntil = false, time.Time{}
 		}
 		e.EndpointSpec = s
 		e.removed = false
@@ -212,13 +212,15 @@
 	t.refreshPeerLoads(now)
 	t.candidates = t.candidates[:0]
 	clear(t.eligible)
-	retryAfter := maxBackoff
+	var retryAfter time.Duration
 	for _, e := range t.ordered {
 		if e.Service != req.Service || e.Unavailable() || exclude.Has(e.Name) || e.lacksModel(req.Model) {
 			continue
 		}
-		if !e.backoff.acceptsRequest(now) {
-			retryAfter = min(retryAfter, max(minBackoff, e.backoff.retryAt.Sub(now)))
+		if !e.acceptsRequest(now) {
+			if left := e.waitLeft(now); retryAfter == 0 || left < retryAfter {
+				retryAfter = left
+			}
 			continue
 		}
 		t.candidates = append(t.candidates, e)
@@ -227,6 +229,9 @@
 	if len(t.candidates) == 0 {
 		r := common.NewNotRunRefusal(common.ReasonNoEndpoint, "service", "no endpoint of the service accepts work")
 		r.RetryAfter = retryAfter
+		if retryAfter == 0 {
+			r.RetryAfter = maxBackoff
+		}
 		return nil, r
 	}
 	if req.Resume {
--- a/io/engine/errors.go
+++ b/io/engine/errors.go
@@ -144,9 +144,15 @@
 	return e
 }
 
-// parseRetryAfter parses a Retry-After header in seconds. It returns zero for any other value.
+// maxRetryAfter bounds the time in a Retry-After header.
+const maxRetryAfter = time.Hour
+
+// parseRetryAfter parses a Retry-After header in whole seconds, of at most maxRetryAfter. It returns zero for any other value.
 func parseRetryAfter(s string) time.Duration {
-	n, err := strconv.Atoi(s)
+	n, err := strconv.ParseInt(s, 10, 64)
+	if n > int64(maxRetryAfter/time.Second) {
+		return maxRetryAfter
+	}
 	if err != nil || n < 0 {
 		return 0
 	}
--- a/io/router/dispatch.go
+++ b/io/router/dispatch.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
+	"net/http"
 	"sync"
 	"time"
 
@@ -15,6 +17,7 @@
 	"wasabiweir/core/object"
 	"wasabiweir/core/route"
 	"wasabiweir/core/stream"
+	"wasabiweir/io/engine"
 	"wasabiweir/io/metric"
 )
 
@@ -295,6 +298,17 @@
 	d.announcedLeaving[name] = d.Clock.Now()
 }
 
+// pauseEngine keeps requests away from an engine for the time that it named when it refused one with status 503.
+func (d *dispatcher) pauseEngine(name string, err error) {
+	var e *engine.Error
+	if !errors.As(err, &e) || e.Status != http.StatusServiceUnavailable || e.RetryAfter <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.PauseEndpoint(name, e.RetryAfter, d.Clock.Now())
+}
+
 // expireLeavingMarks makes endpoints available again whose mark by markLeaving is older than leavingMarkTTL.
 func (d *dispatcher) expireLeavingMarks(now time.Time) {
 	for name, at := range d.announcedLeaving {
--- a/io/router/dispatch_test.go
+++ b/io/router/dispatch_test.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"wasabiweir/core/common"
 	"wasabiweir/core/object"
 	"wasabiweir/core/route"
+	"wasabiweir/io/engine"
 )
 
 // modelService is the only service of the tests' configuration.
@@ -95,3 +98,21 @@
 		}
 	}
 }
+
+// An engine that refuses a request with a Retry-After must get no other request before that time.
+func TestRefusedRequestPausesEngine(t *testing.T) {
+	d, c := newDispatcher(t, "engine-1", "engine-2")
+	refusal := &engine.Error{Kind: engine.KindRefused, Status: http.StatusServiceUnavailable, RetryAfter: 3 * time.Second}
+	d.pauseEngine("engine-1", fmt.Errorf("start a generation: %w", refusal))
+	d.pauseEngine("engine-2", &engine.Error{Kind: engine.KindRefused, Status: http.StatusTooManyRequests, RetryAfter: time.Minute})
+	c.Advance(2900 * time.Millisecond)
+	for range 20 {
+		a := d.mustPick(t, false)
+		if a.name != "engine-2" {
+			t.Fatal("a request was sent to the engine within its pause")
+		}
+		d.attemptFinished(a)
+	}
+	c.Advance(100 * time.Millisecond)
+	d.mustPick(t, false, "engine-2")
+}
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -238,6 +238,7 @@
 	}
 	s.log.Info("attempt-failed", zap.Int("attempt", e.number), zap.String("endpoint", e.from.name), zap.Error(e.err))
 	reason := engineRetryReason(e.err)
+	s.router.dispatcher.pauseEngine(e.from.name, e.err)
 	if reason == common.RetryLeaving {
 		s.router.dispatcher.markLeaving(e.from.name)
 	}
