Log when an endpoint's pause ends

An on-call engineer saw that an endpoint had asked for a pause, but not that it was over, nor how many endpoints are in one or leaving.

TestSweepAnnouncements uses a function that is new.

--- a/core/place/announcement.go
+++ b/core/place/announcement.go
@@ -148,3 +148,23 @@
 	spread := max(minRetrySpread, time.Duration(retrySpread*float64(wait)))
 	return wait + retryMargin + time.Duration(random*float64(spread))
 }
+
+// SweepAnnouncements returns the ids of the endpoints whose pause has ended since the last call, and the numbers of those that are
+// leaving and in a pause.
+func (t *EndpointTable) SweepAnnouncements(now time.Time) (ended []string, leaving, paused int) {
+	t.endpoints.Each(func(id string, s *endpointState) bool {
+		a := &s.announced
+		if a.isLeaving() {
+			leaving++
+		}
+		switch {
+		case a.pauseLeft(now) > 0:
+			paused++
+		case !a.pausedUntil.IsZero():
+			a.pausedUntil = time.Time{}
+			ended = append(ended, id)
+		}
+		return true
+	})
+	return ended, leaving, paused
+}
--- a/core/place/announcement_test.go
+++ b/core/place/announcement_test.go
@@ -189,3 +189,19 @@
 		}
 	}
 }
+
+// Guards against a pause whose end is never reported, or more than once.
+func TestSweepAnnouncements(t *testing.T) {
+	x := newTable(3)
+	x.RecordAnnouncement("e00", Announcement{Leaving: true}, at(0), at(0))
+	x.RecordAnnouncement("e01", Announcement{Pause: 2 * time.Second}, at(0), at(0))
+	if ended, leaving, paused := x.SweepAnnouncements(at(1.9)); len(ended) != 0 || leaving != 1 || paused != 1 {
+		t.Errorf("within the pause: %v ended, %d leaving, %d paused", ended, leaving, paused)
+	}
+	if ended, _, paused := x.SweepAnnouncements(at(2)); len(ended) != 1 || ended[0] != "e01" || paused != 0 {
+		t.Errorf("after the pause: %v ended, %d paused", ended, paused)
+	}
+	if ended, _, _ := x.SweepAnnouncements(at(3)); len(ended) != 0 {
+		t.Errorf("the end of the pause of %v is reported again", ended)
+	}
+}
--- a/io/relay/announcements.go
+++ b/io/relay/announcements.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
+	"wasabiweir/io/serve"
 )
 
 // errPaused is the error of an attempt that was not sent because the endpoint has asked for a pause meanwhile.
@@ -47,6 +48,24 @@
 	}
 }
 
+// announcementSweepInterval is the time between two searches for pauses that have ended.
+const announcementSweepInterval = 500 * time.Millisecond
+
+// loopAnnouncements logs the ends of the endpoints' pauses and counts the endpoints with announcements, until ctx ends.
+func (r *Relay) loopAnnouncements(ctx context.Context) error {
+	for serve.Sleep(ctx, announcementSweepInterval) {
+		var ended []string
+		var leaving, paused int
+		r.withTable(func(t *place.EndpointTable, now time.Time) { ended, leaving, paused = t.SweepAnnouncements(now) })
+		for _, id := range ended {
+			r.Log.Info("endpoint-pause-ended", zap.String("endpoint", id))
+		}
+		r.meter.leavingEndpoints.Update(float64(leaving))
+		r.meter.pausedEndpoints.Update(float64(paused))
+	}
+	return ctx.Err()
+}
+
 // controlCall is a call of the relay itself to an endpoint.
 type controlCall struct {
 	relay    *Relay
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -222,6 +222,7 @@
 	serve.AddLoop(ctx, &g, r.feed.loopList)
 	serve.AddLoop(ctx, &g, r.pool.loop)
 	serve.AddLoop(ctx, &g, r.callers.loop)
+	serve.AddLoop(ctx, &g, r.loopAnnouncements)
 	g.Add(func() error { return r.drain.run(stop) }, func(error) {})
 	err = g.Run()
 	if errors.Is(err, errDrained) {
@@ -292,6 +293,10 @@
 	longestPause tally.Histogram
 	// limitedEndpoints is the number of endpoints whose limit holds, as the last message of a keeper showed.
 	limitedEndpoints tally.Gauge
+	// leavingEndpoints and pausedEndpoints are the numbers of endpoints that have said to this relay that they are leaving, and
+	// that they want no requests now.
+	leavingEndpoints tally.Gauge
+	pausedEndpoints  tally.Gauge
 }
 
 // durationBuckets are the bounds of the duration histograms. Their range of 4 ms to 33 s covers pauses from one
@@ -310,6 +315,8 @@
 	}
 	m.firstResponse = m.scope.Histogram("first-answer", durationBuckets)
 	m.limitedEndpoints = m.scope.Gauge("limited-endpoints")
+	m.leavingEndpoints = m.scope.Gauge("leaving-endpoints")
+	m.pausedEndpoints = m.scope.Gauge("paused-endpoints")
 	m.longestPause = m.scope.Histogram("resume-pause", durationBuckets)
 }
 
