Give a test of refusals the function that it needs since announcements are read

Two changes met in the merge: the test of connections after refusals builds its own header names, and answers are read for announcements now. Its checks are as they were.

--- a/io/relay/conn_test.go
+++ b/io/relay/conn_test.go
@@ -78,6 +78,7 @@
 		r := &Relay{Clock: wall.Clock{}, Log: zap.NewNop(), Names: HeaderNames{
 			RequestID: "X-Id", NotExecuted: "X-Not", Limit: "X-Limit", Load: "X-Load",
 			ParseLimit: func(string) (float64, bool) { return 0, false }, ParseLoad: func(string) (place.EndpointLoad, bool) { return place.EndpointLoad{}, false },
+			ParseAnnouncement: func(int, http.Header) place.Announcement { return place.Announcement{} },
 		}}
 		r.pool.initPool(r)
 		q := &request{relay: r, r: httptest.NewRequest(http.MethodPost, "/", http.NoBody), id: "7", log: r.Log}
