Let recent answers to a request speak for it when engines are lost

What callers saw: a sound request that is sent often was refused for as long as the test ran, beside one that makes plain endpoints fall silent.

Cause: in the log of a failing run, five endpoints are lost. The first three losses have the crashing request and the popular one. At the last two only the popular one was recorded: the callers of the crashing request had left before the endpoints were found to be lost, which is no evidence. So nothing explained these two but the popular request.

A request that crashes engines is never answered.

--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -349,3 +349,34 @@
 		}
 	})
 }
+
+// A sound request that is sent often must not be refused because it was on engines that fell silent under another request, whose
+// own losses nobody saw: its callers left before the engines were found to be lost.
+func TestAnsweredRequestIsNoSuspect(t *testing.T) {
+	var tab Table
+	for i := range 5 {
+		now := time.Duration(i) * time.Second
+		if i < 3 {
+			crashAt(&tab, now, fmt.Sprint("deadly", i), fmt.Sprint("e", i), "deadly")
+		}
+		for r := range 2 {
+			crashAt(&tab, now, fmt.Sprint("popular", i, r), fmt.Sprint("e", i), "popular")
+		}
+		if i < 2 {
+			tab.MarkSound([]string{"popular"}, at(now+500*time.Millisecond), at(now+600*time.Millisecond))
+		}
+	}
+	if isQuarantined(&tab, 6*time.Second, "popular") {
+		t.Error("the answered request is in quarantine")
+	}
+	if !isQuarantined(&tab, 6*time.Second, "deadly") {
+		t.Error("the request that crashes engines is not in quarantine")
+	}
+	// An answer speaks for a limited time only.
+	for i := range 3 {
+		crashAt(&tab, time.Minute+time.Duration(i)*time.Second, fmt.Sprint("later", i), fmt.Sprint("f", i), "popular")
+	}
+	if !isQuarantined(&tab, time.Minute+5*time.Second, "popular") {
+		t.Error("a request that has begun to crash engines is not in quarantine")
+	}
+}
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -40,6 +40,8 @@
 	// answered holds, for whole requests that were answered after a crash which the table has given up, the time of the last such
 	// crash.
 	answered map[string]time.Time
+	// recent holds the whole requests that were answered recently, while there are crashes.
+	recent recentAnswers
 	// nextExpiry is when the oldest crash expires.
 	nextExpiry time.Time
 }
@@ -70,6 +72,9 @@
 			continue
 		}
 		at := now.Add(-c.Age)
+		if c.isWholeRequest() && t.recent.speakFor(c.lastPart(), at) {
+			c.Sound = 1
+		}
 		news = append(news, t.markSameRequest(&c, at, now)...)
 		known := t.find(c.Request, c.Endpoint)
 		switch {
@@ -108,6 +113,9 @@
 		return nil
 	}
 	parts = limitParts(parts)
+	if len(parts) == 1 {
+		t.recent.record(parts[0], began)
+	}
 	for i := range t.crashes {
 		c := &t.crashes[i]
 		if !began.After(c.at) {
