Answer requests that arrive during a graceful shutdown

A caller whose request reached the server whole got no response and no refusal if the header became complete after the graceful shutdown had begun; the connection was closed.

Cause: Shutdown of net/http sets its shutdown flag first. It keeps a new connection open for up to 5 s, reads the request from it, and then returns without serving it because the flag is set. A kept connection counts as idle until the whole header is read, and is closed meanwhile. SetKeepAlivesEnabled(false) before Shutdown was ruled out by reading its code, not by a run: it closes the connections that count as idle too.

The server now closes its listener only, and answers requests on the open connections with "Connection: close" until none is left or one second has passed, as before. For that the server keeps its connections in a ConnTable, which knows whether the server waits for a request and has got no byte of one; it closes only such connections.

Evidence: go test -count=3 ./io/serve -run Shutdown.

Not covered: a connection that the operating system has established and the server has not accepted when the listener closes is reset, as before.

--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -96,6 +96,20 @@
 	return c.expiry, c.expired
 }
 
+// openCount returns the number of connections in the table.
+func (t *ConnTable) openCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
+// closeIdle closes the connections on which the server waits for a request.
+func (t *ConnTable) closeIdle() {
+	for _, c := range t.openConns() {
+		c.closeIfIdle()
+	}
+}
+
 // openConns returns the connections in the table.
 func (t *ConnTable) openConns() []*clientConn {
 	t.mu.Lock()
@@ -190,6 +204,9 @@
 	return nil
 }
 
+// SyscallConn returns the raw connection, or an error if the connection is no socket of the operating system.
+func (c *clientConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
 // setWaiting records that a read waits for bytes.
 func (c *clientConn) setWaiting() {
 	c.mu.Lock()
@@ -225,14 +242,21 @@
 	return c.expiry, true
 }
 
+// closeIfIdle closes the connection if the server waits for a request and has got no byte of one.
+func (c *clientConn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired || !c.waiting || c.phase != phaseIdle || c.hasUnread() {
+		return
+	}
+	c.expired = true
+	_ = c.Close()
+}
+
 // hasUnread reports whether bytes have arrived that no read has got yet, as after a pause of the process. It peeks at the
 // socket without blocking.
 func (c *clientConn) hasUnread() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/io/serve/limit.go
+++ b/io/serve/limit.go
@@ -60,8 +60,11 @@
 }
 
 // SyscallConn returns the raw connection, or an error if the connection is no socket of the operating system.
-func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
-	s, ok := c.Conn.(syscall.Conn)
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
+// rawConn returns the raw connection of a connection, or an error if it is no socket of the operating system.
+func rawConn(c net.Conn) (syscall.RawConn, error) {
+	s, ok := c.(syscall.Conn)
 	if !ok {
 		return nil, errNoSocket
 	}
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,10 +12,6 @@
 	"github.com/oklog/run"
 )
 
-// shutdownTimeout bounds the time for which the graceful shutdown of an HTTP server waits for the responses in
-// progress.
-const shutdownTimeout = time.Second
-
 // ListenPair returns two TCP listeners: one for clients and one for peers, the other processes of the system.
 func ListenPair(clientAddress, peerAddress string) (clients, peers net.Listener, err error) {
 	if clients, err = Listen(clientAddress); err != nil {
@@ -46,33 +41,18 @@
 }
 
 // AddHTTPServer adds an HTTP server to the run group. When another member of the run group returns, the server closes;
-// it first finishes the responses in progress if graceful is not nil and returns true.
+// if graceful is not nil and returns true, it first answers the requests on its open connections.
 func AddHTTPServer(g *run.Group, server *http.Server, listener net.Listener, graceful func() bool) {
-	g.Add(func() error {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
-	}, func(error) {
+	s := newHTTPServer(server, listener)
+	g.Add(s.run, func(error) {
 		if graceful != nil && graceful() {
-			shutdownServer(server)
+			s.shutdown(shutdownTimeout)
 			return
 		}
-		_ = server.Close()
+		_ = s.Close()
 	})
 }
 
-// shutdownServer closes the listener of the HTTP server and waits for the responses in progress; after shutdownTimeout
-// it closes their connections too.
-func shutdownServer(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close()
-	}
-}
-
 // WriteJSON responds with the status and v encoded as JSON, or with status 500 if v cannot be encoded. It ignores write
 // errors, which mean that the client has disconnected.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
--- /dev/null
+++ b/io/serve/shutdown_test.go
@@ -0,0 +1,117 @@
+package serve_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oklog/run"
+
+	"wasabiweir/io/serve"
+)
+
+const wholeRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// countingListener counts the bytes that are read from its connections, and shows when it closes.
+type countingListener struct {
+	net.Listener
+	once      sync.Once
+	closed    chan struct{}
+	bytesRead atomic.Int64
+}
+
+// Accept returns the next connection.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, listener: l}, nil
+}
+
+// Close closes the listener.
+func (l *countingListener) Close() error {
+	err := l.Listener.Close()
+	l.once.Do(func() { close(l.closed) })
+	return err
+}
+
+// countingConn is a connection of a countingListener.
+type countingConn struct {
+	net.Conn
+	listener *countingListener
+}
+
+// Read reads from the connection and counts the bytes.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.listener.bytesRead.Add(int64(n))
+	return n, err
+}
+
+// runServer serves the handler and returns the listener, a function that begins the end of the run group, and a channel
+// that is closed when it has ended.
+func runServer(t *testing.T, h http.HandlerFunc) (l *countingListener, stop func(), ended chan struct{}) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l = &countingListener{Listener: inner, closed: make(chan struct{})}
+	var g run.Group
+	serve.AddHTTPServer(&g, &http.Server{Handler: h}, l, func() bool { return true })
+	stopped, ended := make(chan struct{}), make(chan struct{})
+	g.Add(func() error { <-stopped; return nil }, func(error) {})
+	go func() {
+		defer close(ended)
+		_ = g.Run()
+	}()
+	return l, func() { close(stopped) }, ended
+}
+
+// dial connects to the listener, sends text and waits until the server has read it.
+func dial(t *testing.T, l *countingListener, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	before := l.bytesRead.Load()
+	_, _ = io.WriteString(c, text)
+	for l.bytesRead.Load() < before+int64(len(text)) {
+		time.Sleep(time.Millisecond)
+	}
+	return c
+}
+
+// Guards against whole requests that the server reads during its graceful shutdown and drops without a response.
+func TestRequestReadDuringShutdownIsAnswered(t *testing.T) {
+	for name, earlier := range map[string]string{"first on its connection": "", "on a kept connection": wholeRequest} {
+		t.Run(name, func(t *testing.T) {
+			l, stop, ended := runServer(t, func(http.ResponseWriter, *http.Request) {})
+			c := dial(t, l, earlier+wholeRequest[:10])
+			responses := bufio.NewReader(c)
+			if earlier != "" {
+				if _, err := http.ReadResponse(responses, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			stop()
+			<-l.closed
+			_, _ = io.WriteString(c, wholeRequest[10:])
+			if res, err := http.ReadResponse(responses, nil); err != nil {
+				t.Errorf("%d bytes were read and not answered: %v", l.bytesRead.Load(), err)
+			} else if !res.Close {
+				t.Error("the response does not end its connection")
+			}
+			<-ended
+		})
+	}
+}
