Bound the graceful end of a relay by its grace period

A relay whose last request ended late in its grace period could be killed while it answered: the server for callers took up to one second for that, and the drain left 300 ms before the kill.

The member of the run group now passes in the time for which the server may answer. A relay takes what is left of its grace period less 100 ms for its exit, and at most one second as before. Routers and keepers know no grace period and keep their second.

Evidence: go test ./io/relay -run Drain. The test takes its time from a clock that jumps. Its former assertions, that the server answers when no request was left and does not when one was, are kept.

--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -154,7 +154,7 @@
 		// context.
 		BaseContext: func(net.Listener) context.Context { return k.ctx },
 	}
-	serve.AddHTTPServer(g, server, serve.LimitListener(l, connections), func() bool { return true })
+	serve.AddHTTPServer(g, server, serve.LimitListener(l, connections), func() time.Duration { return serve.ShutdownTimeout })
 	return nil
 }
 
--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -20,6 +20,8 @@
 	drainMargin = 300 * time.Millisecond
 	// killMargin is how long before the platform kills the process a relay that is shutting down exits by itself.
 	killMargin = 300 * time.Millisecond
+	// exitMargin is the part of killMargin that remains for the exit after the server for callers has closed.
+	exitMargin = 100 * time.Millisecond
 	// drainCheckInterval is the time between two checks during a graceful shutdown whether all requests have ended.
 	drainCheckInterval = 50 * time.Millisecond
 )
@@ -65,12 +67,16 @@
 	return d.inFlight
 }
 
-// endsGracefully reports whether the server for callers must finish the responses in progress before it closes. Requests
-// that arrive after the last one has ended are refused at once.
-func (d *drain) endsGracefully() bool {
+// answerTime returns the time for which the server for callers must answer requests before it closes; zero unless the
+// shutdown has ended because no request was left. Requests that arrive after the last one has ended are refused at once.
+func (d *drain) answerTime() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.finishedQuiet
+	if !d.finishedQuiet {
+		return 0
+	}
+	left := d.relay.StopGrace - exitMargin - d.relay.Clock.Now().Sub(d.startedAt)
+	return min(serve.ShutdownTimeout, left)
 }
 
 // hasStarted reports whether the relay's graceful shutdown has started.
--- a/io/relay/drain_test.go
+++ b/io/relay/drain_test.go
@@ -7,31 +7,54 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"wasabiweir/io/wall"
 )
 
+// jumpingClock returns a time once, and one later by a duration from then on.
+type jumpingClock struct {
+	read  bool
+	later time.Duration
+}
+
+// Now returns the current time.
+func (c *jumpingClock) Now() time.Time {
+	if !c.read {
+		c.read = true
+		return time.Unix(0, 0)
+	}
+	return time.Unix(0, 0).Add(c.later)
+}
+
 // Guards against a request that gets neither a response nor a refusal, because it arrives after the relay has seen the end
-// of the last request and the relay then cuts off what is in progress.
+// of the last request and the relay then cuts off what is in progress; and against a relay that is killed while it answers.
 func TestRequestAtEndOfDrainIsAnswered(t *testing.T) {
-	r := &Relay{Clock: wall.Clock{}, Log: zap.NewNop(), StopGrace: 200 * time.Millisecond, ctx: t.Context()}
-	r.feed.initFeed(r)
-	r.drain.setRelay(r)
-	stopped, cancel := context.WithCancel(t.Context())
-	cancel()
-	for name, running := range map[string]bool{"no request runs": false, "one outlasts the grace period": true} {
-		if running {
+	const grace = 4 * time.Second
+	for name, c := range map[string]struct {
+		took    time.Duration
+		running bool
+	}{
+		"no request runs": {took: time.Second}, "the end is late": {took: 3650 * time.Millisecond},
+		"one outlasts the grace period": {took: 3750 * time.Millisecond, running: true},
+	} {
+		r := &Relay{Clock: &jumpingClock{later: c.took}, Log: zap.NewNop(), StopGrace: grace, ctx: t.Context()}
+		r.feed.initFeed(r)
+		r.drain.setRelay(r)
+		stopped, cancel := context.WithCancel(t.Context())
+		cancel()
+		if c.running {
 			r.drain.requestStarted()
 		}
 		if err := r.drain.run(stopped); !errors.Is(err, errDrained) {
 			t.Fatal(err)
 		}
-		if !running {
+		if !c.running {
 			r.drain.requestStarted()
 		}
-		if got := r.drain.endsGracefully(); got == running {
-			t.Errorf("%s: the server finishes what is in progress: %t", name, got)
+		got := r.drain.answerTime()
+		if got > 0 == c.running {
+			t.Errorf("%s: the server answers for %v", name, got)
+		}
+		if left := grace - c.took; got >= left {
+			t.Errorf("%s: the server answers for %v of %v", name, got, left)
 		}
-		r.drain.requestEnded()
 	}
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -207,7 +207,7 @@
 		return fmt.Errorf("open the listener for callers: %w", err)
 	}
 	server, listener := r.callers.newServer(r.guard.Handler(r), listener)
-	serve.AddHTTPServer(&g, server, listener, r.drain.endsGracefully)
+	serve.AddHTTPServer(&g, server, listener, r.drain.answerTime)
 	for _, s := range r.Servers {
 		l, err := serve.Listen(s.Address)
 		if err != nil {
--- a/io/router/drain.go
+++ b/io/router/drain.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/common"
+	"wasabiweir/io/serve"
 )
 
 const (
@@ -53,9 +54,14 @@
 	return !r.addressInUse() && r.sessions.sessionCount() == 0 && r.openRequests.Load() == 0 && r.calls.unrecorded.Load() == 0
 }
 
-// endsGracefully reports whether the server for callers must finish the responses in progress before it closes. Requests
-// that arrive after the drain is complete are refused at once.
-func (r *Router) endsGracefully() bool { return r.drainComplete.Load() || r.drained() }
+// answerTime returns the time for which the server for callers must answer requests before it closes; zero unless the
+// drain is complete. Requests that arrive after that are refused at once.
+func (r *Router) answerTime() time.Duration {
+	if r.drainComplete.Load() || r.drained() {
+		return serve.ShutdownTimeout
+	}
+	return 0
+}
 
 // drainRefusal returns the refusal for new requests once a draining router's address has expired at callers, and nil
 // before.
--- a/io/router/drain_test.go
+++ b/io/router/drain_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	r.openRequests.Add(1)
-	if !r.endsGracefully() {
+	if r.answerTime() <= 0 {
 		t.Error("a late request makes the server cut off what is in progress")
 	}
 }
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -107,7 +107,7 @@
 	r.Log.Info("router-started", zap.String("router", r.Name), zap.String("listen", r.Listen),
 		zap.String("peer-listen", r.PeerListen), zap.Uint64("incarnation", r.incarnation))
 	var g run.Group
-	serve.AddHTTPServer(&g, r.newCallerServer(r.guard.Handler(r.callerHandler())), serve.LimitListener(callers, r.MaxConnections), r.endsGracefully)
+	serve.AddHTTPServer(&g, r.newCallerServer(r.guard.Handler(r.callerHandler())), serve.LimitListener(callers, r.MaxConnections), r.answerTime)
 	serve.AddHTTPServer(&g, r.newPeerServer(), serve.LimitListener(peers, maxPeerConnections), nil)
 	loops := []func(context.Context) error{
 		r.loop, r.feed.loop, r.dispatcher.loop, r.peers.loop, r.journal.loop, r.loopPollEngines, r.prefixes.loop,
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -41,13 +41,12 @@
 }
 
 // AddHTTPServer adds an HTTP server to the run group. When another member of the run group returns, the server closes;
-// if graceful is not nil and returns true, it first answers the requests on its open connections.
-func AddHTTPServer(g *run.Group, server *http.Server, listener net.Listener, graceful func() bool) {
+// it first answers the requests on its open connections for at most the time that answerTime returns, if that is not nil.
+func AddHTTPServer(g *run.Group, server *http.Server, listener net.Listener, answerTime func() time.Duration) {
 	s := newHTTPServer(server, listener)
 	g.Add(s.run, func(error) {
-		if graceful != nil && graceful() {
-			s.shutdown(shutdownTimeout)
-			return
+		if answerTime != nil {
+			s.shutdown(answerTime())
 		}
 		_ = s.Close()
 	})
--- a/io/serve/shutdown.go
+++ b/io/serve/shutdown.go
@@ -12,10 +12,11 @@
 	"wasabiweir/io/wall"
 )
 
+// ShutdownTimeout is the time for which the graceful shutdown of an HTTP server waits for the requests in progress, unless
+// the process is killed earlier.
+const ShutdownTimeout = time.Second
+
 const (
-	// shutdownTimeout bounds the time for which the graceful shutdown of an HTTP server waits for the requests in
-	// progress.
-	shutdownTimeout = time.Second
 	// idleShutdownTimeout bounds the time for which connections without a request stay open after the listener has
 	// closed, since the request of a client that has just connected may be on its way.
 	idleShutdownTimeout = 100 * time.Millisecond
@@ -95,9 +96,12 @@
 	return nc
 }
 
-// shutdown closes the listener and answers the requests on the open connections until none is left; after the timeout it
-// closes their connections too.
+// shutdown closes the listener and answers the requests on the open connections until none is left or the timeout
+// has passed. Without a positive timeout it does nothing.
 func (s *httpServer) shutdown(timeout time.Duration) {
+	if timeout <= 0 {
+		return
+	}
 	s.stopping.Store(true)
 	_ = s.listener.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -113,5 +117,4 @@
 			s.conns.closeIdle()
 		}
 	}
-	_ = s.Close()
 }
--- a/io/serve/shutdown_test.go
+++ b/io/serve/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -56,7 +57,7 @@
 
 // runServer serves the handler and returns the listener, a function that begins the end of the run group, and a channel
 // that is closed when it has ended.
-func runServer(t *testing.T, h http.HandlerFunc) (l *countingListener, stop func(), ended chan struct{}) {
+func runServer(t *testing.T, h http.HandlerFunc, answerTime time.Duration) (l *countingListener, stop func(), ended chan struct{}) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,7 +65,7 @@
 	}
 	l = &countingListener{Listener: inner, closed: make(chan struct{})}
 	var g run.Group
-	serve.AddHTTPServer(&g, &http.Server{Handler: h}, l, func() bool { return true })
+	serve.AddHTTPServer(&g, &http.Server{Handler: h}, l, func() time.Duration { return answerTime })
 	stopped, ended := make(chan struct{}), make(chan struct{})
 	g.Add(func() error { <-stopped; return nil }, func(error) {})
 	go func() {
@@ -95,7 +96,7 @@
 func TestRequestReadDuringShutdownIsAnswered(t *testing.T) {
 	for name, earlier := range map[string]string{"first on its connection": "", "on a kept connection": wholeRequest} {
 		t.Run(name, func(t *testing.T) {
-			l, stop, ended := runServer(t, func(http.ResponseWriter, *http.Request) {})
+			l, stop, ended := runServer(t, func(http.ResponseWriter, *http.Request) {}, time.Minute)
 			c := dial(t, l, earlier+wholeRequest[:10])
 			responses := bufio.NewReader(c)
 			if earlier != "" {
@@ -115,3 +116,34 @@
 		})
 	}
 }
+
+// Guards against a graceful shutdown that waits for connections on which no request comes until its timeout.
+func TestIdleConnectionsDoNotDelayShutdown(t *testing.T) {
+	l, stop, ended := runServer(t, func(http.ResponseWriter, *http.Request) {}, time.Hour)
+	c, silent := dial(t, l, wholeRequest), dial(t, l, "")
+	if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	<-ended
+	if _, err := silent.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("the idle connection ended with %v", err)
+	}
+}
+
+// Guards against a shutdown that outlasts the time that the process has left, because a stream goes on.
+func TestStreamIsCutAtEndOfAnswerTime(t *testing.T) {
+	l, stop, ended := runServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}, 20*time.Millisecond)
+	res, err := http.ReadResponse(bufio.NewReader(dial(t, l, wholeRequest)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	<-ended
+	if _, err := io.ReadAll(res.Body); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("the stream ended with %v", err)
+	}
+}
