Let a connection that was returned unused keep its age

Cause: a connection that was taken for a request, and put back because its endpoint had asked for a pause meanwhile, began its idle time anew. It could be used for longer than the endpoint keeps it, and a request that may run once would get 502.

Evidence: TestUnusedConnectionAges fails if the idle time begins anew ("used after 4 s without use, of 3s") and passes now.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -241,6 +241,21 @@
 
 // putIdle puts an endpoint connection whose response was read completely back into the pool.
 func (p *connPool) putIdle(c *endpointConn) {
+	c.idleSince = p.relay.Clock.Now()
+	p.store(c)
+}
+
+// returnUnused puts an endpoint connection on which nothing was sent back into the pool. To the endpoint it has been idle
+// all the while.
+func (p *connPool) returnUnused(c *endpointConn) {
+	if c.idleSince.IsZero() {
+		c.idleSince = p.relay.Clock.Now()
+	}
+	p.store(c)
+}
+
+// store puts a connection into the pool.
+func (p *connPool) store(c *endpointConn) {
 	if c.br.Buffered() > 0 {
 		_ = c.Close()
 		return
@@ -250,7 +265,6 @@
 		return
 	}
 	c.endUse()
-	c.idleSince = p.relay.Clock.Now()
 	p.mu.Lock()
 	p.idleConns[c.endpoint.ID] = append(p.idleConns[c.endpoint.ID], c)
 	p.mu.Unlock()
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -263,7 +263,7 @@
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryConnect, err: err}
 	}
 	if q.relay.isPaused(e.ID) {
-		q.relay.pool.putIdle(c)
+		q.relay.pool.returnUnused(c)
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryRefused, err: errPaused}
 	}
 	q.sentAt = q.relay.Clock.Now()
--- a/io/relay/pool_test.go
+++ b/io/relay/pool_test.go
@@ -89,3 +89,24 @@
 		t.Error("a request cannot close its own connection")
 	}
 }
+
+// Guards against a connection that is used for longer than its endpoint keeps it, because it was returned without use when the
+// endpoint wanted no requests.
+func TestUnusedConnectionAges(t *testing.T) {
+	now := &clock.Manual{}
+	now.Set(time.Unix(1e9, 0))
+	r := &Relay{Clock: now, Log: zap.NewNop()}
+	r.pool.initPool(r)
+	e := place.Endpoint{ID: "e"}
+	r.pool.putIdle(newEndpointConn(&openConn{}, e))
+	now.Advance(2 * time.Second)
+	c := r.pool.takeIdle(e.ID, time.Minute)
+	if c == nil {
+		t.Fatal("no connection in the pool")
+	}
+	r.pool.returnUnused(c)
+	now.Advance(2 * time.Second)
+	if r.pool.takeIdle(e.ID, time.Minute) != nil {
+		t.Errorf("a connection is used after 4 s without use, of %s", defaultIdleTimeout)
+	}
+}
