Finish responses when a drain ends by its grace period

When the grace period of a relay ended while a request was running, the server for callers closed all its connections at once. This also cut refusals and other responses that were being written, and requests that had just been read.

Cause: the server answered what was in progress only if the drain had ended because no request was left.

New requests are refused meanwhile. A stream that outlasts this time is cut as before.

--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -39,8 +39,8 @@
 	startedAt time.Time
 	// inFlight is the number of requests that are being served.
 	inFlight int
-	// finishedQuiet is true once the shutdown has ended because no request was left.
-	finishedQuiet bool
+	// finished is true once the shutdown has ended, because no request was left or by the grace period.
+	finished bool
 }
 
 // setRelay sets the relay that the graceful shutdown ends.
@@ -68,11 +68,12 @@
 }
 
 // answerTime returns the time for which the server for callers must answer requests before it closes; zero unless the
-// shutdown has ended because no request was left. Requests that arrive after the last one has ended are refused at once.
+// shutdown has ended. Requests that arrive after that are refused at once. At the end of the grace period, responses that
+// are about to end are finished, and only streams that outlast this time are cut.
 func (d *drain) answerTime() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.finishedQuiet {
+	if !d.finished {
 		return 0
 	}
 	left := d.relay.StopGrace - exitMargin - d.relay.Clock.Now().Sub(d.startedAt)
@@ -120,7 +121,7 @@
 	}
 	d.mu.Lock()
 	running := d.inFlight
-	d.finishedQuiet = running == 0
+	d.finished = true
 	d.mu.Unlock()
 	d.relay.Log.Info("drain-finished", zap.Int("running", running),
 		zap.Duration("took", d.relay.Clock.Now().Sub(d.startedAt)))
