Count quick crashes in one failure domain

What callers would see: a request that crashes each engine that runs it was never found if its engines are in one failure domain, or their domain is not known, and each is lost less than 250 ms after the one before.

Cause: a crash was compared with all earlier ones of its domain, also with those that had not been counted themselves, so that a chain of crashes counted once for ever. Two crashes without a domain counted as one domain.

Why it works: only crashes that count are compared with, so in each 250 ms one counts.

--- a/core/poison/request.go
+++ b/core/poison/request.go
@@ -23,10 +23,9 @@
 	part string
 	// crashes are those since which no such request has been answered, in order of time.
 	crashes []*crash
-	// distinct is the number of crashes of which none has the same cause as another one, as far as time and failure domain
-	// show.
-	distinct int
-	// third is the time of the crash that made distinct reach minCrashes.
+	// counted are the crashes of which none has the same cause as another one, as far as time and failure domain show.
+	counted []*crash
+	// third is the time of the crash that was counted as the third.
 	third time.Time
 }
 
@@ -36,7 +35,7 @@
 // request that does crash engines soon has a crash of its own.
 func findRequests(crashes []crash, explained []bool) (out []*Quarantine) {
 	open := collectSuspects(crashes, explained)
-	maps.DeleteFunc(open, func(_ string, s *suspect) bool { return s.distinct < minCrashes })
+	maps.DeleteFunc(open, func(_ string, s *suspect) bool { return len(s.counted) < minCrashes })
 	for len(open) > 0 {
 		unexplained := collectSuspects(crashes, explained)
 		most := 0.0
@@ -83,18 +82,19 @@
 	return out
 }
 
-// add adds the next crash. Those of one engine are one crash, and so are those of a failure domain at about the same time.
+// add adds the next crash. Those of one engine are one crash, and so are those of a failure domain within minSpacing after one that
+// counts.
 func (s *suspect) add(c *crash) {
 	repeated := false
-	for _, o := range s.crashes {
-		d := c.at.Sub(o.at)
-		repeated = repeated || o.Endpoint == c.Endpoint && d < sameCrash || o.Domain == c.Domain && d < minSpacing
+	for _, o := range s.counted {
+		repeated = repeated || o.Endpoint == c.Endpoint && c.at.Sub(o.at) < sameCrash || c.isSameEvent(o)
 	}
 	s.crashes = append(s.crashes, c)
 	if repeated {
 		return
 	}
-	if s.distinct++; s.distinct == minCrashes {
+	s.counted = append(s.counted, c)
+	if len(s.counted) == minCrashes {
 		s.third = c.at
 	}
 }
@@ -111,7 +111,7 @@
 	if s == nil {
 		return 0
 	}
-	return float64(s.distinct*s.distinct) / float64(len(s.crashes))
+	return float64(len(s.counted)*len(s.counted)) / float64(len(s.crashes))
 }
 
 // quarantine returns the quarantine of the request. The crashes until it is known everywhere do not delay its trial.
--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -380,3 +380,23 @@
 		t.Error("a request that has begun to crash engines is not in quarantine")
 	}
 }
+
+// Guards against a request that is never found because its engines are in one failure domain, or their domain is not known, and
+// each is lost soon after the one before.
+func TestQuickCrashesInOneDomainAreCounted(t *testing.T) {
+	for _, domain := range []string{"", "a"} {
+		var tab Table
+		crashes := 0
+		for i := range 60 {
+			now := at(time.Duration(i) * 200 * time.Millisecond)
+			if _, refused := tab.Quarantined([]string{"deadly"}, now); refused {
+				break
+			}
+			crashes++
+			tab.Merge([]Crash{NewCrash(fmt.Sprint("r", i), fmt.Sprint("e", i), domain, []string{"deadly"})}, now)
+		}
+		if crashes > 6 {
+			t.Errorf("domain %q: %d engines are lost before the request is known", domain, crashes)
+		}
+	}
+}
