Tell the other processes of recent answers to a request that has crashes

What callers saw: a sound request was refused by relays that had no answer of their own to it, for 20 s, while another relay served it.

Cause: a process that has answered a request lately marks crashes of it as answered when it learns of them. If it learns of them from another process, the mark stayed with it: only the crashes that a process records itself were sent on. The same went for equal requests that an answer frees.

Evidence: TestRecentAnswerIsTold failed before ("process 1 permits 1", "process 2 permits 1").

Why it works: what a message lacks and this process knows is sent on. Messages end, since a mark is sent only by a process for which it is news.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -27,13 +28,19 @@
 	logged map[string]poison.Quarantine
 }
 
-// Merge adds the crashes that another process has sent.
+// Merge adds the crashes that another process has sent. It sends those on of which this process knows that the request was
+// answered, and the other one did not.
 func (g *Guard) Merge(list []poison.Crash) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	g.table.Merge(list, now)
+	received := map[string]uint32{}
+	for i := range list {
+		received[list[i].Key()] |= list[i].Sound
+	}
+	news := slices.DeleteFunc(g.table.Merge(list, now), func(c poison.Crash) bool { return c.Sound&^received[c.Key()] == 0 })
 	g.logChanges(now)
+	g.mu.Unlock()
+	g.send(news)
 }
 
 // Record adds a crash that this process has seen; it happened at the given time.
--- a/io/guard/guard_test.go
+++ b/io/guard/guard_test.go
@@ -55,3 +55,34 @@
 		}
 	}
 }
+
+// A process that has answered a request lately must tell the others so when it learns of crashes of that request from them;
+// they would refuse it until a trial.
+func TestRecentAnswerIsTold(t *testing.T) {
+	now := &clock.Manual{}
+	now.Set(time.Unix(1000, 0))
+	guards := make([]Guard, 3)
+	for i := range guards {
+		guards[i] = Guard{Clock: now, Log: zap.NewNop(), Metrics: tally.NoopScope, Send: func(list []poison.Crash) {
+			for j := range guards {
+				if j != i {
+					guards[j].Merge(list)
+				}
+			}
+		}}
+	}
+	popular := []string{"request-popular"}
+	guards[0].Record(poison.NewCrash("other", "e9", "a", []string{"request-other"}), now.Now())
+	now.Advance(time.Second)
+	guards[0].MarkSound(popular, now.Now())
+	for i := range 3 {
+		now.Advance(500 * time.Millisecond)
+		guards[1].Record(poison.NewCrash(fmt.Sprint("r", i), fmt.Sprint("e", i), fmt.Sprint("domain-", i), popular), now.Now())
+	}
+	now.Advance(time.Second)
+	for i := range guards {
+		if p := guards[i].Permit("next", popular, -1, 3, false); p != Allowed {
+			t.Errorf("process %d permits %v, want no quarantine", i, p)
+		}
+	}
+}
