Keep the trial of a request until an endpoint has run it

What callers would see: a request that is sent to find out whether it still crashes engines is refused, and the trial is used up, though no endpoint has run it: the first one refused the connection, or the request waited for its turn.

Cause: the relay asks before each attempt, and only a request that has run keeps its permission.

Evidence: TestTrialLastsUntilItRan fails without the change ("the trial is over before an endpoint has run it") and passes with it.

--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -36,13 +36,15 @@
 // passesQuarantine reports whether the request may be sent to an engine, given the quarantined parts. It may once if it is
 // the trial of a part.
 func (q *request) passesQuarantine() bool {
-	if !q.relay.crashes.HasCrashes() {
+	if !q.relay.crashes.HasCrashes() || q.isTrial && q.attempts == 0 {
 		return true
 	}
 	q.relay.mu.Lock()
 	index, relays := q.relay.relayIndex, q.relay.relayCount
 	q.relay.mu.Unlock()
-	return q.relay.crashes.Permit(q.id, q.crashParts(), index, relays, q.attempts > 0) != guard.Refused
+	permission := q.relay.crashes.Permit(q.id, q.crashParts(), index, relays, q.attempts > 0)
+	q.isTrial = permission == guard.Trial
+	return permission != guard.Refused
 }
 
 // recordCrash records that the request has crashed an engine at the given time if the engine is lost.
--- a/io/relay/crashes_test.go
+++ b/io/relay/crashes_test.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"wasabiweir/core/clock"
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
 	"wasabiweir/io/guard"
@@ -62,3 +63,30 @@
 		}
 	}
 }
+
+// Guards against a trial that is used up before the request has reached an endpoint, because the first one refused the
+// connection or the request waited for its turn.
+func TestTrialLastsUntilItRan(t *testing.T) {
+	now := &clock.Manual{}
+	now.Set(time.Unix(1000, 0))
+	q := newCrashRequest(t)
+	q.relay.Clock, q.relay.relayCount = now, 1
+	q.relay.crashes = guard.Guard{Clock: now, Log: zap.NewNop(), Metrics: tally.NoopScope, Send: func([]poison.Crash) {}}
+	for i := range 3 {
+		q.relay.crashes.Record(poison.NewCrash(fmt.Sprint("t", i), fmt.Sprint("f", i), "", q.crashParts()), now.Now())
+		now.Advance(time.Second)
+	}
+	if q.passesQuarantine() {
+		t.Fatal("the request is not in quarantine")
+	}
+	now.Advance(20 * time.Second)
+	for i := range 3 {
+		if !q.passesQuarantine() {
+			t.Errorf("look %d: the trial is over before an endpoint has run it", i+1)
+		}
+	}
+	q.attempts = 1
+	if q.passesQuarantine() {
+		t.Error("a trial that has run may be sent once more")
+	}
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -74,6 +74,8 @@
 	parts []string
 	// fingerprint stands for a request without prompt parts; it is empty until crashParts computes it.
 	fingerprint string
+	// isTrial is true if the request may be sent once although a part of it is in quarantine.
+	isTrial bool
 	// tried holds the ids of the endpoints that may have run the request or refused it.
 	tried map[string]bool
 	// sentAt is when the current attempt was sent.
