Suspect a request only by crashes that no other one explains

What callers saw: a sound request that is sent often was refused by all relays for as long as the test ran.

Cause: in the log of a failing run, the popular request was on three endpoints that fell silent, before any had answered it. Two of these losses were seen under the crashing request too, and later ones; of the first loss its callers had not waited to hear. Once the crashing request was found, this one loss was left over, and any one sufficed to keep the popular request in quarantine.

Ruled out: that a relay kept its knowledge for itself; all four had the same quarantines.

Evidence: TestOneOtherLossMakesNoSuspect fails before and passes. The loads of TestRequestThatCrashesEndpoints, with up to eight crashing requests at once, hold their bounds as before.

Why it works: after those that another request explains, three crashes must be left over, as for any request. One that does crash engines has them soon.

--- a/core/poison/request.go
+++ b/core/poison/request.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -31,15 +30,18 @@
 
 // findRequests returns the quarantines of whole requests that explain the crashes. Unlike a part of many prompts, such a
 // request is known exactly, so it needs fewer crashes that are apart in time. Of the requests with enough crashes it takes, one
-// after the other, the one that says most about those that are not explained yet; what is left over were bystanders. Such a
-// request that does crash engines soon has a crash of its own.
+// after the other, the one that says most about those that are not explained yet, until none has minCrashes of these: what is left
+// over were bystanders, or will soon have crashes of its own. The losses under a request that crashes engines are not always seen.
 func findRequests(crashes []crash, explained []bool) (out []*Quarantine) {
 	open := collectSuspects(crashes, explained)
-	maps.DeleteFunc(open, func(_ string, s *suspect) bool { return len(s.counted) < minCrashes })
 	for len(open) > 0 {
 		unexplained := collectSuspects(crashes, explained)
 		most := 0.0
 		for part := range open {
+			if s := unexplained[part]; s == nil || len(s.counted) < minCrashes {
+				delete(open, part)
+				continue
+			}
 			most = max(most, unexplained[part].weight())
 		}
 		if most == 0 {
--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -400,3 +400,22 @@
 		}
 	}
 }
+
+// A sound request that was on three engines that another one has crashed must not be refused because one engine more is lost under
+// it: the loss under the other request may not have been seen, or the engine ended by itself.
+func TestOneOtherLossMakesNoSuspect(t *testing.T) {
+	for _, other := range []int{0, 3} {
+		var tab Table
+		for i := range 4 {
+			now := time.Duration(i) * 800 * time.Millisecond
+			crashAt(&tab, now, fmt.Sprint("popular", i), fmt.Sprint("e", i), "popular")
+			crashAt(&tab, now, fmt.Sprint("again", i), fmt.Sprint("e", i), "popular")
+			if i != other {
+				crashAt(&tab, now, fmt.Sprint("deadly", i), fmt.Sprint("e", i), "deadly")
+			}
+		}
+		if isQuarantined(&tab, 5*time.Second, "popular") || !isQuarantined(&tab, 5*time.Second, "deadly") {
+			t.Errorf("loss %d is not explained: the sound request is in quarantine, or the other one is not", other)
+		}
+	}
+}
