Drop a check that is never true, and wrap two comments

A suspect without unexplained crashes is left out before its weight is asked for, so weight needs no check for nil. No behaviour changes; go test ./core/poison ./io/router passes.

--- a/core/poison/request.go
+++ b/core/poison/request.go
@@ -38,11 +38,12 @@
 		unexplained := collectSuspects(crashes, explained)
 		most := 0.0
 		for part := range open {
-			if s := unexplained[part]; s == nil || len(s.counted) < minCrashes {
+			s := unexplained[part]
+			if s == nil || len(s.counted) < minCrashes {
 				delete(open, part)
 				continue
 			}
-			most = max(most, unexplained[part].weight())
+			most = max(most, s.weight())
 		}
 		if most == 0 {
 			break
@@ -110,9 +111,6 @@
 // weight grows with the number of crashes, and falls with the number of such requests on each engine: one that is often sent
 // is on most engines that are lost, whatever the cause.
 func (s *suspect) weight() float64 {
-	if s == nil {
-		return 0
-	}
 	return float64(len(s.counted)*len(s.counted)) / float64(len(s.crashes))
 }
 
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -250,9 +250,9 @@
 	}
 }
 
-// leastUseful returns the index of the crash that is missed least among those of prompts with several parts: one of many that support the same quarantine, or else the
-// oldest one whose shared parts are sound, that supports no quarantine, or of all. Crashes that support no quarantine yet
-// may be those of a further part.
+// leastUseful returns the index of the crash that is missed least among those of prompts with several parts: one of many that
+// support the same quarantine, or else the oldest one whose shared parts are sound, that supports no quarantine, or of all.
+// Crashes that support no quarantine yet may be those of a further part.
 func (t *Table) leastUseful() int {
 	hasParts := func(c *crash) bool { return !c.isWholeRequest() }
 	if i := t.mostRedundant(hasParts); i >= 0 {
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -244,8 +244,8 @@
 }
 
 // pickEndpoint selects an endpoint of the plain service for the call, unless the call crashes endpoints. If all endpoints
-// failed recently, it waits for the first backoff to end, up to maxEndpointWait: a service with one endpoint would otherwise refuse each call for a
-// quarter of a second after one connection reset.
+// failed recently, it waits for the first backoff to end, up to maxEndpointWait: a service with one endpoint would
+// otherwise refuse each call for a quarter of a second after one connection reset.
 func (c *callSender) pickEndpoint(ctx context.Context, x *serviceCall, failed route.NameSet) (*attempt, error) {
 	end := c.router.Clock.Now().Add(maxEndpointWait)
 	for {
