Decide in one place whether a response shows that its endpoint outlived the request

Relay and router had the same condition on the status, each with its own comment. No behaviour changes; TestErrorResponsesFreeNoCrashingRequest (io/relay) and TestServerErrorDoesNotEndQuarantine (io/router) pass as they are.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -67,6 +68,12 @@
 	g.send(news)
 }
 
+// Outlived reports whether a response with the status shows that the endpoint has outlived the request. One that fails or is
+// full, or a gateway in front of a lost one, may have answered without running it.
+func Outlived(status int) bool {
+	return status < http.StatusInternalServerError && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout
+}
+
 // send sends crashes to the other processes if there are any.
 func (g *Guard) send(list []poison.Crash) {
 	if len(list) > 0 {
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"time"
 
@@ -77,11 +76,9 @@
 	}
 }
 
-// recordAnswer records that an engine has outlived the request, if its response with the status shows that. An endpoint that
-// fails or is full may have answered without running it.
+// recordAnswer records that an engine has outlived the request, if its response with the status shows that.
 func (q *request) recordAnswer(status int) {
-	ran := status < http.StatusInternalServerError && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout
-	if ran && q.relay.crashes.HasCrashes() {
+	if guard.Outlived(status) && q.relay.crashes.HasCrashes() {
 		q.relay.crashes.MarkSound(q.crashParts(), q.sentAt)
 	}
 }
--- a/io/router/callcrashes.go
+++ b/io/router/callcrashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -72,11 +71,9 @@
 	check.recordCrash(ctx)
 }
 
-// markSound records that an endpoint survived the call. An error of the server says nothing: it may come from a gateway
-// in front of a lost endpoint, or from an endpoint that did not begin to execute the call.
+// markSound records that an endpoint survived the call, if its response shows that.
 func (c *callSender) markSound(x *serviceCall, out *endpointResponse, sentAt time.Time) {
-	answered := out.status < http.StatusInternalServerError && out.status != http.StatusTooManyRequests && out.status != http.StatusRequestTimeout
-	if answered && c.router.crashes.HasCrashes() {
+	if guard.Outlived(out.status) && c.router.crashes.HasCrashes() {
 		c.router.crashes.MarkSound(x.crashParts(), sentAt)
 	}
 }
