Compute no fingerprint of a stream while no crash is known

Each stream without prompt parts was hashed when its answer had lasted, and each attempt of one when it ended, also while no crash was known. With parts there was nothing to compute. No behaviour changes: an answer says nothing while there is no crash, and the conditions of a crash are only asked in another order. go test ./io/relay passes.

--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -55,7 +55,7 @@
 
 // recordStreamCrash records a crash if the engine of a failed attempt is lost just after it began to answer.
 func (s *streamRequest) recordStreamCrash(a streamAttempt, result attemptResult) {
-	if len(s.crashParts()) == 0 || result.outcome == completed || !result.run.IsEarly() || s.r.Context().Err() != nil {
+	if result.outcome == completed || !result.run.IsEarly() || s.r.Context().Err() != nil || len(s.crashParts()) == 0 {
 		return
 	}
 	s.recordCrash(a.endpoint, result.run.LastSign)
@@ -109,7 +109,9 @@
 		return
 	}
 	w.soundMarked = true
-	s.relay.crashes.MarkSound(s.crashParts(), w.beganAt)
+	if s.relay.crashes.HasCrashes() {
+		s.relay.crashes.MarkSound(s.crashParts(), w.beganAt)
+	}
 }
 
 // quarantineRetryAfter returns the Retry-After time of a request that is refused because its prompt crashes engines.
