Answer the connections in the accept queue when a server stops

Callers saw a reset, with neither an answer nor a refusal, for whole requests on connections that the operating system had established and a relay had not accepted by the end of its graceful shutdown. A busy or paused process has such connections: they gather while it stands still, and the stop then comes before the next accept.

Cause: the graceful end of a server closes its listener first, and the kernel resets each connection in the accept queue of a listener that closes. Ruled out: connections that had been accepted, since the table of connections already answers what comes on them.

The server now goes on accepting until the accept queue is empty, for at most 0.1 s or half of the time that it has for responses, and closes the listener after that. Whether the queue is empty is read from the listener's socket, since a deadline on Accept fails without a try once it has passed. The server of a router and of a keeper ends the same way.

TestRequestsInAcceptQueueAreAnsweredAtStop holds 20 requests in the queue.

--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -147,6 +147,9 @@
 	return c, nil
 }
 
+// SyscallConn returns the raw connection, or an error if the listener is no socket of the operating system.
+func (l *trackedListener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
+
 // connPhase is what a connection is used for at the moment.
 type connPhase int
 
--- a/io/serve/limit.go
+++ b/io/serve/limit.go
@@ -8,8 +8,8 @@
 	"syscall"
 )
 
-// errNoSocket is returned for a connection that is no socket of the operating system.
-var errNoSocket = errors.New("the connection is no socket")
+// errNoSocket is returned for a connection or a listener that is no socket of the operating system.
+var errNoSocket = errors.New("no socket of the operating system")
 
 // limitedListener is a listener with a limit on its open connections. It accepts connections beyond the limit and
 // closes them at once, so that the client notices and can connect to another process.
@@ -42,6 +42,9 @@
 	}
 }
 
+// SyscallConn returns the raw connection, or an error if the listener is no socket of the operating system.
+func (l *limitedListener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
+
 // limitedConn is a connection that counts towards the limit of its listener until it is closed.
 type limitedConn struct {
 	net.Conn
@@ -62,15 +65,16 @@
 // SyscallConn returns the raw connection, or an error if the connection is no socket of the operating system.
 func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
 
-// rawConn returns the raw connection of a connection, or an error if it is no socket of the operating system.
-func rawConn(c net.Conn) (syscall.RawConn, error) {
+// rawConn returns the raw connection of a connection or a listener, or an error if it is no socket of the operating
+// system.
+func rawConn(c any) (syscall.RawConn, error) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return nil, errNoSocket
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return nil, fmt.Errorf("get the socket of a connection: %w", err)
+		return nil, fmt.Errorf("get the socket: %w", err)
 	}
 	return raw, nil
 }
--- a/io/serve/shutdown.go
+++ b/io/serve/shutdown.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"wasabiweir/io/wall"
@@ -22,6 +23,8 @@
 	idleShutdownTimeout = 100 * time.Millisecond
 	// shutdownCheckInterval is the time between two checks during a graceful shutdown whether all connections have ended.
 	shutdownCheckInterval = 5 * time.Millisecond
+	// acceptCheckInterval is the time between two checks whether the server has accepted all connections.
+	acceptCheckInterval = time.Millisecond
 )
 
 // httpServer is an HTTP server that can end without dropping a request that it has read. Shutdown of net/http drops each
@@ -96,16 +99,17 @@
 	return nc
 }
 
-// shutdown closes the listener and answers the requests on the open connections until none is left or the timeout
-// has passed. Without a positive timeout it does nothing.
+// shutdown accepts the connections that are established, closes the listener and answers the requests on the open
+// connections until none is left or the timeout has passed. Without a positive timeout it does nothing.
 func (s *httpServer) shutdown(timeout time.Duration) {
 	if timeout <= 0 {
 		return
 	}
 	s.stopping.Store(true)
-	_ = s.listener.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	s.acceptPending(ctx, min(idleShutdownTimeout, timeout/2))
+	_ = s.listener.Close()
 	// A connection that has just been accepted is in the table by then.
 	select {
 	case <-s.served:
@@ -118,3 +122,38 @@
 		}
 	}
 }
+
+// acceptPending waits until the server has accepted the connections that the operating system has established, for at
+// most the timeout: they are reset when the listener closes, and their clients may have sent whole requests.
+func (s *httpServer) acceptPending(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for hasPendingConn(s.listener) && Sleep(ctx, acceptCheckInterval) {
+	}
+}
+
+// hasPendingConn reports whether a connection waits in the accept queue of the listener.
+func hasPendingConn(l net.Listener) bool {
+	raw, err := rawConn(l)
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(fd uintptr) { pending = isReadable(int(fd)) })
+	return err == nil && pending
+}
+
+// isReadable reports whether a read or an accept on the file descriptor would not block.
+func isReadable(fd int) bool {
+	epfd, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = syscall.Close(epfd) }()
+	event := syscall.EpollEvent{Events: syscall.EPOLLIN}
+	if err := syscall.EpollCtl(epfd, syscall.EPOLL_CTL_ADD, fd, &event); err != nil {
+		return false
+	}
+	n, err := syscall.EpollWait(epfd, []syscall.EpollEvent{event}, 0)
+	return err == nil && n > 0
+}
--- a/io/serve/shutdown_test.go
+++ b/io/serve/shutdown_test.go
@@ -64,6 +64,13 @@
 		t.Fatal(err)
 	}
 	l = &countingListener{Listener: inner, closed: make(chan struct{})}
+	stop, ended = runListener(l, h, answerTime)
+	return l, stop, ended
+}
+
+// runListener serves the handler on the listener, and returns a function that begins the end of the run group and a
+// channel that is closed when it has ended.
+func runListener(l net.Listener, h http.Handler, answerTime time.Duration) (stop func(), ended chan struct{}) {
 	var g run.Group
 	serve.AddHTTPServer(&g, &http.Server{Handler: h}, l, func() time.Duration { return answerTime })
 	stopped, ended := make(chan struct{}), make(chan struct{})
@@ -72,7 +79,7 @@
 		defer close(ended)
 		_ = g.Run()
 	}()
-	return l, func() { close(stopped) }, ended
+	return func() { close(stopped) }, ended
 }
 
 // dial connects to the listener, sends text and waits until the server has read it.
@@ -117,6 +124,69 @@
 	}
 }
 
+// heldListener accepts no connection until it is released or closed, as a process that stands still does.
+type heldListener struct {
+	*net.TCPListener
+	once     sync.Once
+	released chan struct{}
+}
+
+// Accept returns the next connection after the release.
+func (l *heldListener) Accept() (net.Conn, error) {
+	<-l.released
+	return l.TCPListener.Accept()
+}
+
+// Close closes the listener and releases it.
+func (l *heldListener) Close() error {
+	err := l.TCPListener.Close()
+	l.release()
+	return err
+}
+
+// release lets Accept go on.
+func (l *heldListener) release() { l.once.Do(func() { close(l.released) }) }
+
+// Guards against requests on established connections that get a reset, because their server stops before it accepts them.
+func TestRequestsInAcceptQueueAreAnsweredAtStop(t *testing.T) {
+	const callers = 20
+	for name, wrap := range map[string]func(net.Listener) net.Listener{
+		"plain":   func(l net.Listener) net.Listener { return l },
+		"limited": func(l net.Listener) net.Listener { return serve.LimitListener(l, callers) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inner, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			l := &heldListener{TCPListener: inner, released: make(chan struct{})}
+			h := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+			stop, ended := runListener(wrap(l), h, time.Second)
+			conns := make([]net.Conn, callers)
+			for i := range conns {
+				if conns[i], err = net.Dial("tcp", l.Addr().String()); err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = conns[i].Close() }()
+				_ = conns[i].SetDeadline(time.Now().Add(10 * time.Second))
+				_, _ = io.WriteString(conns[i], wholeRequest)
+			}
+			stop()
+			time.AfterFunc(20*time.Millisecond, l.release)
+			lost := 0
+			for _, c := range conns {
+				if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+					lost++
+				}
+			}
+			if lost > 0 {
+				t.Errorf("%d of %d requests in the accept queue got no response", lost, callers)
+			}
+			<-ended
+		})
+	}
+}
+
 // Guards against a graceful shutdown that waits for connections on which no request comes until its timeout.
 func TestIdleConnectionsDoNotDelayShutdown(t *testing.T) {
 	l, stop, ended := runServer(t, func(http.ResponseWriter, *http.Request) {}, time.Hour)
