Hold a header whose first byte was read ahead to the header limit

A caller that sends the first byte of its next request while the current one is served, and then nothing, kept its connection for the idle limit (15 s) instead of the header limit (3 s); at the end of a server such a connection was closed as idle after 0.1 s, with a request begun on it.

Cause: net/http reads one byte ahead while it serves a request without a body to come, and the table of connections took what is read in that phase for a part of the request. Reads of bodies go through net/http's buffer and never ask for a single byte, so they are told apart by that.

TestHeaderBegunDuringRequestIsHeldToHeaderLimit, at 4 s. Before: the request was answered, 3 of 3 runs. After: its connection is closed, and one that takes 2 s is answered, 10 of 10 runs. Bytes that net/http has read together with the former request still can't be seen here.

--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -317,6 +317,32 @@
 	}
 }
 
+// Guards against a header that is held to the idle limit because its first byte came while the request before was served.
+func TestHeaderBegunDuringRequestIsHeldToHeaderLimit(t *testing.T) {
+	for took, want := range map[time.Duration]bool{2 * time.Second: true, 4 * time.Second: false} {
+		t.Run(took.String(), func(t *testing.T) {
+			g := newCallerRig(t)
+			partRead := make(chan struct{})
+			g.handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				if g.served.Load() > 1 {
+					return
+				}
+				arrived := make(chan struct{})
+				g.hooks.Store(&callerHook{moment: asBytesArrive, f: func(*hookedConn) { close(arrived) }})
+				_, _ = io.WriteString(g.conn, plainRequest[:1])
+				<-arrived
+				g.hooks.Store(&callerHook{moment: asReadBegins, f: func(*hookedConn) { close(partRead) }})
+			})
+			g.sendFirst()
+			<-partRead
+			g.check(took)
+			if answered := g.send(plainRequest[1:]); answered != want {
+				t.Errorf("the request has a response: %t", answered)
+			}
+		})
+	}
+}
+
 // Guards against a lower idle limit that closes kept connections whose callers still go by the limit that was in force
 // when they got their last response.
 func TestLowerIdleLimitSparesKeptConnections(t *testing.T) {
--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -173,6 +173,8 @@
 	// had no request.
 	since     time.Time
 	idleLimit time.Duration
+	// readAhead is true if a byte of the next request was read while the current one is served.
+	readAhead bool
 	// waiting is true while a read waits for bytes. As long as the header of a request is being read, the bytes that the
 	// server has got are then no whole header.
 	waiting bool
@@ -195,6 +197,10 @@
 	if n > 0 && c.phase == phaseIdle {
 		c.phase, c.since = phaseReceiving, c.table.Clock.Now()
 	}
+	// While net/http serves a request whose body is complete, it reads one byte to notice the end of the connection.
+	if n > 0 && c.phase == phaseServing && len(p) == 1 {
+		c.readAhead = true
+	}
 	return n, err //nolint:wrapcheck // net/http compares the error with io.EOF
 }
 
@@ -221,6 +227,10 @@
 func (c *clientConn) setPhase(p connPhase, idleLimit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if p == phaseIdle && c.readAhead {
+		p = phaseReceiving
+	}
+	c.readAhead = false
 	c.phase, c.since, c.idleLimit = p, c.table.Clock.Now(), idleLimit
 }
 
