Relay: refuse requests that outlast a planned stop

Callers' requests that came up to half of the grace period after the stop signal were passed on whatever time was left, and cut at its end without an answer, also those that may not be repeated.

Cause: the accept window of a planned stop asked only for the age of the stop, not for the time of the request. The class is a bound that is checked against the wrong clock: how long others may still send, not how long what they send takes.

A request is now sent to an endpoint during a stop only if it may be expected to end before the stop does; otherwise it is refused with 503 and not run. The check is made before its body is read and before each attempt. The time that it needs is estimated from the run times of the last minute by route and service (core/place RunTimes): the 98th percentile for requests that may be repeated, one and a half times the longest for others, and the request's own limit, the earlier of its deadline and the route's timeout, where fewer than 20 are known. The limit alone would refuse nearly all, since timeouts are far above what requests take.

Ruled out: a shorter accept window. Callers keep an address for three TTLs, and a window of any length says nothing about a request's time.

--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -8,6 +8,8 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"wasabiweir/core/place"
+	"wasabiweir/core/state"
 	"wasabiweir/io/serve"
 )
 
@@ -41,6 +43,8 @@
 	inFlight int
 	// finished is true once the shutdown has ended, because no request was left or by the grace period.
 	finished bool
+	// runTimes are the times that requests with one message as the response have recently taken.
+	runTimes place.RunTimes
 }
 
 // setRelay sets the relay that the graceful shutdown ends.
@@ -101,6 +105,25 @@
 	return !d.startedAt.IsZero() && (stream || d.relay.Clock.Now().Sub(d.startedAt) > d.acceptWindow())
 }
 
+// recordRunTime records how long a request ran that has ended.
+func (d *drain) recordRunTime(k place.RunTimeKey, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runTimes.Record(k, took, d.relay.Clock.Now())
+}
+
+// leavesTime reports whether a request that would be sent to an endpoint now may be expected to end before the shutdown does.
+func (d *drain) leavesTime(k place.RunTimeKey, kind state.RouteKind, deadline time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.startedAt.IsZero() {
+		return true
+	}
+	now := d.relay.Clock.Now()
+	left := d.startedAt.Add(d.relay.StopGrace - killMargin).Sub(now)
+	return d.runTimes.Estimate(k, kind == state.Safe, deadline.Sub(now), now) <= left
+}
+
 // run waits for the stop signal, and then until the last caller's request has ended or the platform is about to kill
 // the process.
 func (d *drain) run(stop context.Context) error {
@@ -127,3 +150,21 @@
 		zap.Duration("took", d.relay.Clock.Now().Sub(d.startedAt)))
 	return errDrained
 }
+
+// runTimeKey returns the key under which the request's run time is kept.
+func (q *request) runTimeKey() place.RunTimeKey {
+	return place.RunTimeKey{Route: q.route.Name, Service: q.service}
+}
+
+// recordRunTime records how long the request ran, if it may have run.
+func (q *request) recordRunTime() {
+	if q.mayHaveRun {
+		q.relay.drain.recordRunTime(q.runTimeKey(), q.relay.Clock.Now().Sub(q.startedAt)-q.timeToFirstSend)
+	}
+}
+
+// endsBeforeRelay reports whether the request may be sent to an endpoint, since it may be expected to end before a planned stop of
+// the relay does. Streams are refused as soon as the stop starts.
+func (q *request) endsBeforeRelay() bool {
+	return q.route.Kind == state.Stream || q.relay.drain.leavesTime(q.runTimeKey(), q.route.Kind, q.deadline)
+}
--- a/io/relay/drain_test.go
+++ b/io/relay/drain_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"wasabiweir/core/clock"
+	"wasabiweir/core/state"
 )
 
 // jumpingClock returns a time once, and one later by a duration from then on.
@@ -59,3 +62,46 @@
 		}
 	}
 }
+
+// Guards against a request that is sent to an endpoint during a planned stop of the relay although it may be expected to be cut at
+// its end, and against one that is refused although it would end in time.
+func TestRequestThatOutlastsDrainIsRefused(t *testing.T) {
+	const timeout = 8 * time.Second
+	for name, c := range map[string]struct {
+		kind state.RouteKind
+		// took is what such requests took lately; zero if that is not known.
+		took time.Duration
+		// elapsed is the time since the stop began; negative if it has not.
+		elapsed, timeout time.Duration
+		taken            bool
+	}{
+		"before the stop":             {state.Unsafe, 0, -1, timeout, true},
+		"unknown, long timeout":       {state.Safe, 0, 0, timeout, false},
+		"unknown, short timeout":      {state.Unsafe, 0, time.Second, 2 * time.Second, true},
+		"unknown, timeout too long":   {state.Unsafe, 0, 2 * time.Second, 2 * time.Second, false},
+		"short, safe":                 {state.Safe, time.Second, 2 * time.Second, timeout, true},
+		"short, unsafe":               {state.Unsafe, time.Second, 2 * time.Second, timeout, true},
+		"just fits, safe":             {state.Safe, 3 * time.Second, 0, timeout, true},
+		"just fits, unsafe":           {state.Unsafe, 3 * time.Second, 0, timeout, false},
+		"as in the report, at once":   {state.Safe, 3500 * time.Millisecond, 0, timeout, true},
+		"as in the report, at 500 ms": {state.Unsafe, 3500 * time.Millisecond, 500 * time.Millisecond, timeout, false},
+	} {
+		clk := &clock.Manual{}
+		clk.Set(time.Unix(1e9, 0))
+		q := &request{relay: &Relay{Clock: clk, StopGrace: 4 * time.Second}, route: &state.Route{Name: "r", Kind: c.kind}, service: "s"}
+		q.relay.drain.setRelay(q.relay)
+		for range 100 {
+			if c.took > 0 {
+				q.relay.drain.recordRunTime(q.runTimeKey(), c.took)
+			}
+		}
+		if c.elapsed >= 0 {
+			q.relay.drain.startedAt = clk.Now()
+			clk.Advance(c.elapsed)
+		}
+		q.startedAt, q.deadline = clk.Now(), clk.Now().Add(c.timeout)
+		if taken := q.endsBeforeRelay(); taken != c.taken {
+			t.Errorf("%s: taken %t", name, taken)
+		}
+	}
+}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -72,8 +72,13 @@
 // servePlain forwards a request whose response is one complete message, not a stream, and retries it at other
 // endpoints.
 func (q *request) servePlain() {
+	defer q.recordRunTime()
 	refusals := 0
 	for {
+		if !q.endsBeforeRelay() {
+			q.failRequest(common.ReasonDraining, retryElsewhere)
+			return
+		}
 		if !q.passesQuarantine() {
 			q.failRequest(common.ReasonCrashesEngines, q.quarantineRetryAfter())
 			return
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -177,6 +177,10 @@
 			q.deadline = d
 		}
 	}
+	if !q.endsBeforeRelay() {
+		q.sendRefusal(http.StatusServiceUnavailable, common.ReasonDraining, retryElsewhere)
+		return false
+	}
 	q.header = q.relay.forwardedHeaders(q.r.Header)
 	if q.account != "" {
 		q.header.Set(q.relay.Names.Account, q.account)
