Relay: answer the requests that outlast a planned stop

Callers whose requests still ran, waited in a queue or sent their body when a stopping relay reached the end of its grace period got an EOF instead of an answer: nothing ended these requests before the server closed.

200 ms before the process is killed, and 100 ms before the server for callers closes, the contexts of all requests now end with a cause of their own. The connection to the endpoint is closed first; then the caller gets 502 if the request may have run, and 503 only if nothing was sent. Responses that have begun end without their last byte. Until then requests go on as before, whether or not their endpoints send anything. Such an end is no failure of the endpoint and no crash, and the copy of a stream's KV cache is kept, since its caller resumes it elsewhere. Counted as requests-cut{reason="stop"}, with a line request-cut each.

Ruled out: a longer time for answers. The server does close late enough, but nothing told the requests to end, so any length would pass unused.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -58,7 +58,8 @@
 	go w.run(ctx)
 	result := s.receiveStream(ctx, a, c, w)
 	result.run = w.runProgress()
-	s.ended.Store(result.outcome == completed || s.ctx.Err() != nil)
+	// The caller of a stream that the relay cuts resumes it at another relay, so its copy is kept.
+	s.ended.Store(result.outcome == completed || s.ctx.Err() != nil && !s.isCut())
 	if result.outcome != completed {
 		_ = c.Close()
 		if cause := w.closeCause.Load(); cause != nil {
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -55,7 +55,7 @@
 
 // recordStreamCrash records a crash if the engine of a failed attempt is lost just after it began to answer.
 func (s *streamRequest) recordStreamCrash(a streamAttempt, result attemptResult) {
-	if result.outcome == completed || !result.run.IsEarly() || s.r.Context().Err() != nil || len(s.crashParts()) == 0 {
+	if result.outcome == completed || !result.run.IsEarly() || s.isAbandoned() || len(s.crashParts()) == 0 {
 		return
 	}
 	s.recordCrash(a.endpoint, result.run.LastSign)
@@ -65,7 +65,7 @@
 // when the engine began to answer, so each loss by a reset counts as a crash, and only a response as sound.
 func (q *request) recordPlainOutcome(e place.Endpoint, result attemptResult) {
 	switch {
-	case q.r.Context().Err() != nil || len(q.parts) == 0 && q.bodyReader != nil:
+	case q.isAbandoned() || len(q.parts) == 0 && q.bodyReader != nil:
 	case result.outcome == completed:
 		q.recordAnswer(result.res.StatusCode)
 	case result.outcome != outcomeUnknown || result.cause != common.RetryReset && result.cause != common.RetrySilent:
--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
 
+	"wasabiweir/core/common"
 	"wasabiweir/core/place"
 	"wasabiweir/core/state"
 	"wasabiweir/io/serve"
@@ -22,6 +25,9 @@
 	drainMargin = 300 * time.Millisecond
 	// killMargin is how long before the platform kills the process a relay that is shutting down exits by itself.
 	killMargin = 300 * time.Millisecond
+	// cutMargin is how long before the platform kills the process the requests that still run end, so that they can be
+	// answered before their connections close.
+	cutMargin = 200 * time.Millisecond
 	// exitMargin is the part of killMargin that remains for the exit after the server for callers has closed.
 	exitMargin = 100 * time.Millisecond
 	// drainCheckInterval is the time between two checks during a graceful shutdown whether all requests have ended.
@@ -31,6 +37,9 @@
 // errDrained ends the relay's run group of goroutines after a graceful shutdown.
 var errDrained = eris.New("the graceful shutdown is complete")
 
+// errRequestCut is the cause with which the contexts of requests end that outlast a graceful shutdown.
+var errRequestCut = eris.New("the graceful shutdown ended before the request")
+
 // drain performs a graceful shutdown. The relay reports itself as draining, accepts requests until callers no longer
 // use its address from the directory, and exits when the last request has ended.
 type drain struct {
@@ -45,10 +54,24 @@
 	finished bool
 	// runTimes are the times that requests with one message as the response have recently taken.
 	runTimes place.RunTimes
+	// requests ends, by cutRequests, when the requests that still run must be answered.
+	requests    context.Context
+	cutRequests context.CancelFunc
 }
 
 // setRelay sets the relay that the graceful shutdown ends.
-func (d *drain) setRelay(r *Relay) { d.relay = r }
+func (d *drain) setRelay(r *Relay) {
+	d.relay = r
+	d.requests, d.cutRequests = context.WithCancel(context.Background())
+}
+
+// requestContext returns a context for a request that also ends, with errRequestCut as its cause, when the request must be
+// answered because the relay exits.
+func (d *drain) requestContext(parent context.Context) (ctx context.Context, cancel func()) {
+	ctx, end := context.WithCancelCause(parent)
+	stop := context.AfterFunc(d.requests, func() { end(errRequestCut) })
+	return ctx, func() { stop(); end(nil) }
+}
 
 // requestStarted counts a caller's request that is being served.
 func (d *drain) requestStarted() {
@@ -72,8 +95,8 @@
 }
 
 // answerTime returns the time for which the server for callers must answer requests before it closes; zero unless the
-// shutdown has ended. Requests that arrive after that are refused at once. At the end of the grace period, responses that
-// are about to end are finished, and only streams that outlast this time are cut.
+// shutdown has ended. Requests that arrive after that are refused at once. At the end of the grace period, those that still
+// run have until cutMargin before it, and are answered then.
 func (d *drain) answerTime() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -146,6 +169,7 @@
 	running := d.inFlight
 	d.finished = true
 	d.mu.Unlock()
+	time.AfterFunc(d.relay.StopGrace-cutMargin-d.relay.Clock.Now().Sub(d.startedAt), d.cutRequests)
 	d.relay.Log.Info("drain-finished", zap.Int("running", running),
 		zap.Duration("took", d.relay.Clock.Now().Sub(d.startedAt)))
 	return errDrained
@@ -168,3 +192,29 @@
 func (q *request) endsBeforeRelay() bool {
 	return q.route.Kind == state.Stream || q.relay.drain.leavesTime(q.runTimeKey(), q.route.Kind, q.deadline)
 }
+
+// isCut reports whether the request has ended because the relay exits.
+func (q *request) isCut() bool { return errors.Is(context.Cause(q.ctx), errRequestCut) }
+
+// isAbandoned reports whether the request has ended for a reason that says nothing about its endpoint: its caller has disconnected, or
+// the relay exits.
+func (q *request) isAbandoned() bool { return q.r.Context().Err() != nil || q.isCut() }
+
+// countCut counts and logs a request that ends because the relay exits; outcome is what its caller gets.
+func (q *request) countCut(outcome string) {
+	q.relay.meter.countReason("requests-cut", "stop")
+	q.log.Warn("request-cut", zap.String("reason", "stop"), zap.String("outcome", outcome), zap.String("route", q.route.Name),
+		zap.Duration("after", q.relay.Clock.Now().Sub(q.startedAt)), zap.Int("attempts", q.attempts), zap.Bool("may-have-run", q.mayHaveRun))
+}
+
+// answerCut answers a request whose response has not begun when the relay exits.
+func (q *request) answerCut() {
+	q.w.Header().Set("Connection", "close")
+	if q.mayHaveRun {
+		q.countCut("unknown")
+		q.sendRefusal(http.StatusBadGateway, common.ReasonDraining, 0)
+		return
+	}
+	q.countCut("not-run")
+	q.sendRefusal(http.StatusServiceUnavailable, common.ReasonDraining, retryElsewhere)
+}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -184,7 +184,7 @@
 		q.attempts++
 		q.mayHaveRun = true
 	}
-	callerDisconnected := q.r.Context().Err() != nil
+	abandoned := q.isAbandoned()
 	var suspended time.Duration
 	q.relay.withTable(func(t *place.EndpointTable, now time.Time) {
 		t.RequestEnded(e.ID)
@@ -195,15 +195,15 @@
 			t.RecordAddressReuse(e.ID, now)
 		case result.cause == common.RetryRefused:
 			t.RecordFull(e.ID, fullEndpointPause, now)
-		case !callerDisconnected && result.cause == common.RetryConnect:
+		case !abandoned && result.cause == common.RetryConnect:
 			suspended = t.RecordFailure(e.ID, q.route.Kind == state.Stream, now)
-		case !callerDisconnected && (result.cause == common.RetryOversized || result.cause == common.RetryForeign):
+		case !abandoned && (result.cause == common.RetryOversized || result.cause == common.RetryForeign):
 			suspended = t.RecordFailure(e.ID, false, now)
-		case !callerDisconnected && result.cause == common.RetryReset && q.route.Kind != state.Stream:
+		case !abandoned && result.cause == common.RetryReset && q.route.Kind != state.Stream:
 			suspended = t.RecordFailure(e.ID, false, now)
 		}
 	})
-	if !callerDisconnected && result.cause == common.RetryReset && q.route.Kind == state.Stream {
+	if !abandoned && result.cause == common.RetryReset && q.route.Kind == state.Stream {
 		// A reset connection can mean that the engine crashed or that just this response was lost, so the engine is
 		// probed.
 		q.relay.prober.startProbe(e)
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -96,6 +96,9 @@
 		tried: map[string]bool{},
 	}
 	q.log = r.Log.With(zap.String("request", q.id))
+	ctx, cancel := r.drain.requestContext(q.ctx)
+	defer cancel()
+	q.ctx = ctx
 	r.drain.requestStarted()
 	defer r.drain.requestEnded()
 	defer q.giveBuffers()
@@ -108,8 +111,8 @@
 	}
 	r.meter.requests[q.route.Kind].Inc(1)
 	r.countRequest(q.service)
-	ctx, cancel := context.WithDeadline(q.ctx, q.deadline)
-	defer cancel()
+	ctx, cancelDeadline := context.WithDeadline(q.ctx, q.deadline)
+	defer cancelDeadline()
 	q.ctx = ctx
 	q.parts = q.promptParts()
 	if q.route.Kind == state.Stream {
@@ -207,6 +210,9 @@
 	case errors.As(err, &tooLarge):
 		q.sendRefusal(http.StatusRequestEntityTooLarge, common.ReasonBodyTooLarge, 0)
 		return false
+	case err != nil && q.isCut():
+		q.answerCut()
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.sendRefusal(http.StatusRequestTimeout, common.ReasonDeadline, 0)
 		return false
@@ -230,7 +236,9 @@
 	if err := rc.SetReadDeadline(q.deadline); err != nil {
 		return nil, false, fmt.Errorf("bound the time for the body: %w", err)
 	}
-	if data, complete, err = q.readBuffered(body, maxBufferedBody); err != nil {
+	stop := context.AfterFunc(q.ctx, func() { _ = rc.SetReadDeadline(time.Now()) })
+	data, complete, err = q.readBuffered(body, maxBufferedBody)
+	if stop(); err != nil {
 		return nil, false, err
 	}
 	if err := rc.SetReadDeadline(time.Time{}); err != nil {
@@ -293,6 +301,8 @@
 // have run.
 func (q *request) failRequest(reason common.Reason, retryAfter time.Duration) {
 	switch {
+	case q.isCut():
+		q.answerCut()
 	case q.hasCallerLeft():
 		q.log.Info("caller-disconnected", zap.Duration("after", q.relay.Clock.Now().Sub(q.startedAt)),
 			zap.Int("attempts", q.attempts))
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -254,6 +254,10 @@
 		s.failRequest(reason, s.retryAfter(reason))
 		return
 	}
+	if s.isCut() {
+		s.countCut("incomplete")
+		reason = common.ReasonDraining
+	}
 	disconnected := s.r.Context().Err() != nil
 	s.log.Info("stream-aborted", zap.String("reason", string(reason)), zap.Bool("caller-disconnected", disconnected),
 		zap.Int64("last-event", s.lastEventID), zap.Int("resumes", s.resumeCount), zap.Int("attempts", s.attempts),
