Bound the replicated log in bytes

Cause: the log was bounded in entries only.

A keeper takes it from memory_mb and disk_mb of its settings, or from the size of the file system. The ledger and the control process keep 256 MB as the default, a quarter of which was the bound of uncommitted proposals before.

TestLargeEntriesAreBoundedInBytes covers the entries in memory and the appends to a silent member.

In existing tests, FuzzDecodeRecord builds its frame with fillFrameHeader because appendFrame now encodes, and calls of Compact pass the new argument.

--- a/core/form/schedule_test.go
+++ b/core/form/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -411,7 +412,7 @@
 	}
 	m.persisted.Entries = slices.Clone(m.persisted.Entries[snapshot.Index-m.persisted.Snapshot.Index:])
 	m.persisted.Snapshot = snapshot
-	if err := m.node.Compact(snapshot, 2); err != nil {
+	if err := m.node.Compact(snapshot, 2, math.MaxInt); err != nil {
 		s.Fatalf("%s: %v", m.id(), err)
 	}
 }
--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -142,6 +142,21 @@
 	return true
 }
 
+// firstKept returns the index of the first of the entries up to the index that a compaction keeps: the last ones, at
+// most keep, with at most maxBytes together.
+func (l *memLog) firstKept(index, keep uint64, maxBytes int) uint64 {
+	first := index + 1
+	size := 0
+	for first > l.baseIndex+1 && index-first+1 < keep {
+		size += l.entries[first-l.baseIndex-2].approxEncodedSize()
+		if size > maxBytes {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 // compactTo removes the log entries up to and including the index; it does nothing if the entry at the index is not
 // applied yet.
 func (l *memLog) compactTo(index uint64) {
--- a/core/raft/message.go
+++ b/core/raft/message.go
@@ -165,3 +165,15 @@
 	// Context identifies the read in a MsgRead or MsgReadReply.
 	Context []byte `cbor:"15,keyasint,omitempty"`
 }
+
+// DataBytes returns the size of the entries and of the part of a snapshot in the message, in bytes.
+func (m *Message) DataBytes() int {
+	size := 0
+	for i := range m.Entries {
+		size += m.Entries[i].approxEncodedSize()
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -46,6 +46,9 @@
 	// DefaultUncommittedBytes is the default limit of uncommitted proposals in bytes; it bounds the memory of a leader
 	// that has lost its quorum.
 	DefaultUncommittedBytes = 64 << 20
+	// DefaultInFlightBytes is the default limit of unacknowledged append messages in bytes. It is what DefaultInFlight
+	// messages of DefaultAppendBytes have, and binds only if single entries are larger than those.
+	DefaultInFlightBytes = DefaultInFlight * DefaultAppendBytes
 )
 
 // Node is one member of a Raft group. Its exported fields must be set before Start; it is not safe for concurrent use.
@@ -63,6 +66,9 @@
 	AppendBytes int
 	// InFlight is the maximum number of unacknowledged append messages from the leader to each member.
 	InFlight int
+	// InFlightBytes limits the size of the unacknowledged append messages from the leader to each member, in bytes. An
+	// append is sent while less than that is unacknowledged, so that an entry of any size can be sent.
+	InFlightBytes int
 	// PromoteLag is the maximum number of entries that a learner may lack when it is promoted to a voter.
 	PromoteLag uint64
 	// UncommittedBytes limits the size of the proposals that a leader has appended and not committed, in bytes.
@@ -110,6 +116,7 @@
 	setDefault(&n.HeartbeatTicks, DefaultHeartbeatTicks)
 	setDefault(&n.AppendBytes, DefaultAppendBytes)
 	setDefault(&n.InFlight, DefaultInFlight)
+	setDefault(&n.InFlightBytes, DefaultInFlightBytes)
 	setDefault(&n.PromoteLag, DefaultPromoteLag)
 	setDefault(&n.UncommittedBytes, DefaultUncommittedBytes)
 	if n.ID.Name == "" || n.ID.Disk == "" {
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -1,7 +1,9 @@
 package raft
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -150,3 +152,36 @@
 	s.runTicks(2 * DefaultElectionTicks)
 	s.requireCaughtUp(isolated, leader)
 }
+
+// Guards against a log of large entries in memory, and against large appends to a member that acknowledges none: both
+// were bounded in entries only.
+func TestLargeEntriesAreBoundedInBytes(t *testing.T) {
+	const size, count, keep = 1000, 40, 30
+	const keepBytes = 4 * size
+	s := newSimulation(t, 3)
+	leader := s.electLeader()
+	leader.node.InFlightBytes = keepBytes
+	leader.node.InFlight = count
+	for range count {
+		s.proposeAndCommit(leader, strings.Repeat("x", size))
+	}
+	s.runTicks(2)
+	for _, p := range s.followers(leader) {
+		s.partitioned[p.id.Name] = true
+	}
+	for range count {
+		requireNoError(t, leader.node.Propose(bytes.Repeat([]byte("y"), size)))
+		s.processReady(leader, 0)
+	}
+	for _, p := range leader.node.leaderState.progressOf {
+		if limit := keepBytes + size + entryOverhead; p.inFlightBytes == 0 || p.inFlightBytes > limit {
+			t.Errorf("%d bytes are unacknowledged, want 1 to %d", p.inFlightBytes, limit)
+		}
+	}
+	snapshot, _ := leader.node.NewSnapshot(nil)
+	requireNoError(t, leader.node.Compact(snapshot, keep, keepBytes))
+	held := leader.node.log.entriesBetween(leader.node.log.baseIndex+1, snapshot.Index)
+	if len(held) != keepBytes/(size+entryOverhead) {
+		t.Errorf("%d entries before the snapshot are held, want %d", len(held), keepBytes/(size+entryOverhead))
+	}
+}
--- a/core/raft/progress.go
+++ b/core/raft/progress.go
@@ -18,7 +18,8 @@
 	matchIndex     uint64           // index of the last entry that the member is known to have synced
 	nextIndex      uint64           // index of the next entry to send to the member
 	probeSent      bool             // in stateProbe: whether an append awaits its reply
-	inFlight       []uint64         // index of the last entry of each unacknowledged append
+	inFlight       []inFlightAppend // unacknowledged appends
+	inFlightBytes  int              // size of the unacknowledged appends
 	outgoing       outgoingSnapshot // in stateSnapshot: the snapshot that is being sent
 	sentCommit     uint64           // commit index in the last append message to the member
 	confirmedRound uint64           // latest heartbeat round that the member answered
@@ -26,13 +27,45 @@
 	startTick      uint64           // tick at which this leader began to send to the member
 }
 
+// inFlightAppend describes an append message that a member has not acknowledged.
+type inFlightAppend struct {
+	lastIndex uint64 // index of its last entry
+	bytes     int    // size of its entries
+}
+
+// addInFlight records that an append message with the entries was sent.
+func (p *memberProgress) addInFlight(entries []Entry) {
+	a := inFlightAppend{lastIndex: entries[len(entries)-1].Index}
+	for i := range entries {
+		a.bytes += entries[i].approxEncodedSize()
+	}
+	p.inFlight = append(p.inFlight, a)
+	p.inFlightBytes += a.bytes
+}
+
+// removeInFlight removes the oldest count unacknowledged append messages.
+func (p *memberProgress) removeInFlight(count int) {
+	for _, a := range p.inFlight[:count] {
+		p.inFlightBytes -= a.bytes
+	}
+	p.inFlight = p.inFlight[count:]
+}
+
+// clearInFlight forgets all unacknowledged append messages.
+func (p *memberProgress) clearInFlight() { p.inFlight, p.inFlightBytes = nil, 0 }
+
+// isWindowFull reports whether the member must acknowledge an append before it is sent another one.
+func (n *Node) isWindowFull(p *memberProgress) bool {
+	return len(p.inFlight) >= n.InFlight || p.inFlightBytes >= n.InFlightBytes
+}
+
 // startProbing starts to search for the last entry that both the leader's and the member's log hold, from the last
 // entry that the member is known to have synced.
 func (p *memberProgress) startProbing() {
 	p.state = stateProbe
 	p.nextIndex = p.matchIndex + 1
 	p.probeSent = false
-	p.inFlight = nil
+	p.clearInFlight()
 	p.outgoing = outgoingSnapshot{}
 	p.sentCommit = 0
 }
@@ -44,10 +77,10 @@
 	}
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
 	acked := 0
-	for acked < len(p.inFlight) && p.inFlight[acked] <= index {
+	for acked < len(p.inFlight) && p.inFlight[acked].lastIndex <= index {
 		acked++
 	}
-	p.inFlight = p.inFlight[acked:]
+	p.removeInFlight(acked)
 }
 
 // sendAppends sends each other member the log entries and the commit index that it lacks, in up to InFlight append
@@ -68,7 +101,7 @@
 		case p.state == stateSnapshot:
 			n.sendSnapshotChunks(id, p)
 			return
-		case p.probeSent || len(p.inFlight) >= n.InFlight:
+		case p.probeSent || n.isWindowFull(p):
 			return
 		case p.nextIndex-1 < n.log.baseIndex:
 			n.startSendingSnapshot(p)
@@ -97,7 +130,7 @@
 		return
 	}
 	p.nextIndex += uint64(len(entries))
-	p.inFlight = append(p.inFlight, p.nextIndex-1)
+	p.addInFlight(entries)
 }
 
 // recordLeaderConfirmation records the heartbeat round and the tick of the message that m answers: the member still
@@ -157,8 +190,8 @@
 	}
 	n.recordLeaderConfirmation(m, p)
 	p.probeSent = false
-	if len(p.inFlight) >= n.InFlight {
-		p.inFlight = p.inFlight[1:]
+	if n.isWindowFull(p) {
+		p.removeInFlight(1)
 	}
 	// The member rejects an append, even one without entries, if it has not received the earlier ones.
 	if p.state == stateReplicate && p.matchIndex < n.log.lastIndex() && p.nextIndex > n.log.baseIndex {
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -90,16 +90,17 @@
 	return Snapshot{Index: index, Term: n.log.termAt(index), Members: n.log.membersAt(index).Clone(), Data: data}, true
 }
 
-// Compact removes the log entries that the snapshot covers from memory, except for the last keep of them, from which
-// members that are slightly behind can catch up without a snapshot. The snapshot must be synced to disk. Compact
-// returns ErrInvalidConfig if the snapshot is beyond the applied entries or older than the latest snapshot.
-func (n *Node) Compact(s Snapshot, keep uint64) error {
+// Compact removes the log entries that the snapshot covers from memory, except for the last ones, from which members
+// that are slightly behind can catch up without a snapshot: at most keep entries, of keepBytes together. The snapshot
+// must be synced to disk. Compact returns ErrInvalidConfig if the snapshot is beyond the applied entries or older than
+// the latest snapshot.
+func (n *Node) Compact(s Snapshot, keep uint64, keepBytes int) error {
 	if s.Index > n.log.appliedIndex || s.Index < n.latestSnapshot.Index {
 		return fmt.Errorf("compact to entry %d, last applied is %d: %w", s.Index, n.log.appliedIndex, ErrInvalidConfig)
 	}
 	n.setLatestSnapshot(s)
-	if s.Index > keep {
-		n.log.compactTo(s.Index - keep)
+	if s.Index > n.log.baseIndex {
+		n.log.compactTo(n.log.firstKept(s.Index, keep, keepBytes) - 1)
 	}
 	return nil
 }
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"slices"
 
 	_ "wasabiweir/core/prop"
@@ -282,7 +283,7 @@
 	}
 	p.saved.Entries = p.saved.Entries[snapshot.Index-p.saved.Snapshot.Index:]
 	p.saved.Snapshot = snapshot
-	requireNoError(s.t, p.node.Compact(snapshot, keep))
+	requireNoError(s.t, p.node.Compact(snapshot, keep, math.MaxInt))
 }
 
 // startRead starts a read on the peer and returns the read's context.
--- a/core/raft/snap.go
+++ b/core/raft/snap.go
@@ -28,7 +28,7 @@
 // of Ready for the snapshot's data.
 func (n *Node) startSendingSnapshot(p *memberProgress) {
 	p.state = stateSnapshot
-	p.inFlight = nil
+	p.clearInFlight()
 	p.outgoing = outgoingSnapshot{Snapshot: n.latestSnapshot, progressTick: n.now}
 	n.snapshotNeeded = true
 }
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -208,6 +208,7 @@
 		s := p.settings
 		k := &keeper.Keeper{
 			PeerAddress: s.PeerAddress, Seeds: p.liveSettings.SeedPeerAddresses, Bootstrap: s.Bootstrap, PeerKey: platform.PeerKey, DataDir: s.DataDir,
+			MemoryBytes: s.MemoryBytes, DiskBytes: s.DiskBytes,
 			Decode: platform.DecodeState, EndpointLister: p.newInstanceListReader(), Clock: wall.Clock{}, Log: p.log, Metrics: p.metrics,
 		}
 		k.Servers = []keeper.Server{
--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -25,7 +25,7 @@
 	// timeout.
 	heartbeatTicks = 2
 	// snapshotEvery is the number of log entries between two snapshots and keepEntries the number kept after one. They
-	// bound the log's size: a configuration state with several hundred routes has about 100 KB.
+	// bound the time of a restart; the size of the log is bounded by logBytes.
 	snapshotEvery = 64
 	keepEntries   = 64
 	// restartPause is the pause before a Raft replica whose disk failed is restarted.
@@ -70,6 +70,7 @@
 		HeartbeatTicks: heartbeatTicks,
 		SnapshotEvery:  snapshotEvery,
 		KeepEntries:    keepEntries,
+		LogBytes:       k.logBytes(),
 		Log:            k.Log,
 	}
 	if k.Bootstrap {
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -40,6 +40,11 @@
 	PeerKey string
 	// DataDir is the path of the folder for durable data.
 	DataDir string
+	// MemoryBytes and DiskBytes are the memory and the disk that this process may use, in bytes, from which the bounds of
+	// the log follow. If DiskBytes is zero, it is the size of the file system that holds DataDir; if MemoryBytes is zero,
+	// only the disk bounds the log.
+	MemoryBytes int64
+	DiskBytes   int64
 	// Decode parses a configuration document.
 	Decode state.Decoder
 	// EndpointLister reads the platform's list of endpoints.
--- a/io/repl/inbox.go
+++ b/io/repl/inbox.go
@@ -17,11 +17,14 @@
 // requestInbox queues the Raft messages from other members and the proposals and reads of callers until the next
 // iteration of the replica's loop.
 type requestInbox struct {
-	mu        sync.Mutex
-	stopped   bool // the replica has stopped, so nothing more is queued
-	messages  []raft.Message
-	proposals []*proposal
-	reads     []*readRequest
+	mu       sync.Mutex
+	stopped  bool // the replica has stopped, so nothing more is queued
+	messages []raft.Message
+	// messageBytes and proposalBytes are the sizes of the data in messages and proposals.
+	messageBytes  int
+	proposalBytes int
+	proposals     []*proposal
+	reads         []*readRequest
 }
 
 // drainInbox passes all queued Raft messages, proposals and reads to the raft node.
@@ -29,6 +32,7 @@
 	r.inbox.mu.Lock()
 	messages, proposals, reads := r.inbox.messages, r.inbox.proposals, r.inbox.reads
 	r.inbox.messages, r.inbox.proposals, r.inbox.reads = nil, nil, nil
+	r.inbox.messageBytes, r.inbox.proposalBytes = 0, 0
 	r.inbox.mu.Unlock()
 	for _, m := range messages {
 		err := r.node.Step(m)
--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -35,9 +35,9 @@
 	err    error
 }
 
-// addProposal queues a proposal for the replica's loop; it returns ErrNotRun if limit proposals are queued, and
-// ErrStopped after shutDown.
-func (i *requestInbox) addProposal(p *proposal, limit int) error {
+// addProposal queues a proposal for the replica's loop. It returns ErrNotRun if limit proposals are queued, or some
+// with which it would have more than maxBytes, and ErrStopped after shutDown.
+func (i *requestInbox) addProposal(p *proposal, limit, maxBytes int) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.stopped {
@@ -46,7 +46,11 @@
 	if len(i.proposals) >= limit {
 		return fmt.Errorf("%d proposals are queued: %w", limit, ErrNotRun)
 	}
+	if i.proposalBytes > 0 && i.proposalBytes+len(p.data) > maxBytes {
+		return fmt.Errorf("proposals of %d bytes are queued: %w", i.proposalBytes, ErrNotRun)
+	}
 	i.proposals = append(i.proposals, p)
+	i.proposalBytes += len(p.data)
 	return nil
 }
 
@@ -72,7 +76,7 @@
 // queueAndWait queues a proposal for the replica's loop and waits for its outcome or for the end of the context.
 func (r *Replica) queueAndWait(ctx context.Context, p *proposal) requestOutcome {
 	r.initOnce()
-	if err := r.inbox.addProposal(p, r.MaxQueued); err != nil {
+	if err := r.inbox.addProposal(p, r.MaxQueued, r.quarterBytes()); err != nil {
 		return requestOutcome{err: err}
 	}
 	r.wakeLoop()
@@ -95,6 +99,9 @@
 	}
 	r.inbox.mu.Lock()
 	r.inbox.proposals = append(proposals, r.inbox.proposals...)
+	for _, p := range proposals {
+		r.inbox.proposalBytes += len(p.data)
+	}
 	r.inbox.mu.Unlock()
 }
 
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -43,6 +43,8 @@
 	// DefaultKeepEntries is the default number of log entries kept after a snapshot: a member that missed hundreds of
 	// entries can catch up without a snapshot.
 	DefaultKeepEntries = 1024
+	// DefaultLogBytes is the default bound of the log in bytes. Logs of small entries reach the bounds in entries first.
+	DefaultLogBytes = 256 << 20
 	// DefaultMaxQueued is the default number of proposals that may be queued; it bounds their memory while there is no
 	// leader.
 	DefaultMaxQueued = 16384
@@ -99,6 +101,11 @@
 	// KeepEntries is the number of log entries that stay in memory after a snapshot, for members that lag behind;
 	// DefaultKeepEntries if it is zero.
 	KeepEntries uint64
+	// LogBytes bounds the log in bytes, whatever the size of its entries; DefaultLogBytes if it is zero. A quarter of it
+	// is each the size of the applied entries after which a snapshot is due, the size of those that stay in memory after
+	// one, and the size of proposals that are queued, are uncommitted or are sent to a member without an
+	// acknowledgement; an eighth is the size of a segment of the log on disk.
+	LogBytes int
 	// MaxQueued is the number of proposals that may wait to be submitted; DefaultMaxQueued if it is zero.
 	MaxQueued int
 	// Log receives a line for each change of Raft role, term, leader or membership; nil discards them.
@@ -149,6 +156,7 @@
 		setDefault(&r.ElectionTicks, raft.DefaultElectionTicks)
 		setDefault(&r.SnapshotEvery, DefaultSnapshotEvery)
 		setDefault(&r.KeepEntries, DefaultKeepEntries)
+		setDefault(&r.LogBytes, DefaultLogBytes)
 		setDefault(&r.MaxQueued, DefaultMaxQueued)
 		if r.Log == nil {
 			r.Log = zap.NewNop()
@@ -180,6 +188,7 @@
 	r.processID = rand.Uint64()
 	r.pendingProposals = map[uint64]*proposal{}
 	r.pendingReads = map[uint64]*readGroup{}
+	setDefault(&r.Store.SegmentBytes, min(store.DefaultSegmentBytes, int64(r.LogBytes/8)))
 	saved, err := r.Store.Open()
 	if err != nil {
 		return fmt.Errorf("open the store: %w", err)
@@ -197,6 +206,7 @@
 	r.node = &raft.Node{
 		ID: r.Store.MemberID(r.Name), Seed: rand.Uint64(), Forward: true,
 		ElectionTicks: r.ElectionTicks, HeartbeatTicks: r.HeartbeatTicks,
+		InFlightBytes: min(raft.DefaultInFlightBytes, r.quarterBytes()), UncommittedBytes: min(raft.DefaultUncommittedBytes, r.quarterBytes()),
 	}
 	if err := r.node.Start(saved); err != nil {
 		return fmt.Errorf("start the node: %w", err)
@@ -230,7 +240,7 @@
 }
 
 // setDefault assigns the default value to a field that is zero.
-func setDefault[T int | uint64 | time.Duration](field *T, value T) {
+func setDefault[T int | int64 | uint64 | time.Duration](field *T, value T) {
 	if *field == 0 {
 		*field = value
 	}
@@ -342,6 +352,9 @@
 	return nil
 }
 
+// quarterBytes returns a quarter of LogBytes, which each of the bounds in bytes is.
+func (r *Replica) quarterBytes() int { return r.LogBytes / 4 }
+
 // publishStatus makes the raft node's status available to Status, and counts elections and logs changes of role, leader
 // or term.
 func (r *Replica) publishStatus() {
@@ -375,9 +388,12 @@
 func (r *Replica) Step(m raft.Message) {
 	r.initOnce()
 	r.inbox.mu.Lock()
-	full := len(r.inbox.messages) >= maxInboxMessages
+	// A message of any size is accepted if none is queued.
+	size := m.DataBytes()
+	full := len(r.inbox.messages) >= maxInboxMessages || r.inbox.messageBytes > 0 && r.inbox.messageBytes+size > r.quarterBytes()
 	if !full {
 		r.inbox.messages = append(r.inbox.messages, m)
+		r.inbox.messageBytes += size
 	}
 	r.inbox.mu.Unlock()
 	if full {
--- a/io/repl/saver.go
+++ b/io/repl/saver.go
@@ -48,13 +48,21 @@
 	return s.store.WriteSnapshot(s.snapshot)
 }
 
+// snapshotDue reports whether enough log entries are applied since the latest snapshot, by their number or their size.
+// They must also be at least as large as that snapshot, so that snapshots at most double the bytes written.
+func (r *Replica) snapshotDue() bool {
+	count := r.node.Applied() - r.snapshotIndex
+	enough := count >= r.SnapshotEvery || r.appliedBytes >= r.quarterBytes()
+	return count > 0 && enough && r.appliedBytes >= r.snapshotBytes
+}
+
 // advanceSnapshot starts a snapshot of the state machine once enough log entries are applied. While one is being
 // written, it checks for its completion and then drops the log entries that the snapshot covers.
 func (r *Replica) advanceSnapshot() error {
 	if r.snapshotWriter != nil {
 		return r.finishSnapshot()
 	}
-	if r.node.Applied()-r.snapshotIndex < r.SnapshotEvery || r.appliedBytes < r.snapshotBytes {
+	if !r.snapshotDue() {
 		return nil
 	}
 	var (
@@ -96,7 +104,7 @@
 	if err := r.Store.Trim(s); err != nil {
 		return fmt.Errorf("trim the store: %w", err)
 	}
-	if err := r.node.Compact(s, r.KeepEntries); err != nil {
+	if err := r.node.Compact(s, r.KeepEntries, r.quarterBytes()); err != nil {
 		return fmt.Errorf("compact the log: %w", err)
 	}
 	r.snapshotIndex, r.snapshotBytes = s.Index, len(s.Data)
--- a/io/repl/saver_test.go
+++ b/io/repl/saver_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io/fs"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -54,6 +56,61 @@
 	}
 }
 
+// lastValue is a state machine whose state is the data of the last proposal.
+type lastValue struct{ data []byte }
+
+func (l *lastValue) Apply(_ uint64, data []byte) any { l.data = data; return nil }
+func (l *lastValue) Restore(data []byte) error       { l.data = data; return nil }
+func (l *lastValue) Snapshot() ([]byte, error)       { return l.data, nil }
+
+// Guards against a log that is bounded only in entries: with large ones it fills the disk and the memory before the
+// first snapshot is due. The sizes are mixed, so that a large entry follows many small ones.
+func TestLogIsBoundedInBytes(t *testing.T) {
+	const logBytes, large, count = 1 << 20, 100 << 10, 120
+	folder := &store.Folder{Path: t.TempDir()}
+	if err := folder.Open(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = folder.Close() }()
+	r := &Replica{Name: "a", Machine: &lastValue{}, Transport: noTransport{}, Interval: 5 * time.Millisecond, LogBytes: logBytes}
+	r.Store = &store.Store{Folder: folder, Group: "config"}
+	r.Bootstrap = raft.Members{Voters: []raft.ID{{Name: "a", Disk: folder.DiskID()}}}
+	run := &replicaRun{replica: r, done: make(chan error, 1)}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	go run.run(ctx)
+	peak := int64(0)
+	for i := range count {
+		size := large
+		if i%3 > 0 {
+			size = 10
+		}
+		if _, _, err := r.Propose(ctx, make([]byte, size)); err != nil {
+			t.Fatal(err)
+		}
+		peak = max(peak, folderBytes(t, folder.Path))
+	}
+	run.stop(cancel)
+	if peak > logBytes {
+		t.Errorf("the data folder had %d bytes, want at most %d", peak, logBytes)
+	}
+}
+
+// folderBytes returns the size of all files below the path.
+func folderBytes(t *testing.T, path string) (size int64) {
+	t.Helper()
+	// Files may be renamed or removed during the walk.
+	_ = filepath.WalkDir(path, func(_ string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return nil
+		}
+		if info, err := d.Info(); err == nil {
+			size += info.Size()
+		}
+		return nil
+	})
+	return size
+}
+
 // noTransport is the transport of a group with a single member.
 type noTransport struct{}
 
--- a/io/store/record.go
+++ b/io/store/record.go
@@ -64,14 +64,28 @@
 	return crc32.Update(crc32.Checksum(length, castagnoli), castagnoli, body)
 }
 
-// appendFrame appends the stored frame of an encoded record or snapshot, body, to buf.
-func appendFrame(buf, body []byte) []byte {
-	var length [4]byte
-	binary.LittleEndian.PutUint32(length[:], uint32(len(body)))
-	buf = append(buf, recordMarker...)
-	buf = append(buf, length[:]...)
-	buf = binary.LittleEndian.AppendUint32(buf, frameChecksum(length[:], body))
-	return append(buf, body...)
+// appendFrame appends the stored frame of a record or snapshot v to buf. It encodes v in place, because the body can be
+// many megabytes long.
+func appendFrame(buf []byte, v any) ([]byte, error) {
+	start := len(buf)
+	b := bytes.NewBuffer(append(buf, make([]byte, frameHeaderBytes)...))
+	if err := cbor.MarshalToBuffer(v, b); err != nil {
+		return buf, fmt.Errorf("encode: %w", err)
+	}
+	frame := b.Bytes()[start:]
+	if size := len(frame) - frameHeaderBytes; size > maxRecordBytes {
+		return buf, fmt.Errorf("%d bytes are too long: %w", size, errInvalidRecord)
+	}
+	fillFrameHeader(frame)
+	return b.Bytes(), nil
+}
+
+// fillFrameHeader writes the header of a stored frame before its body.
+func fillFrameHeader(frame []byte) {
+	body := frame[frameHeaderBytes:]
+	copy(frame, recordMarker)
+	binary.LittleEndian.PutUint32(frame[4:], uint32(len(body)))
+	binary.LittleEndian.PutUint32(frame[8:], frameChecksum(frame[4:8], body))
 }
 
 // readFrame returns the body and the whole length of the stored frame at the start of data. It returns errInvalidRecord
@@ -107,14 +121,11 @@
 
 // EncodeRecord appends the stored form of the record to buf. It fails if the encoded record is longer than 1 GiB.
 func EncodeRecord(buf []byte, r Record) ([]byte, error) {
-	body, err := cbor.Marshal(r)
+	out, err := appendFrame(buf, r)
 	if err != nil {
-		return buf, fmt.Errorf("encode a record: %w", err)
-	}
-	if len(body) > maxRecordBytes {
-		return buf, fmt.Errorf("the record is too long, %d bytes: %w", len(body), errInvalidRecord)
+		return buf, fmt.Errorf("a record: %w", err)
 	}
-	return appendFrame(buf, body), nil
+	return out, nil
 }
 
 // containsRecord reports whether an undamaged stored record starts at any offset in data.
--- a/io/store/snapshot.go
+++ b/io/store/snapshot.go
@@ -7,8 +7,6 @@
 	"path/filepath"
 
 	"wasabiweir/core/raft"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // snapshotPath returns the path of the snapshot file that covers the log up to the entry at the index.
@@ -18,14 +16,11 @@
 
 // writeSnapshot writes and syncs the file of a Raft snapshot.
 func writeSnapshot(dir string, s raft.Snapshot) error {
-	body, err := cbor.Marshal(s)
+	frame, err := appendFrame(nil, s)
 	if err != nil {
-		return fmt.Errorf("encode snapshot %d: %w", s.Index, err)
-	}
-	if len(body) > maxRecordBytes {
-		return fmt.Errorf("the snapshot is too long, %d bytes: %w", len(body), errInvalidRecord)
+		return fmt.Errorf("snapshot %d: %w", s.Index, err)
 	}
-	if err := WriteFileAtomic(snapshotPath(dir, s.Index), appendFrame(nil, body)); err != nil {
+	if err := WriteFileAtomic(snapshotPath(dir, s.Index), frame); err != nil {
 		return fmt.Errorf("write snapshot %d: %w", s.Index, err)
 	}
 	return nil
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -8,6 +8,10 @@
 	"wasabiweir/core/raft"
 )
 
+// maxReusedBytes is the largest buffer that is kept for the next record. A larger one is left to the garbage collector,
+// because a single large entry would hold its memory for the life of the process.
+const maxReusedBytes = 256 << 10
+
 // Store stores the log, hard state and snapshots of one Raft group on disk. Its exported fields must be set before
 // Open. It is not safe for concurrent use, except for WriteSnapshot.
 type Store struct {
@@ -181,7 +185,10 @@
 	if err != nil {
 		return err
 	}
-	s.buf = buf
+	s.buf = nil
+	if cap(buf) <= maxReusedBytes {
+		s.buf = buf
+	}
 	n, err := s.segmentFile.Write(buf)
 	s.segmentSize += int64(n)
 	if err != nil {
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -348,7 +348,9 @@
 	f.Add(append(slices.Clone(recordMarker), 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		// The checksum rejects nearly all mutated inputs, so the data is also decoded as the body of a valid frame.
-		for _, input := range [][]byte{data, appendFrame(nil, data)} {
+		frame := append(make([]byte, frameHeaderBytes), data...)
+		fillFrameHeader(frame)
+		for _, input := range [][]byte{data, frame} {
 			r, n, err := DecodeRecord(input)
 			if err != nil {
 				continue
