--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -7,9 +7,34 @@
 )
 
 // LogEntry is an entry of the keepers' replicated log: the document of a valid configuration state with its version.
+// The same compressed bytes are used in the log, in snapshots, in the messages between keepers and in those to relays.
 type LogEntry struct {
-	Version  uint64 `cbor:"1,keyasint"`
-	Document []byte `cbor:"2,keyasint"`
+	Version uint64 `cbor:"1,keyasint"`
+	// Document is the uncompressed document, in entries that have it; these may be on disk from earlier versions of the
+	// system.
+	Document []byte `cbor:"2,keyasint,omitempty"`
+	// Compressed is the compressed document if Document is empty.
+	Compressed []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// NewLogEntry returns the entry for a document, compressed if that makes it smaller.
+func NewLogEntry(version uint64, document []byte) LogEntry {
+	if c := codec.Compress(document); len(c) < len(document) {
+		return LogEntry{Version: version, Compressed: c}
+	}
+	return LogEntry{Version: version, Document: document}
+}
+
+// Text returns the document of the entry; it fails if the entry is damaged.
+func (e *LogEntry) Text() ([]byte, error) {
+	if len(e.Compressed) == 0 {
+		return e.Document, nil
+	}
+	document, err := codec.Decompress(e.Compressed)
+	if err != nil {
+		return nil, fmt.Errorf("read the document of state %d: %w", e.Version, err)
+	}
+	return document, nil
 }
 
 // Encode returns the log entry as CBOR for the replicated log.
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"wasabiweir/core/codec"
+
 	"pgregory.net/rapid"
 
 	_ "wasabiweir/core/prop" // fixes the seed of the property tests
@@ -153,3 +155,53 @@
 		t.Errorf("entry in force is %+v, want version 1", current)
 	}
 }
+
+// Guards against a large document that is stored, replicated and sent in its full size, and against an entry of an
+// earlier version of the system, which is not compressed, that can no longer be read.
+func TestDocumentsAreCompressed(t *testing.T) {
+	large := []byte(strings.Repeat(`{"name":"r-1","host":"a.example","prefix":"/a/"},`, 20_000))
+	for _, document := range [][]byte{large, []byte("x")} {
+		e := NewLogEntry(7, document)
+		data, err := e.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(data) > 2000 {
+			t.Errorf("a document of %d bytes has an entry of %d", len(document), len(data))
+		}
+		requireDocument(t, data, document)
+	}
+	before, err := codec.Encode(struct {
+		Version  uint64 `cbor:"1,keyasint"`
+		Document []byte `cbor:"2,keyasint"`
+	}{7, large})
+	if err != nil {
+		t.Fatal(err)
+	}
+	requireDocument(t, before, large)
+	damaged := LogEntry{Version: 8, Compressed: []byte("damaged")}
+	if _, err := damaged.Text(); err == nil {
+		t.Error("a damaged document was read")
+	}
+}
+
+// requireDocument requires that the document of version 7 is in force after the encoded entry and after a restart.
+func requireDocument(t *testing.T, entry, document []byte) {
+	t.Helper()
+	var m, restored Machine
+	m.Apply(entry)
+	saved, err := m.Snapshot()
+	if err == nil {
+		err = restored.Restore(saved)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, machine := range []*Machine{&m, &restored} {
+		current, ok := machine.Current()
+		text, err := current.Text()
+		if !ok || err != nil || current.Version != 7 || string(text) != string(document) {
+			t.Fatalf("version %d has a document of %d bytes, %v; want %d", current.Version, len(text), err, len(document))
+		}
+	}
+}
--- a/io/keeper/feeds.go
+++ b/io/keeper/feeds.go
@@ -91,7 +91,7 @@
 func (s *relayFeeds) pushStates() {
 	s.forEachRelay(func(l *wire.Link, f *relayFeed) error {
 		u := s.keeper.machine.stateSince(f.version)
-		if len(u.Document) == 0 {
+		if !u.HasState() {
 			return nil
 		}
 		f.version = u.Version
--- a/io/keeper/machine.go
+++ b/io/keeper/machine.go
@@ -93,7 +93,7 @@
 	}
 	u := wire.ConfigState{Version: newest.Version, Exists: true}
 	if newest.Version > version {
-		u.Document = newest.Document
+		u.Document, u.Compressed = newest.Document, newest.Compressed
 	}
 	return u
 }
@@ -112,7 +112,7 @@
 	start := k.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
-	e := state.LogEntry{Version: s.Version, Document: document}
+	e := state.NewLogEntry(s.Version, document)
 	data, err := e.Encode()
 	if err != nil {
 		return err
@@ -137,7 +137,7 @@
 }
 
 // Configuration returns the newest configuration document after a quorum has confirmed it; its errors are
-// ErrUnavailable and ErrNoConfiguration.
+// ErrUnavailable, ErrNoConfiguration and those of a damaged document.
 func (k *Keeper) Configuration(ctx context.Context) ([]byte, error) {
 	if err := k.confirmApplied(ctx); err != nil {
 		k.Log.Info("read-not-confirmed", zap.Error(err))
@@ -147,7 +147,7 @@
 	if !ok {
 		return nil, ErrNoConfiguration
 	}
-	return current.Document, nil
+	return current.Text()
 }
 
 // confirmApplied waits until a quorum has confirmed that this keeper has applied all configuration states that were
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -192,11 +192,20 @@
 
 // applyState makes a configuration state the one that the relay uses, unless its version is not newer.
 func (f *keeperFeed) applyState(u wire.ConfigState) error {
-	if len(u.Document) == 0 {
+	if !u.HasState() {
 		return nil
 	}
 	defer f.closeInitialisedWhenReady()
-	s, err := f.relay.Decode(u.Document)
+	if current := f.relay.index.Load(); current != nil && current.State.Version >= u.Version {
+		// Decoding a large state takes longer than most requests.
+		return nil
+	}
+	e := state.LogEntry{Version: u.Version, Document: u.Document, Compressed: u.Compressed}
+	document, err := e.Text()
+	if err != nil {
+		return err
+	}
+	s, err := f.relay.Decode(document)
 	if err != nil {
 		return err
 	}
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -83,8 +83,13 @@
 	Exists bool `cbor:"2,keyasint,omitempty"`
 	// Document is the encoded state; it is empty if the relay already has the state of that version.
 	Document []byte `cbor:"3,keyasint,omitempty"`
+	// Compressed is the compressed encoded state if Document is empty.
+	Compressed []byte `cbor:"4,keyasint,omitempty"`
 }
 
+// HasState reports whether the message contains a state and not only its version.
+func (c *ConfigState) HasState() bool { return len(c.Document) > 0 || len(c.Compressed) > 0 }
+
 // Keepers lists the keepers and relays that a keeper knows; it sends the list to relays.
 type Keepers struct {
 	// Addresses are the peer addresses of the keepers, sorted.
