Bound the time for writing a response to a caller

A caller that did not read its response held its handler, and the connection to the endpoint, without a limit: a plain response above 128 KB and a stream wait in a write to the caller's connection that had no deadline. Under a faulty endpoint that sends without end, each such caller costs a goroutine, two connections and their buffers for as long as it stays connected.

The bound follows from the request's deadline: 0.4 s after it the write fails and the caller's connection is reset, because net/http and the kernel would otherwise go on sending what the caller has not read. It starts with the response, so a relay that was paused beyond a deadline still sends its 504. net/http clears the write deadline between two requests of a connection.

Ruled out: a fixed WriteTimeout of the server, which starts with the request and would cut the responses of routes with longer timeouts.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -136,6 +136,7 @@
 	ctx context.Context, a streamAttempt, c *endpointConn, res *http.Response, w *silenceWatch,
 ) attemptResult {
 	if !s.headerSent {
+		s.limitWriting()
 		copyHeader(s.w.Header(), res.Header)
 		s.w.WriteHeader(http.StatusOK)
 		s.headerSent = true
--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -21,9 +21,6 @@
 	table serve.ConnTable
 }
 
-// connContextKey is the context key under which a request finds the network connection on which its caller sent it.
-type connContextKey struct{}
-
 // initConnTable initialises the table of callers' connections for a relay.
 func (c *callerConns) initConnTable(r *Relay) {
 	c.relay = r
@@ -44,20 +41,14 @@
 func (c *callerConns) newServer(h http.Handler, l net.Listener) (*http.Server, net.Listener) {
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout,
-		ConnState: c.table.TrackState, ConnContext: c.withConn,
+		ConnState: c.table.TrackState, ConnContext: serve.ContextWithConn,
 	}, c.table.Listener(serve.LimitListener(l, maxCallerConnections))
 }
 
-// withConn is the HTTP server's ConnContext hook: it stores a caller's connection in the context of its requests.
-func (c *callerConns) withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connContextKey{}, conn)
-}
-
 // reportClosedInUse logs and counts the end of a request on whose connection the relay enforced a time limit, so that its
 // caller got no answer.
 func (c *callerConns) reportClosedInUse(q *request) {
-	conn, _ := q.r.Context().Value(connContextKey{}).(net.Conn)
-	closed, ok := c.table.Expired(conn)
+	closed, ok := c.table.Expired(serve.ConnOf(q.r.Context()))
 	if !ok {
 		return
 	}
--- /dev/null
+++ b/io/relay/forward_test.go
@@ -0,0 +1,202 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
+	"wasabiweir/core/state"
+	"wasabiweir/io/guard"
+	"wasabiweir/io/serve"
+	"wasabiweir/io/wall"
+)
+
+const (
+	// forwardTimeout is the timeout of the forwardRig's routes.
+	forwardTimeout = time.Second
+	// maxEndDelay is the time within which a request must have ended after its deadline or after its caller has left.
+	maxEndDelay = 500 * time.Millisecond
+)
+
+// soundEngine responds to each request for its report.
+type soundEngine struct{ EngineClient }
+
+// Report returns an empty report.
+func (soundEngine) Report(context.Context, string) (EngineReport, error) { return EngineReport{}, nil }
+
+// forwardRig is a relay with one caller and one endpoint, whose script is called for each request that it gets.
+type forwardRig struct {
+	t     *testing.T
+	relay *Relay
+	// address is the relay's address for callers.
+	address string
+	// handled receives the time that the relay's handler took for a request.
+	handled chan time.Duration
+	// left receives the time from the endpoint's request until the relay closed the connection to the endpoint.
+	left chan time.Duration
+}
+
+// newForwardRig starts a relay with one route of each kind; the paths are the names of the kinds.
+func newForwardRig(t *testing.T, script func(c net.Conn, header string)) *forwardRig {
+	t.Helper()
+	g := &forwardRig{t: t, handled: make(chan time.Duration, 8), left: make(chan time.Duration, 8)}
+	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = endpoint.Close() })
+	go g.loopEndpoint(endpoint, script)
+	r := &Relay{
+		Clock: wall.Clock{}, Log: zap.NewNop(), ctx: t.Context(), Engines: soundEngine{}, Budget: place.RetryBudget{Slack: 100, Window: time.Second},
+		budgets: map[string]*place.RetryBudget{},
+		Names: HeaderNames{
+			RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Account: "X-Account", ExpectedEndpoint: "X-Endpoint", Signature: "X-Signature",
+			NotExecuted: "X-Not-Run", LastEvent: "X-Last", Load: "X-Load", Limit: "X-Limit", PromptParts: "X-Parts", TokenCount: "X-Tokens",
+			ResumeFromValue:   func(string, string) string { return "" },
+			ParsePromptParts:  func(string) []string { return nil },
+			ParseTokenCount:   func(string) int { return 0 },
+			ParseAnnouncement: func(int, http.Header) place.Announcement { return place.Announcement{} },
+			ParseLimit:        func(string) (float64, bool) { return 0, false },
+			ParseLoad:         func(string) (place.EndpointLoad, bool) { return place.EndpointLoad{}, false },
+		},
+	}
+	r.started = r.Clock.Now()
+	r.meter.initMetrics(nil)
+	r.guard = serve.PanicGuard{Log: r.Log}
+	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: tally.NoopScope, Send: func([]poison.Crash) {}}
+	r.pool.initPool(r)
+	r.prober.initProber(r)
+	r.losses.initLossChecker(r)
+	r.finder.initFinder(r)
+	r.drain.setRelay(r)
+	r.feed.initFeed(r)
+	close(r.feed.initialised)
+	r.callers.initConnTable(r)
+	r.table.Rand = rand.New(rand.NewPCG(1, 2))
+	r.table.Update([]place.Endpoint{{ID: "e", Service: "s", Address: endpoint.Addr().String(), Domain: "a"}})
+	var routes []state.Route
+	for name, kind := range map[string]state.RouteKind{"safe": state.Safe, "unsafe": state.Unsafe, "stream": state.Stream} {
+		routes = append(routes, state.Route{
+			Name: name, Host: "h", Prefix: "/" + name, Kind: kind, Timeout: forwardTimeout, MaxAttempts: 3,
+			Shares: []state.ServiceShare{{Service: "s", Weight: 1}},
+		})
+	}
+	r.index.Store(state.NewConfigIndex(&state.State{
+		Limits:   state.RequestLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 30, HeaderTimeout: time.Minute, IdleTimeout: time.Minute},
+		Services: []state.Service{{Name: "s"}}, Routes: routes,
+	}))
+	g.relay = r
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.address = l.Addr().String()
+	server, l := r.callers.newServer(r.guard.Handler(http.HandlerFunc(g.serve)), l)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return g
+}
+
+// serve serves a request and reports how long that took.
+func (g *forwardRig) serve(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
+	defer func() { g.handled <- time.Since(start) }()
+	g.relay.ServeHTTP(w, r)
+}
+
+// loopEndpoint runs the script for each request to the endpoint.
+func (g *forwardRig) loopEndpoint(l net.Listener, script func(c net.Conn, header string)) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go g.runScript(c, script)
+	}
+}
+
+// runScript reads a request from the connection, runs the script, and then waits until the relay closes the connection.
+func (g *forwardRig) runScript(c net.Conn, script func(c net.Conn, header string)) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return
+	}
+	start := time.Now()
+	script(c, "X-Id: "+req.Header.Get("X-Id")+"\r\nX-Signature: s\r\n")
+	_, _ = io.Copy(io.Discard, br)
+	g.left <- time.Since(start)
+}
+
+// send sends a request header and the first bytes of its body, and returns the connection with a small receive buffer.
+func (g *forwardRig) send(text string) *net.TCPConn {
+	g.t.Helper()
+	c, err := net.Dial("tcp", g.address)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { _ = c.Close() })
+	tc := c.(*net.TCPConn)
+	_ = tc.SetReadBuffer(4 << 10)
+	_ = tc.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.WriteString(tc, text); err != nil {
+		g.t.Fatal(err)
+	}
+	return tc
+}
+
+// get returns the text of a request without a body on the route.
+func get(route string) string { return "GET /" + route + " HTTP/1.1\r\nHost: h\r\nX-Id: r\r\n\r\n" }
+
+// within returns the next value of the channel and fails the test if it does not come in time.
+func (g *forwardRig) within(ch <-chan time.Duration, limit time.Duration, what string) {
+	g.t.Helper()
+	select {
+	case <-ch:
+	case <-time.After(limit):
+		g.t.Errorf("%s: not within %s", what, limit)
+	}
+}
+
+// endlessBody sends a large body without end until the relay closes the connection.
+func endlessBody(c net.Conn, header string) {
+	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 1000000000\r\n\r\n")
+	for chunk := make([]byte, 32<<10); err == nil; {
+		_, err = c.Write(chunk)
+	}
+}
+
+// Guards against a caller that does not read and holds its handler without a limit.
+func TestUnreadResponseEndsAtDeadline(t *testing.T) {
+	events := func(c net.Conn, header string) {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Type: text/event-stream\r\n\r\n")
+		for n, data := 1, strings.Repeat("x", 16<<10); err == nil; n++ {
+			_, err = io.WriteString(c, "id: "+strconv.Itoa(n)+"\ndata: "+data+"\n\n")
+		}
+	}
+	for name, x := range map[string]struct {
+		route  string
+		script func(net.Conn, string)
+	}{"plain": {"safe", endlessBody}, "stream": {"stream", events}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newForwardRig(t, x.script)
+			g.send(get(x.route))
+			g.within(g.left, forwardTimeout+maxEndDelay, "the endpoint is left")
+			g.within(g.handled, 2*maxEndDelay, "the handler ends")
+		})
+	}
+}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -371,6 +371,7 @@
 
 // writeResponse sends an endpoint's complete response to the caller.
 func (q *request) writeResponse(e place.Endpoint, result attemptResult) {
+	q.limitWriting()
 	copyHeader(q.w.Header(), result.res.Header)
 	if result.unreadConn == nil {
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -18,6 +18,7 @@
 	"wasabiweir/core/common"
 	"wasabiweir/core/place"
 	"wasabiweir/core/state"
+	"wasabiweir/io/serve"
 )
 
 const (
@@ -35,6 +36,9 @@
 	// retryAfterCrash is the Retry-After time if no endpoint of the service accepts requests: crashed ones restart
 	// within about a second.
 	retryAfterCrash = 700 * time.Millisecond
+	// writeGrace is the time after the request's deadline within which the caller must have taken the response. It covers
+	// the relay's own response to a request that has reached its deadline.
+	writeGrace = 400 * time.Millisecond
 )
 
 // request is the state of one caller's request while it is being served.
@@ -76,6 +80,8 @@
 	fingerprint string
 	// isTrial is true if the request may be sent once although a part of it is in quarantine.
 	isTrial bool
+	// writeLimit bounds the time for writing the response; nil until that begins.
+	writeLimit *serve.WriteLimit
 	// tried holds the ids of the endpoints that may have run the request or refused it.
 	tried map[string]bool
 	// sentAt is when the current attempt was sent.
@@ -99,6 +105,7 @@
 	r.drain.requestStarted()
 	defer r.drain.requestEnded()
 	defer q.giveBuffers()
+	defer func() { q.writeLimit.Stop() }()
 	defer r.callers.reportClosedInUse(q)
 	if r.drain.hasStarted() {
 		w.Header().Set("Connection", "close")
@@ -272,6 +279,7 @@
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
+	q.limitWriting()
 	text := string(reason) + "\n"
 	// With a length, the response is complete for a caller that still sends its body.
 	h.Set("Content-Length", strconv.Itoa(len(text)))
@@ -279,6 +287,18 @@
 	_, _ = io.WriteString(q.w, text)
 }
 
+// limitWriting bounds the time for writing the response, so that a caller that does not read holds neither its handler nor
+// the endpoint's connection. The bound begins when the response does: a relay that was paused still answers.
+func (q *request) limitWriting() {
+	left := max(0, q.deadline.Sub(q.relay.Clock.Now())) + writeGrace
+	limit, err := serve.LimitWriting(q.w, q.r, left)
+	if err != nil {
+		q.log.Warn("writing-not-limited", zap.Error(err))
+	}
+	q.writeLimit.Stop()
+	q.writeLimit = limit
+}
+
 // hasCallerLeft reports whether the caller has disconnected before its deadline. After it, the end of the request's context
 // shows nothing: the bound on the time for the body can look like a disconnection to net/http, and the caller still waits.
 func (q *request) hasCallerLeft() bool {
--- a/io/serve/shutdown.go
+++ b/io/serve/shutdown.go
@@ -83,7 +83,7 @@
 // withConn is the HTTP server's ConnContext hook.
 func (s *httpServer) withConn(ctx context.Context, nc net.Conn) context.Context {
 	if s.connContext == nil {
-		return ctx
+		return ContextWithConn(ctx, innerConn(nc))
 	}
 	return s.connContext(ctx, innerConn(nc))
 }
