End a forwarded response at its request's deadline

Callers of a response above 128 KB whose endpoint went dark after its first part got neither the rest nor a broken connection at their route's timeout. They waited for as long as the endpoint was dark, and an endpoint that sent without end was read for up to 1 GB per request. An endpoint also stayed connected after the caller had left.

The relay ended its watch over the attempt, which closes the endpoint's connection at the deadline, before it forwarded the part of the response that it had not buffered. Now a watch over the request takes over: the deadline, the caller's leaving and the end of the request close the connection. If the attempt has ended by then, the response counts as incomplete. The connection of a caller whose response is broken off is reset, so that the response ends at once also for one that reads slowly, and looks incomplete to an HTTP/1.0 caller, whose response has neither a length nor chunks.

Ruled out: a failover deadline (a multiple of the latency objective) for the forwarded part; the watch goes by the request's deadline alone, because a response that has begun can not be sent from another endpoint.

--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -57,6 +57,14 @@
 		zap.Duration("after", closed.After), zap.Int("attempts", q.attempts), zap.Bool("may-have-run", q.mayHaveRun))
 }
 
+// resetCaller makes the caller's connection end with a reset instead of the rest of what it has not read yet, so that an
+// incomplete response ends at once, and is seen as incomplete by a caller whose response has no length.
+func (q *request) resetCaller() {
+	if err := serve.ResetOnClose(serve.ConnOf(q.r.Context())); err != nil {
+		q.log.Warn("caller-not-reset", zap.Error(err))
+	}
+}
+
 // loop closes callers' connections that exceed a time limit of the configuration, until ctx ends.
 func (c *callerConns) loop(ctx context.Context) error {
 	for serve.Sleep(ctx, callerCheckInterval) {
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -179,6 +179,40 @@
 	}
 }
 
+// silentAfter returns a script that sends the first bytes of a body and then nothing.
+func silentAfter(n int) func(net.Conn, string) {
+	return func(c net.Conn, header string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 300000\r\n\r\n"+strings.Repeat("x", n))
+	}
+}
+
+// Guards against a response that is too large to be buffered and has no end at the request's deadline, because its
+// endpoint falls silent or sends without end, and against one that looks complete then.
+func TestForwardedResponseEndsAtDeadline(t *testing.T) {
+	for name, script := range map[string]func(net.Conn, string){"silent": silentAfter(200_000), "endless": endlessBody} {
+		for _, route := range []string{"safe", "unsafe"} {
+			t.Run(name+" "+route, func(t *testing.T) {
+				t.Parallel()
+				g := newForwardRig(t, script)
+				c := g.send(get(route))
+				start := time.Now()
+				res, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				n, err := io.Copy(io.Discard, res.Body)
+				if err == nil {
+					t.Errorf("the response looks complete after %d bytes", n)
+				}
+				if took := time.Since(start); took < forwardTimeout/2 || took > forwardTimeout+maxEndDelay {
+					t.Errorf("the response ended after %s", took)
+				}
+				g.within(g.left, maxEndDelay, "the endpoint is left")
+			})
+		}
+	}
+}
+
 // Guards against a caller that does not read and holds its handler without a limit.
 func TestUnreadResponseEndsAtDeadline(t *testing.T) {
 	events := func(c net.Conn, header string) {
@@ -200,3 +234,20 @@
 		})
 	}
 }
+
+// Guards against an endpoint that goes on with a response whose caller has left.
+func TestForwardedResponseEndsWithCaller(t *testing.T) {
+	for name, script := range map[string]func(net.Conn, string){"silent": silentAfter(200_000), "endless": endlessBody} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := newForwardRig(t, script)
+			c := g.send(get("unsafe"))
+			if _, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			_ = c.Close()
+			g.within(g.left, maxEndDelay, "the endpoint is left")
+		})
+	}
+}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -243,6 +243,9 @@
 	}
 	defer stop()
 	result := q.receiveResponse(c)
+	if result.unreadConn != nil && !q.watchForwarding(c, stop) {
+		result = attemptResult{outcome: outcomeUnknown, cause: common.RetrySilent, err: context.Cause(ctx)}
+	}
 	if result.outcome != completed {
 		_ = c.Close()
 		if result.outcome == outcomeUnknown && ctx.Err() != nil {
@@ -252,6 +255,18 @@
 	return result
 }
 
+// watchForwarding replaces the watch over an attempt, which stop ends, by one over the request: the connection with the
+// rest of a large response closes at the request's deadline, when its caller leaves, and at the end of the request. It
+// returns false if the attempt has ended and the connection is closed already.
+func (q *request) watchForwarding(c *endpointConn, stop func() bool) bool {
+	use := c.use()
+	if !stop() {
+		return false
+	}
+	context.AfterFunc(q.ctx, func() { c.closeUse(use) })
+	return true
+}
+
 // sendRequest sends the request to the endpoint, with the headers that addHeaders sets if it is not nil. The
 // connection is closed when ctx ends unless stop is called before. If the request could not be sent, failed is the
 // result.
@@ -384,7 +399,9 @@
 		}
 		_ = result.unreadConn.Close()
 		if err != nil {
-			q.log.Warn("response-interrupted", zap.String("endpoint", e.ID), zap.Error(err))
+			q.log.Warn("response-interrupted", zap.String("endpoint", e.ID), zap.Duration("after", q.relay.Clock.Now().Sub(q.startedAt)),
+				zap.Bool("deadline", !q.relay.Clock.Now().Before(q.deadline)), zap.Error(err))
+			q.resetCaller()
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -259,5 +259,8 @@
 		zap.Int64("last-event", s.lastEventID), zap.Int("resumes", s.resumeCount), zap.Int("attempts", s.attempts),
 		zap.Duration("after", s.relay.Clock.Now().Sub(s.startedAt)))
 	s.relay.meter.countReason("streams-broken-off", string(reason))
+	if s.ctx.Err() != nil {
+		s.resetCaller()
+	}
 	panic(http.ErrAbortHandler)
 }
