Close the connection of a large error response before the retry

A repeatable request whose endpoint answered with status 500 or above and a body of more than 128 KB went to another endpoint, but the connection with the unread rest of the body stayed open: nothing owned it any more. A faulty endpoint that sends error bodies without end used up file descriptors of the relay and memory in its socket buffers, one connection per retry, until the garbage collector closed them.

Only the path that writes the response closed that connection; the loop now closes it before the next attempt too.

--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -251,3 +252,25 @@
 		})
 	}
 }
+
+// Guards against a connection that stays open with the rest of a large error response, after another endpoint has got
+// the request.
+func TestLargeErrorResponseIsClosedOnRetry(t *testing.T) {
+	g := newForwardRig(t, func(c net.Conn, header string) {
+		_, err := io.WriteString(c, "HTTP/1.1 500 Failed\r\n"+header+"Content-Length: 1000000000\r\n\r\n")
+		for chunk := make([]byte, 32<<10); err == nil; {
+			_, err = c.Write(chunk)
+		}
+	})
+	req := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/safe", http.NoBody)
+	q := &request{
+		relay: g.relay, r: req, ctx: req.Context(), log: zap.NewNop(), id: "r", service: "s", index: g.relay.index.Load(), tried: map[string]bool{},
+		header: http.Header{"X-Id": {"r"}}, route: &state.Route{Kind: state.Safe, MaxAttempts: 3}, startedAt: time.Now(), deadline: time.Now().Add(time.Minute),
+	}
+	q.w = httptest.NewRecorder()
+	var cancel context.CancelFunc
+	q.ctx, cancel = context.WithCancel(q.ctx)
+	defer cancel()
+	q.servePlain()
+	g.within(g.left, maxEndDelay, "the endpoint is left")
+}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -116,6 +116,9 @@
 			q.failRequest(common.ReasonEndpointFailed, 0)
 			return
 		}
+		if result.unreadConn != nil {
+			_ = result.unreadConn.Close()
+		}
 		q.relay.meter.countReason("retries", string(result.cause))
 	}
 }
