Bound the header of the instance list that control processes read

A server of the instance list that sent a status line, header or interim responses without end could make each control process keep net/http's default of 10 MB per read, once a second; a body above the bound of 4 MB looked like one that was cut short. Operators saw only the first failure of a row in the log, and nothing in the metrics.

The control process used http.DefaultClient. It now has a client with a header bound of 64 KB and a connection per read, and each failed read counts under its reason (oversized, timeout, failed), which the log names too. The previous list stays in use, as before.

The read was already bounded in time (2 s) and its body in bytes.

--- a/io/ctrl/instancelist.go
+++ b/io/ctrl/instancelist.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/member"
+	"wasabiweir/io/serve"
 )
 
 const (
@@ -22,8 +22,13 @@
 	instanceListTimeout  = 2 * time.Second
 	// maxInstanceListBytes is the largest instance list that is read; one of 2,000 instances has about 200 KB.
 	maxInstanceListBytes = 4 << 20
+	// maxInstanceListHeader bounds the response header in bytes.
+	maxInstanceListHeader = 64 << 10
 )
 
+// instanceListClient reads instance lists.
+var instanceListClient = serve.NewUnpooledClient(maxInstanceListHeader)
+
 // loopInstanceList reads the platform's instance list every instanceListInterval until ctx ends. Of several failed
 // reads in a row only the first is logged.
 func (c *Control) loopInstanceList(ctx context.Context) error {
@@ -40,13 +45,24 @@
 			continue
 		}
 		err := c.fetchInstanceList(ctx)
-		if err != nil && !failing {
-			c.Log.Warn("instance-list-not-read", zap.Error(err))
+		if err != nil {
+			c.countListFailure(err, !failing)
 		}
 		failing = err != nil
 	}
 }
 
+// countListFailure counts a failed read of the instance list by its reason, and logs it if log is set.
+func (c *Control) countListFailure(err error, log bool) {
+	reason := serve.FailureReason(err)
+	if c.Metrics != nil {
+		c.Metrics.Tagged(map[string]string{"reason": reason}).Counter("instance-list-failures").Inc(1)
+	}
+	if log {
+		c.Log.Warn("instance-list-not-read", zap.String("reason", reason), zap.Error(err))
+	}
+}
+
 // fetchInstanceList reads the platform's instance list and stores it; after a failed read the previous list stays in
 // use.
 func (c *Control) fetchInstanceList(ctx context.Context) error {
@@ -57,7 +73,7 @@
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := instanceListClient.Do(req)
 	if err != nil {
 		return fmt.Errorf("read instance list: %w", err)
 	}
@@ -66,7 +82,7 @@
 		return eris.Errorf("the instance list answered %s", res.Status)
 	}
 	var list []member.ListedInstance
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxInstanceListBytes)).Decode(&list); err != nil {
+	if err := json.NewDecoder(serve.LimitBody(res.Body, maxInstanceListBytes)).Decode(&list); err != nil {
 		return fmt.Errorf("decode instance list: %w", err)
 	}
 	c.routers.mu.Lock()
