--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -21,9 +21,6 @@
 	table serve.ConnTable
 }
 
-// connContextKey is the context key under which a request finds the network connection on which its caller sent it.
-type connContextKey struct{}
-
 // initConnTable initialises the table of callers' connections for a relay.
 func (c *callerConns) initConnTable(r *Relay) {
 	c.relay = r
@@ -44,20 +41,14 @@
 func (c *callerConns) newServer(h http.Handler, l net.Listener) (*http.Server, net.Listener) {
 	return &http.Server{
 		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout,
-		ConnState: c.table.TrackState, ConnContext: c.withConn,
+		ConnState: c.table.TrackState, ConnContext: serve.ContextWithConn,
 	}, c.table.Listener(serve.LimitListener(l, maxCallerConnections))
 }
 
-// withConn is the HTTP server's ConnContext hook: it stores a caller's connection in the context of its requests.
-func (c *callerConns) withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connContextKey{}, conn)
-}
-
 // reportClosedInUse logs and counts the end of a request on whose connection the relay enforced a time limit, so that its
 // caller got no answer.
 func (c *callerConns) reportClosedInUse(q *request) {
-	conn, _ := q.r.Context().Value(connContextKey{}).(net.Conn)
-	closed, ok := c.table.Expired(conn)
+	closed, ok := c.table.Expired(serve.ConnOf(q.r.Context()))
 	if !ok {
 		return
 	}
@@ -66,6 +57,14 @@
 		zap.Duration("after", closed.After), zap.Int("attempts", q.attempts), zap.Bool("may-have-run", q.mayHaveRun))
 }
 
+// resetCaller makes the caller's connection end with a reset instead of the rest of what it has not read yet, so that an
+// incomplete response ends at once, and is seen as incomplete by a caller whose response has no length.
+func (q *request) resetCaller() {
+	if err := serve.ResetOnClose(serve.ConnOf(q.r.Context())); err != nil {
+		q.log.Warn("caller-not-reset", zap.Error(err))
+	}
+}
+
 // loop closes callers' connections that exceed a time limit of the configuration, until ctx ends.
 func (c *callerConns) loop(ctx context.Context) error {
 	for serve.Sleep(ctx, callerCheckInterval) {
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -121,6 +121,9 @@
 			q.failRequest(common.ReasonEndpointFailed, 0)
 			return
 		}
+		if result.unreadConn != nil {
+			_ = result.unreadConn.Close()
+		}
 		q.relay.meter.countReason("retries", string(result.cause))
 	}
 }
@@ -248,6 +251,9 @@
 	}
 	defer stop()
 	result := q.receiveResponse(c)
+	if result.unreadConn != nil && !q.watchForwarding(c, stop) {
+		result = attemptResult{outcome: outcomeUnknown, cause: common.RetrySilent, err: context.Cause(ctx)}
+	}
 	if result.outcome != completed {
 		_ = c.Close()
 		if result.outcome == outcomeUnknown && ctx.Err() != nil {
@@ -257,6 +263,18 @@
 	return result
 }
 
+// watchForwarding replaces the watch over an attempt, which stop ends, by one over the request: the connection with the
+// rest of a large response closes at the request's deadline, when its caller leaves, and at the end of the request. It
+// returns false if the attempt has ended and the connection is closed already.
+func (q *request) watchForwarding(c *endpointConn, stop func() bool) bool {
+	use := c.use()
+	if !stop() {
+		return false
+	}
+	context.AfterFunc(q.ctx, func() { c.closeUse(use) })
+	return true
+}
+
 // sendRequest sends the request to the endpoint, with the headers that addHeaders sets if it is not nil. The
 // connection is closed when ctx ends unless stop is called before. If the request could not be sent, failed is the
 // result.
@@ -376,6 +394,7 @@
 
 // writeResponse sends an endpoint's complete response to the caller.
 func (q *request) writeResponse(e place.Endpoint, result attemptResult) {
+	q.limitWriting()
 	copyHeader(q.w.Header(), result.res.Header)
 	if result.unreadConn == nil {
 		q.w.Header().Set("Content-Length", strconv.Itoa(len(result.body)))
@@ -388,7 +407,9 @@
 		}
 		_ = result.unreadConn.Close()
 		if err != nil {
-			q.log.Warn("response-interrupted", zap.String("endpoint", e.ID), zap.Error(err))
+			q.log.Warn("response-interrupted", zap.String("endpoint", e.ID), zap.Duration("after", q.relay.Clock.Now().Sub(q.startedAt)),
+				zap.Bool("deadline", !q.relay.Clock.Now().Before(q.deadline)), zap.Error(err))
+			q.resetCaller()
 			panic(http.ErrAbortHandler)
 		}
 	}
