Router: answer the requests that a stop ends

Callers whose requests were in progress when a router stopped before its drain was complete, by a second signal or since a part of it failed, got an EOF.

Cause: the time for answers was zero unless the drain was complete, and nothing ended the calls and the reads of bodies.

A router that stops early now ends the context of its work and answers for half a second at most: generations fail with the reason draining (an error event in a stream that has begun), calls get draining or outcome-unknown with their outcome, requests whose body is under way and new ones are refused as not run. A refusal that would have had 503 has 502 if the request may have run. A first signal bounds nothing, as before: the drain ends with the last request.

--- a/core/common/refusal.go
+++ b/core/common/refusal.go
@@ -93,10 +93,15 @@
 	ReasonLedgerUnavailable:  http.StatusServiceUnavailable,
 }
 
-// Status returns the HTTP status code for the refused request, 500 if the refusal's reason has none.
+// Status returns the HTTP status code for the refused request, 500 if the refusal's reason has none. It is 502 instead of 503 if
+// the request may have run, since callers may take 503 for a promise that it has not.
 func (r *Refusal) Status() int {
-	if code, ok := statusByReason[r.Reason]; ok {
-		return code
+	code, ok := statusByReason[r.Reason]
+	switch {
+	case !ok:
+		return http.StatusInternalServerError
+	case code == http.StatusServiceUnavailable && r.Outcome != OutcomeNotRun:
+		return http.StatusBadGateway
 	}
-	return http.StatusInternalServerError
+	return code
 }
--- a/io/itest/drain_test.go
+++ b/io/itest/drain_test.go
@@ -1,8 +1,10 @@
 package itest
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"syscall"
@@ -15,7 +17,7 @@
 
 // Guards against work that is lost when a router is stopped with a signal: the outcome of a call whose caller has
 // disconnected must be recorded, and a stream that breaks during the drain must be resumable at another router. A
-// second signal ends the drain at once.
+// second signal ends the drain at once, with a true answer to each request that it ends.
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, systemSpec{controls: 1, routers: 4, engines: 2, engineArgs: []string{"-tokens-per-second", "25"}})
@@ -46,14 +48,32 @@
 		t.Errorf("resume after the stop: %s", lastLines(r.transcript(), 4))
 	}
 
-	s.startCompletion(1, 500).readEvents(2)
+	l = s.startCompletion(1, 500).readEvents(2)
+	call := s.callAsync(1, newIdempotencyKey(t), "{}")
+	partial, err := net.Dial("tcp", s.routerAddresses[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = partial.Close() }()
+	_, _ = fmt.Fprintf(partial, "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 100000\r\n\r\n{", callPath, accountToken)
+	time.Sleep(200 * time.Millisecond)
 	s.routers[1].signal(syscall.SIGTERM)
 	time.Sleep(100 * time.Millisecond)
 	s.routers[1].signal(syscall.SIGTERM)
 	s.routers[1].expectExit(0)
-	if !strings.Contains(s.routers[1].logText(), "generations-aborted=1 requests-aborted=0") {
+	if !strings.Contains(s.routers[1].logText(), "generations-aborted=1 requests-aborted=3") {
 		t.Errorf("the second signal does not log what it cut:\n%s", lastLines(s.routers[1].logText(), 3))
 	}
+	if got := l.readToEnd().received.String(); !strings.Contains(got, "event: error") || !strings.Contains(got, `"reason":"draining"`) {
+		t.Errorf("the stream ended with %s", lastLines(got, 3))
+	}
+	if !call.answerContains(`"outcome":"unknown"`) || call.status != http.StatusBadGateway && call.status != http.StatusGatewayTimeout {
+		t.Errorf("the call that may have run got status %d, %s, error %v", call.status, call.body, call.err)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(partial), nil)
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("the call whose body was under way got %+v, error %v", res, err)
+	}
 }
 
 // Guards against requests that fail, and long generations whose journal is lost, while all routers are restarted one by
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -111,14 +111,16 @@
 		r.refuse(w, req, err)
 		return
 	}
+	ctx, cancel := r.requestContext(req)
+	defer cancel()
 	var out *endpointResponse
 	if c.idempotent() {
-		out, err = r.calls.sendIdempotent(req.Context(), c)
+		out, err = r.calls.sendIdempotent(ctx, c)
 	} else {
-		out, err = r.calls.sendOnce(req.Context(), c)
+		out, err = r.calls.sendOnce(ctx, c)
 	}
 	if err != nil {
-		r.refuse(w, req, err)
+		r.refuse(w, req, r.stopRefusal(req, err))
 		return
 	}
 	for name, values := range out.header {
@@ -142,7 +144,7 @@
 	if _, err := v.intentFor(account.Name, name, ""); err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, req)
+	body, err := r.readBody(w, req)
 	if err != nil {
 		return nil, err
 	}
--- a/io/router/completion.go
+++ b/io/router/completion.go
@@ -62,7 +62,7 @@
 		r.refuse(w, req, err)
 		return
 	}
-	body, err := readBody(w, req)
+	body, err := r.readBody(w, req)
 	if err != nil {
 		r.refuse(w, req, err)
 		return
@@ -72,9 +72,11 @@
 		r.refuse(w, req, err)
 		return
 	}
-	s, err := r.startGeneration(req.Context(), v, account, c)
+	ctx, cancel := r.requestContext(req)
+	defer cancel()
+	s, err := r.startGeneration(ctx, v, account, c)
 	if err != nil {
-		r.refuse(w, req, err)
+		r.refuse(w, req, r.stopRefusal(req, err))
 		return
 	}
 	if c.Stream {
--- a/io/router/drain.go
+++ b/io/router/drain.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -16,6 +17,8 @@
 	// two report intervals of 500 ms and a margin. Until then, the other routers still return this router's address to
 	// callers, who may keep it for AddressTTL from there on.
 	drainPropagation = 1500 * time.Millisecond
+	// abortTimeout bounds the time for which a router that stops before its drain is complete answers the requests in progress.
+	abortTimeout = 500 * time.Millisecond
 )
 
 // errDrained makes Router.Run return after a completed drain.
@@ -54,19 +57,48 @@
 	return !r.addressInUse() && r.sessions.sessionCount() == 0 && r.openRequests.Load() == 0 && r.calls.unrecorded.Load() == 0
 }
 
-// answerTime returns the time for which the server for callers must answer requests before it closes; zero unless the
-// drain is complete. Requests that arrive after that are refused at once.
+// answerTime returns the time for which the server for callers must answer requests before it closes. Requests that arrive
+// after that are refused at once. If the drain is not complete, the requests in progress end, and are answered with an error.
 func (r *Router) answerTime() time.Duration {
 	if r.drainComplete.Load() || r.drained() {
 		return serve.ShutdownTimeout
 	}
-	return 0
+	r.abort()
+	return abortTimeout
 }
 
-// drainRefusal returns the refusal for new requests once a draining router's address has expired at callers, and nil
-// before.
+// initRequests returns the context of the router's work, which ends with the parent or as soon as the router stops before its
+// drain is complete.
+func (r *Router) initRequests(parent context.Context) context.Context {
+	r.ctx, r.abort = context.WithCancel(parent)
+	return r.ctx
+}
+
+// requestContext returns a context for a caller's request that also ends when the router stops before its drain is complete.
+// The output of a generation is read without it, since the generation itself ends then and tells its readers why.
+func (r *Router) requestContext(req *http.Request) (ctx context.Context, cancel func()) {
+	ctx, end := context.WithCancel(req.Context())
+	stop := context.AfterFunc(r.ctx, end)
+	return ctx, func() { stop(); end() }
+}
+
+// stopRefusal replaces the refusal of a request that has ended because the router stops; others it returns as they are.
+func (r *Router) stopRefusal(req *http.Request, err error) error {
+	if err == nil || r.ctx.Err() == nil || req.Context().Err() != nil {
+		return err
+	}
+	f := *common.AsRefusal(err)
+	if f.Outcome == common.OutcomeDone || f.Outcome == common.OutcomeRan {
+		return err
+	}
+	f.Reason, f.Message, f.Address = common.ReasonDraining, "the router stopped", r.otherRouterAddress()
+	return &f
+}
+
+// drainRefusal returns the refusal for new requests once a draining router's address has expired at callers or the router
+// stops, and nil before.
 func (r *Router) drainRefusal() *common.Refusal {
-	if r.addressInUse() {
+	if r.addressInUse() && r.ctx.Err() == nil {
 		return nil
 	}
 	f := common.NewNotRunRefusal(common.ReasonDraining, "", "this router is leaving")
--- a/io/router/request.go
+++ b/io/router/request.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/object"
@@ -38,9 +40,14 @@
 }
 
 // readBody reads the whole request body; its errors are refusals. The server's read timeout covers the headers and
-// the body; net/http lifts it once the body has been read.
-func readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
+// the body; net/http lifts it once the body has been read. The end of the router's work ends the read.
+func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
+	stop := context.AfterFunc(r.ctx, func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now()) })
+	defer stop()
 	b, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBodyBytes))
+	if r.ctx.Err() != nil {
+		return nil, r.drainRefusal()
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, common.NewNotRunRefusal(common.ReasonBodyTooLarge, "body", fmt.Sprintf("the body is larger than %d bytes", maxBodyBytes))
--- a/io/router/resume.go
+++ b/io/router/resume.go
@@ -35,9 +35,11 @@
 		r.refuse(w, req, common.NewNotRunRefusal(common.ReasonBadCursor, cursorHeader, err.Error()))
 		return
 	}
-	s, err := r.joinGeneration(req.Context(), v, account, c)
+	ctx, cancel := r.requestContext(req)
+	defer cancel()
+	s, err := r.joinGeneration(ctx, v, account, c)
 	if err != nil {
-		r.refuse(w, req, err)
+		r.refuse(w, req, r.stopRefusal(req, err))
 		return
 	}
 	r.writeStream(w, req, s, streamPosition{offset: c.Offset, final: c.Final})
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -87,6 +87,9 @@
 	prefixes      prefixTracker
 	// crashes keeps prompts that crash engines away from them.
 	crashes guard.Guard
+	// ctx ends, by abort at the latest, when the router stops.
+	ctx   context.Context
+	abort context.CancelFunc
 	// nonce makes the epochs of the generations that this router owns unique.
 	nonce atomic.Uint64
 	// openRequests counts the requests of callers in flight.
@@ -101,6 +104,8 @@
 	}
 	r.Listen, r.PeerListen = callers.Addr().String(), peers.Addr().String()
 	r.Address, r.PeerAddress = cmp.Or(r.Address, r.Listen), cmp.Or(r.PeerAddress, r.PeerListen)
+	ctx = r.initRequests(ctx)
+	defer r.abort()
 	if err := r.initComponents(ctx); err != nil {
 		return err
 	}
