--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -147,7 +147,8 @@
 }
 
 // appendProposal appends data to the leader's log. It returns NotLeaderError if the leader is no longer a voter,
-// ErrTransferInProgress during a leadership transfer and ErrTooManyUncommitted if too many bytes are uncommitted.
+// ErrTransferInProgress during a leadership transfer, ErrNoSpace if the disk has no room for it and
+// ErrTooManyUncommitted if too many bytes are uncommitted.
 func (n *Node) appendProposal(data []byte) error {
 	if !n.log.members().IsVoter(n.ID) {
 		return &NotLeaderError{}
@@ -155,6 +156,9 @@
 	if !n.leaderState.transferTarget.IsZero() {
 		return ErrTransferInProgress
 	}
+	if len(data) > n.proposalRoom {
+		return fmt.Errorf("%d bytes: %w", len(data), ErrNoSpace)
+	}
 	if n.leaderState.uncommittedBytes > 0 && n.leaderState.uncommittedBytes+len(data) > n.UncommittedBytes {
 		return fmt.Errorf("%d bytes: %w", n.leaderState.uncommittedBytes, ErrTooManyUncommitted)
 	}
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 )
 
@@ -76,6 +77,8 @@
 	// Forward makes a follower forward proposals to the leader; otherwise Propose returns NotLeaderError.
 	Forward bool
 
+	proposalRoom int // largest proposal that the leader appends, in bytes
+
 	rng       *rand.Rand // source of random election timeouts
 	processID uint64     // random number that identifies this process in forwarded proposals
 
@@ -109,6 +112,10 @@
 	lastForwardBytes int    // size of the proposals in the last such message
 }
 
+// LimitProposals sets the size in bytes of the largest proposal that this member appends to its log as the leader, while
+// its disk has little room. Other entries are still appended.
+func (n *Node) LimitProposals(bytes int) { n.proposalRoom = bytes }
+
 // Start validates the fields of the node and loads the state that the member saved on its disk; it returns
 // ErrInvalidConfig if a field is invalid or the saved entries do not follow the snapshot.
 func (n *Node) Start(saved PersistentState) error {
@@ -126,6 +133,7 @@
 		return fmt.Errorf("heartbeat interval of %d ticks is not below the election timeout: %w",
 			n.HeartbeatTicks, ErrInvalidConfig)
 	}
+	n.proposalRoom = math.MaxInt
 	n.rng = rand.New(rand.NewPCG(n.Seed, 0))
 	n.processID = n.rng.Uint64()
 	n.setLatestSnapshot(saved.Snapshot)
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 )
@@ -107,7 +108,7 @@
 			s.deliverAll()
 		}
 		if compacted {
-			s.compactLog(leader, entries/2)
+			s.compactLog(leader, entries/2, math.MaxInt)
 		}
 		delete(s.partitioned, isolated.id.Name)
 		s.deliveryRounds = 0
@@ -127,7 +128,7 @@
 	isolated := s.followers(leader)[0]
 	s.partitioned[isolated.id.Name] = true
 	s.proposeAndCommit(leader, "missed")
-	s.compactLog(leader, 0)
+	s.compactLog(leader, 0, math.MaxInt)
 	clear(s.partitioned)
 	var first Message
 	for leader.node.leaderState.progressOf[isolated.id].outgoing.ackedBytes == 0 {
--- a/core/raft/prop_test.go
+++ b/core/raft/prop_test.go
@@ -56,7 +56,7 @@
 		}
 	case action < 94:
 		if c.isRunning(p) {
-			c.compactLog(p, uint64(c.randomInt(4)))
+			c.compactLog(p, uint64(c.randomInt(4)), 300*c.randomInt(5))
 		}
 	case action < 96:
 		c.changeRandomMember(p)
@@ -128,7 +128,12 @@
 		return
 	}
 	c.proposals++
-	_ = p.node.Propose(fmt.Appendf(nil, "proposal %d", c.proposals))
+	data := fmt.Appendf(nil, "proposal %d", c.proposals)
+	if c.randomInt(5) == 0 {
+		// Larger than an append message and than what may be unacknowledged.
+		data = append(data, make([]byte, 1+c.randomInt(1000))...)
+	}
+	_ = p.node.Propose(data)
 	if c.randomInt(2) > 0 {
 		c.processReady(p, 0)
 	}
@@ -192,6 +197,10 @@
 		seed := rapid.Uint64().Draw(rt, "seed")
 		c := &randomRun{rt: rt, rng: rand.New(rand.NewPCG(seed, 0))}
 		c.simulation = newSimulation(rt, 1+c.randomInt(5))
+		c.inFlightBytes = 600
+		for _, p := range c.peers {
+			p.node.InFlightBytes = c.inFlightBytes
+		}
 		c.faultRate = rapid.IntRange(1, 20).Draw(rt, "faults")
 		for range rapid.IntRange(300, 1500).Draw(rt, "steps") {
 			c.randomAction()
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"math"
 	"slices"
 
 	_ "wasabiweir/core/prop"
@@ -70,6 +69,7 @@
 	minReadIndex   map[string]uint64 // by read context: commit index that the read must reach
 	answeredReads  map[string]uint64 // by read context: index of the answer
 	readCount      int               // reads started so far
+	inFlightBytes  int               // InFlightBytes of the nodes
 	deliveryRounds int               // number of times that all messages in transit were delivered
 }
 
@@ -100,7 +100,7 @@
 // startPeer starts a peer from its persistent state.
 func (s *simulation) startPeer(p *peer) {
 	s.uniqueNumber++
-	p.node = &Node{ID: p.id, Seed: s.uniqueNumber, AppendBytes: 200, InFlight: 4, Forward: true}
+	p.node = &Node{ID: p.id, Seed: s.uniqueNumber, AppendBytes: 200, InFlight: 4, InFlightBytes: s.inFlightBytes, Forward: true}
 	requireNoError(s.t, p.node.Start(p.saved))
 	p.hash = 0
 	if data := p.saved.Snapshot.Data; len(data) > 0 {
@@ -275,15 +275,15 @@
 	}
 }
 
-// compactLog takes a snapshot of the peer and compacts its log, except for the last keep entries.
-func (s *simulation) compactLog(p *peer, keep uint64) {
+// compactLog takes a snapshot of the peer and compacts its log, except for the last keep entries, of keepBytes together.
+func (s *simulation) compactLog(p *peer, keep uint64, keepBytes int) {
 	snapshot, ok := p.node.NewSnapshot(bytes.Repeat(binary.LittleEndian.AppendUint64(nil, p.hash), snapshotBytes/8))
 	if !ok || snapshot.Index <= p.saved.Snapshot.Index {
 		return
 	}
 	p.saved.Entries = p.saved.Entries[snapshot.Index-p.saved.Snapshot.Index:]
 	p.saved.Snapshot = snapshot
-	requireNoError(s.t, p.node.Compact(snapshot, keep, math.MaxInt))
+	requireNoError(s.t, p.node.Compact(snapshot, keep, keepBytes))
 }
 
 // startRead starts a read on the peer and returns the read's context.
--- a/core/state/machine.go
+++ b/core/state/machine.go
@@ -88,6 +88,10 @@
 
 // Snapshot returns the log entry of the configuration in force, encoded for Restore.
 func (m *Machine) Snapshot() ([]byte, error) {
+	if len(m.current.Compressed) == 0 {
+		// An entry of an earlier version of the system; the snapshot may have to fit on a disk that is nearly full.
+		m.current = NewLogEntry(m.current.Version, m.current.Document)
+	}
 	data, err := codec.Encode(machineSnapshot{Current: m.current, HasCurrent: m.hasCurrent})
 	if err != nil {
 		return nil, fmt.Errorf("encode the state in force: %w", err)
--- a/io/keeper/machine.go
+++ b/io/keeper/machine.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/state"
+	"wasabiweir/io/repl"
 	"wasabiweir/io/wire"
 )
 
@@ -29,6 +30,9 @@
 	// ErrUnavailable means that no quorum of keepers confirmed in time; a new configuration may or may not take effect
 	// later.
 	ErrUnavailable = eris.New("no quorum of keepers has confirmed in time")
+	// ErrNotStored means that a configuration was not passed on, since a keeper's disk has no room for it or too much
+	// waits; it will not take effect and may be sent again.
+	ErrNotStored = eris.New("the configuration was not stored and may be sent again")
 	// ErrNoConfiguration means that no configuration was ever stored.
 	ErrNoConfiguration = eris.New("there is no configuration yet")
 )
@@ -99,7 +103,7 @@
 }
 
 // PutConfiguration validates a configuration document and returns once it, or a higher version, is durable on a quorum;
-// its errors are ErrInvalidConfiguration and ErrUnavailable.
+// its errors are ErrInvalidConfiguration, ErrNotStored and ErrUnavailable.
 func (k *Keeper) PutConfiguration(ctx context.Context, document []byte) error {
 	s, err := k.Decode(document)
 	if err == nil {
@@ -127,6 +131,10 @@
 	}
 	result, index, err := k.group.currentReplica().Propose(ctx, data)
 	if err != nil {
+		if errors.Is(err, repl.ErrNoSpace) || errors.Is(err, repl.ErrNotRun) {
+			k.Log.Warn("state-not-stored", zap.Uint64("version", s.Version), zap.Int("bytes", len(data)), zap.Error(err))
+			return errors.Join(ErrNotStored, err)
+		}
 		k.Log.Warn("state-not-confirmed", zap.Uint64("version", s.Version), zap.Error(err))
 		return errors.Join(ErrUnavailable, err)
 	}
--- a/io/repl/inbox.go
+++ b/io/repl/inbox.go
@@ -35,6 +35,10 @@
 	r.inbox.messageBytes, r.inbox.proposalBytes = 0, 0
 	r.inbox.mu.Unlock()
 	for _, m := range messages {
+		if !r.hasRoomFor(&m) {
+			r.meter.ignored[ignoreReasonNoSpace].Inc(1)
+			continue
+		}
 		err := r.node.Step(m)
 		if errors.Is(err, raft.ErrWrongIdentity) {
 			r.meter.ignored[ignoreReasonIdentity].Inc(1)
--- a/io/repl/meter.go
+++ b/io/repl/meter.go
@@ -17,6 +17,7 @@
 const (
 	ignoreReasonIdentity  = "other-identity"
 	ignoreReasonInboxFull = "inbox-full"
+	ignoreReasonNoSpace   = "no-space"
 )
 
 // syncBuckets are the histogram buckets for the durations of syncs to disk, from 125 µs on flash storage to 4 s on a
@@ -31,6 +32,8 @@
 	retries   map[string]tally.Counter
 	ignored   map[string]tally.Counter
 	sync      tally.Histogram
+	freeBytes tally.Gauge
+	short     tally.Gauge
 }
 
 // newMeter creates the metrics of the Raft group's replica in the scope, or metrics without effect if the scope is nil.
@@ -44,11 +47,22 @@
 		snapshots: scope.Counter("snapshots"),
 		elections: scope.Counter("elections"),
 		retries:   countersByReason(scope, "retries", retryReasonNoLeader, retryReasonDropped, retryReasonRefused),
-		ignored:   countersByReason(scope, "ignored", ignoreReasonIdentity, ignoreReasonInboxFull),
+		ignored:   countersByReason(scope, "ignored", ignoreReasonIdentity, ignoreReasonInboxFull, ignoreReasonNoSpace),
 		sync:      scope.Histogram("sync", syncBuckets),
+		freeBytes: scope.Gauge("disk-free-bytes"),
+		short:     scope.Gauge("disk-space-short"),
 	}
 }
 
+// setSpaceShort sets the gauge that is 1 while the disk has too little room.
+func (m *meter) setSpaceShort(short bool) {
+	value := 0.0
+	if short {
+		value = 1
+	}
+	m.short.Update(value)
+}
+
 // countersByReason creates a metric counter of the name for each value of the tag "reason".
 func countersByReason(scope tally.Scope, name string, reasons ...string) map[string]tally.Counter {
 	out := make(map[string]tally.Counter, len(reasons))
--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -132,6 +132,11 @@
 		c.Context = key
 		err = r.node.ProposeConfChange(c)
 	} else {
+		if len(p.data) > r.proposalRoom() {
+			// The caller may send it to another member, or again.
+			p.deliverOutcome(requestOutcome{err: fmt.Errorf("%d bytes: %w", len(p.data), ErrNoSpace)})
+			return true
+		}
 		err = r.node.Propose(append(key, p.data...))
 		leader, notLeader := raft.IsNotLeader(err)
 		later := errors.Is(err, raft.ErrTransferInProgress) || errors.Is(err, raft.ErrTooManyUncommitted)
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -67,6 +67,9 @@
 	ErrNotRun = eris.New("the proposal was not submitted")
 	// ErrUnknown means that the proposal was submitted and it is not known whether it was or will be applied.
 	ErrUnknown = eris.New("the outcome of the proposal is unknown")
+	// ErrNoSpace means that the proposal was not appended, because this member or the leader has no room for it on its
+	// disk; it may be proposed again.
+	ErrNoSpace = eris.New("no room on the disk for the proposal")
 	// ErrDropped means that the membership change of the Raft group was lost in a change of leader and never takes effect.
 	ErrDropped = eris.New("the membership change was dropped by a new leader")
 )
@@ -122,26 +125,34 @@
 	node      *raft.Node
 	processID uint64 // random number that marks the proposals and reads of this process
 
-	snapshotWriter   *snapshotWriter       // the snapshot that is being written; nil if there is none
-	lastTick         time.Time             // time of the last Raft tick
-	snapshotIndex    uint64                // index of the last log entry in the latest snapshot
-	snapshotBytes    int                   // size of the latest snapshot in bytes
-	appliedBytes     int                   // size in bytes of the log entries applied since the latest snapshot
-	appliedTerm      uint64                // Raft term of the last applied log entry
-	pendingProposals map[uint64]*proposal  // submitted proposals by the counter part of their key
-	lastKey          uint64                // counter part of the latest key of a proposal or read
-	pendingReads     map[uint64]*readGroup // unanswered reads by the counter part of their key
+	snapshotWriter *snapshotWriter // the snapshot that is being written; nil if there is none
+	space          diskSpace       // room on the disk
+	lastTick       time.Time       // time of the last Raft tick
+	// snapshotCoversBytes is the size of the entries that the snapshot being written covers beyond the latest one, and
+	// snapshotFailedAt when one could last not be written for lack of room.
+	snapshotCoversBytes int
+	snapshotFailedAt    time.Time
+	snapshotIndex       uint64                // index of the last log entry in the latest snapshot
+	snapshotBytes       int                   // size of the latest snapshot in bytes
+	appliedBytes        int                   // size in bytes of the log entries applied since the latest snapshot
+	appliedTerm         uint64                // Raft term of the last applied log entry
+	pendingProposals    map[uint64]*proposal  // submitted proposals by the counter part of their key
+	lastKey             uint64                // counter part of the latest key of a proposal or read
+	pendingReads        map[uint64]*readGroup // unanswered reads by the counter part of their key
 }
 
 // publishedStatus is the replica's status after an iteration of its loop.
 type publishedStatus struct {
 	raft.Status
 	confirmedAt time.Time // time at which a quorum last confirmed this leader
+	spaceShort  bool
 }
 
 // Status is the Raft status of a replica together with the age of its leader lease.
 type Status struct {
 	raft.Status
+	// SpaceShort means that the member's disk lacks the room for another snapshot, so that it takes no proposals.
+	SpaceShort bool
 	// Lease is the time since a quorum last confirmed this leader; it is zero on other members.
 	Lease time.Duration
 }
@@ -176,6 +187,9 @@
 	ticker := time.NewTicker(r.Interval)
 	defer ticker.Stop()
 	err := r.loop(ctx, ticker.C)
+	if isDiskFull(err) {
+		r.meter.setSpaceShort(true)
+	}
 	if r.snapshotWriter != nil {
 		err = errors.Join(err, <-r.snapshotWriter.done)
 	}
@@ -264,7 +278,9 @@
 // runIteration processes the due ticks, the queued requests, the raft node's output and snapshots. Ticks come first:
 // after a pause of the process, a leader must step down before it answers requests that were queued in the meantime.
 func (r *Replica) runIteration() error {
-	r.advanceTicks(time.Now())
+	now := time.Now()
+	r.updateSpace(now)
+	r.advanceTicks(now)
 	if err := r.drainInbox(); err != nil {
 		return err
 	}
@@ -307,6 +323,7 @@
 	if err := r.Store.Save(ready); err != nil {
 		return fmt.Errorf("save the raft state: %w", err)
 	}
+	r.spend(ready.Entries)
 	if ready.Sync {
 		r.meter.sync.RecordDuration(time.Since(start))
 	}
@@ -362,7 +379,7 @@
 	if r.node.IsLeader() && old.Role != raft.Leader {
 		r.meter.elections.Inc(1)
 	}
-	s := &publishedStatus{Status: r.node.Status()}
+	s := &publishedStatus{Status: r.node.Status(), spaceShort: r.space.short}
 	if s.Role == raft.Leader {
 		s.confirmedAt = r.lastTick.Add(-time.Duration(s.LeaseAge) * r.Interval)
 	}
@@ -377,7 +394,7 @@
 func (r *Replica) Status() Status {
 	r.initOnce()
 	p := r.status.Load()
-	s := Status{Status: p.Status}
+	s := Status{Status: p.Status, SpaceShort: p.spaceShort}
 	if s.Role == raft.Leader {
 		s.Lease = time.Since(p.confirmedAt)
 	}
--- a/io/repl/saver.go
+++ b/io/repl/saver.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"wasabiweir/core/raft"
 	"wasabiweir/io/store"
+
+	"go.uber.org/zap"
 )
 
 // StateCopier is implemented by a state machine whose state can be copied much faster than it can be encoded. The
@@ -53,7 +56,11 @@
 func (r *Replica) snapshotDue() bool {
 	count := r.node.Applied() - r.snapshotIndex
 	enough := count >= r.SnapshotEvery || r.appliedBytes >= r.quarterBytes()
-	return count > 0 && enough && r.appliedBytes >= r.snapshotBytes
+	if r.space.short {
+		// The files that a snapshot replaces are to be freed, which is worth it once they are larger than it.
+		enough = r.appliedBytes >= spaceReserve/8
+	}
+	return count > 0 && enough && r.appliedBytes >= r.snapshotBytes && time.Since(r.snapshotFailedAt) >= spaceCheckInterval
 }
 
 // advanceSnapshot starts a snapshot of the state machine once enough log entries are applied. While one is being
@@ -79,7 +86,7 @@
 	if !ok {
 		return nil
 	}
-	r.snapshotBytes, r.appliedBytes = len(data), 0
+	r.snapshotCoversBytes, r.appliedBytes = r.appliedBytes, 0
 	r.snapshotWriter = &snapshotWriter{store: r.Store, snapshot: s, stateCopy: stateCopy, done: make(chan error, 1), wake: r.wakeLoop}
 	go r.snapshotWriter.run()
 	return nil
@@ -89,6 +96,13 @@
 func (r *Replica) finishSnapshot() error {
 	select {
 	case err := <-r.snapshotWriter.done:
+		if isDiskFull(err) {
+			// The log goes on while there is room for it, and the snapshot is tried again.
+			r.snapshotWriter, r.snapshotFailedAt = nil, time.Now()
+			r.appliedBytes += r.snapshotCoversBytes
+			r.Log.Warn("snapshot-not-written", zap.Error(err))
+			return nil
+		}
 		if err != nil {
 			return fmt.Errorf("save a snapshot: %w", err)
 		}
--- a/io/repl/saver_test.go
+++ b/io/repl/saver_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io/fs"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -87,7 +85,7 @@
 		if _, _, err := r.Propose(ctx, make([]byte, size)); err != nil {
 			t.Fatal(err)
 		}
-		peak = max(peak, folderBytes(t, folder.Path))
+		peak = max(peak, store.UsedBytes(folder.Path))
 	}
 	run.stop(cancel)
 	if peak > logBytes {
@@ -95,22 +93,6 @@
 	}
 }
 
-// folderBytes returns the size of all files below the path.
-func folderBytes(t *testing.T, path string) (size int64) {
-	t.Helper()
-	// Files may be renamed or removed during the walk.
-	_ = filepath.WalkDir(path, func(_ string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() {
-			return nil
-		}
-		if info, err := d.Info(); err == nil {
-			size += info.Size()
-		}
-		return nil
-	})
-	return size
-}
-
 // noTransport is the transport of a group with a single member.
 type noTransport struct{}
 
--- /dev/null
+++ b/io/repl/space_test.go
@@ -0,0 +1,185 @@
+package repl
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"wasabiweir/core/raft"
+	"wasabiweir/io/store"
+)
+
+// limitedDisk is a file system of a limited size, which other writers can fill. A write beyond it is cut off.
+type limitedDisk struct {
+	folder string
+	limit  int64
+	others atomic.Int64
+}
+
+func (d *limitedDisk) FreeBytes(string) int64 {
+	return max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder))
+}
+
+func (d *limitedDisk) Write(f *os.File, data []byte) (int, error) {
+	if free := d.FreeBytes(""); int64(len(data)) > free {
+		n, err := f.Write(data[:free])
+		return n, errors.Join(err, syscall.ENOSPC)
+	}
+	return f.Write(data)
+}
+
+// limitedMember is the only member of a group, on a limited disk. It is started again when it fails, as a keeper does.
+type limitedMember struct {
+	t       *testing.T
+	disk    *limitedDisk
+	folder  *store.Folder
+	machine *lastValue
+	replica atomic.Pointer[Replica]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// newLimitedMember starts a member in the folder on a disk with the limit.
+func newLimitedMember(t *testing.T, dir string, limit int64, logBytes int) *limitedMember {
+	disk := &limitedDisk{folder: dir, limit: limit}
+	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: dir, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1)}
+	requireNoError(t, m.folder.Open())
+	m.ctx, m.cancel = context.WithTimeout(context.Background(), time.Minute)
+	go m.loop(logBytes)
+	for m.replica.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	t.Cleanup(m.stop)
+	return m
+}
+
+// loop runs a replica again and again until the member is stopped.
+func (m *limitedMember) loop(logBytes int) {
+	for m.ctx.Err() == nil {
+		r := &Replica{Name: "a", Machine: m.machine, Transport: noTransport{}, Interval: 5 * time.Millisecond, LogBytes: logBytes}
+		r.Store = &store.Store{Folder: m.folder, Group: "config"}
+		r.Bootstrap = raft.Members{Voters: []raft.ID{{Name: "a", Disk: m.folder.DiskID()}}}
+		m.replica.Store(r)
+		if err := r.Run(m.ctx); err != nil {
+			m.t.Logf("the replica failed: %v", err)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	m.done <- m.folder.Close()
+}
+
+// stop stops the member.
+func (m *limitedMember) stop() {
+	m.cancel()
+	if err := <-m.done; err != nil {
+		m.t.Error(err)
+	}
+}
+
+// propose proposes the data and waits at most for the time.
+func (m *limitedMember) propose(size int, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(m.ctx, wait)
+	defer cancel()
+	_, _, err := m.replica.Load().Propose(ctx, make([]byte, size))
+	return err
+}
+
+// awaitProposal proposes until a proposal is applied.
+func (m *limitedMember) awaitProposal(size int) {
+	m.t.Helper()
+	var err error
+	for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(20 * time.Millisecond) {
+		if err = m.propose(size, time.Second); err == nil {
+			return
+		}
+	}
+	m.t.Fatalf("no proposal of %d bytes was applied: %v", size, err)
+}
+
+// Guards against a disk that large entries fill, and against a proposal that is half written because there is no room
+// for the rest: it is refused before, and goes through once there is room again.
+func TestProposalWithoutRoomIsRefused(t *testing.T) {
+	const limit, size = 16 << 20, 400 << 10
+	m := newLimitedMember(t, t.TempDir(), limit, 4<<20)
+	m.awaitProposal(size)
+	for range 60 {
+		m.awaitProposal(size)
+		if free := m.disk.FreeBytes(""); free < limit/2 {
+			t.Fatalf("%d of %d bytes are free", free, limit)
+		}
+	}
+	m.disk.others.Store(m.disk.FreeBytes("") - 100<<10)
+	time.Sleep(spaceCheckInterval + 100*time.Millisecond)
+	before := store.UsedBytes(m.folder.Path)
+	if err := m.propose(size, time.Second); !errors.Is(err, ErrNoSpace) {
+		t.Errorf("a proposal without room: %v, want ErrNoSpace", err)
+	}
+	if s := m.replica.Load().Status(); !s.SpaceShort || s.Role != raft.Leader {
+		t.Errorf("status is %+v, want a leader short of space", s)
+	}
+	if after := store.UsedBytes(m.folder.Path); after > before {
+		t.Errorf("the refused proposal took %d bytes", after-before)
+	}
+	m.disk.others.Store(0)
+	m.awaitProposal(size)
+}
+
+// Guards against a member that stays out of service once its disk was full, at runtime or at a start: the log is not
+// trimmed, because nothing can be written before.
+func TestMemberRecoversFromFullDisk(t *testing.T) {
+	const size = 100 << 10
+	m := newLimitedMember(t, t.TempDir(), 16<<20, 4<<20)
+	m.awaitProposal(size)
+	m.disk.others.Store(1 << 40)
+	for range 3 {
+		if err := m.propose(size, 300*time.Millisecond); err == nil {
+			t.Fatal("a proposal was applied on a full disk")
+		}
+	}
+	time.Sleep(spaceCheckInterval)
+	m.disk.others.Store(0)
+	m.awaitProposal(size)
+	if tmp, _ := filepath.Glob(filepath.Join(m.folder.Path, "*", "*", "*.tmp")); len(tmp) > 0 {
+		t.Errorf("temporary files are left: %v", tmp)
+	}
+}
+
+// Guards against a keeper that can't be started on a disk that its log has filled: a snapshot makes most of the log
+// unnecessary, and was taken only after more entries.
+func TestStartOnFullDisk(t *testing.T) {
+	const large, count = 400 << 10, 30
+	dir := t.TempDir()
+	folder := &store.Folder{Path: dir}
+	requireNoError(t, folder.Open())
+	r := &Replica{Name: "a", Machine: &lastValue{}, Transport: noTransport{}, Interval: 5 * time.Millisecond, SnapshotEvery: 1 << 20, LogBytes: 1 << 30}
+	r.Store = &store.Store{Folder: folder, Group: "config", SegmentBytes: 1 << 20}
+	r.Bootstrap = raft.Members{Voters: []raft.ID{{Name: "a", Disk: folder.DiskID()}}}
+	run := &replicaRun{replica: r, done: make(chan error, 1)}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	go run.run(ctx)
+	for i := range count {
+		size := large
+		if i == count-1 {
+			size = 1000
+		}
+		_, _, err := r.Propose(ctx, make([]byte, size))
+		requireNoError(t, err)
+	}
+	run.stop(cancel)
+	requireNoError(t, folder.Close())
+	start := time.Now()
+	m := newLimitedMember(t, dir, store.UsedBytes(dir)+40<<10, 4<<20)
+	m.awaitProposal(1000)
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("the start took %v, want at most 2 s", took)
+	}
+	if used := store.UsedBytes(dir); used > 4<<20 {
+		t.Errorf("the data folder has %d bytes, want at most %d", used, 4<<20)
+	}
+}
--- a/io/store/folder.go
+++ b/io/store/folder.go
@@ -34,6 +34,8 @@
 	Path string
 	// InitialDiskID is the disk id that a new data folder gets; a random UUID if it is empty.
 	InitialDiskID string
+	// Disk writes the files; nil means that of the operating system without a limit.
+	Disk Disk
 
 	mu       sync.Mutex
 	identity folderIdentity
@@ -47,6 +49,14 @@
 	Groups []string `json:"groups"`
 }
 
+// disk returns the file system on which the files are written.
+func (f *Folder) disk() Disk {
+	if f.Disk == nil {
+		return SizedDisk{}
+	}
+	return f.Disk
+}
+
 // Open locks the data folder and reads its disk id; it assigns one if the folder is new. It returns ErrLocked if
 // another process has the folder open, and a CorruptError if the identity file is damaged, or missing although there is
 // stored state.
@@ -161,7 +171,7 @@
 	if err != nil {
 		return fmt.Errorf("encode the identity: %w", err)
 	}
-	if err := WriteFileAtomic(filepath.Join(f.Path, identityFile), data); err != nil {
+	if err := writeFileAtomic(f.disk(), filepath.Join(f.Path, identityFile), data); err != nil {
 		return fmt.Errorf("write the identity: %w", err)
 	}
 	f.identity = id
@@ -186,7 +196,7 @@
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return "", fmt.Errorf("create the folder of group %s: %w", name, err)
 	}
-	if err := createSegment(path, 1); err != nil {
+	if err := createSegment(f.disk(), path, 1); err != nil {
 		return "", err
 	}
 	for _, dir := range []string{filepath.Dir(path), f.Path} {
@@ -200,17 +210,23 @@
 
 // WriteFileAtomic replaces a file and syncs it. It returns an error if the disk fails; after a crash, the file has either its old or its new contents.
 func WriteFileAtomic(path string, data []byte) error {
+	return writeFileAtomic(SizedDisk{}, path, data)
+}
+
+// writeFileAtomic does what WriteFileAtomic does, on the disk.
+func writeFileAtomic(disk Disk, path string, data []byte) error {
 	tmp := path + tempSuffix
 	file, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
 		return fmt.Errorf("create a temporary file: %w", err)
 	}
-	_, err = file.Write(data)
+	_, err = disk.Write(file, data)
 	if err == nil {
 		err = file.Sync()
 	}
 	if err := errors.Join(err, file.Close()); err != nil {
-		return fmt.Errorf("write a temporary file: %w", err)
+		// On a full disk, others need the room of the incomplete file.
+		return errors.Join(fmt.Errorf("write a temporary file: %w", err), os.Remove(tmp))
 	}
 	if err := os.Rename(tmp, path); err != nil {
 		return fmt.Errorf("rename a temporary file: %w", err)
--- a/io/store/snapshot.go
+++ b/io/store/snapshot.go
@@ -15,12 +15,12 @@
 }
 
 // writeSnapshot writes and syncs the file of a Raft snapshot.
-func writeSnapshot(dir string, s raft.Snapshot) error {
+func writeSnapshot(disk Disk, dir string, s raft.Snapshot) error {
 	frame, err := appendFrame(nil, s)
 	if err != nil {
 		return fmt.Errorf("snapshot %d: %w", s.Index, err)
 	}
-	if err := WriteFileAtomic(snapshotPath(dir, s.Index), frame); err != nil {
+	if err := writeFileAtomic(disk, snapshotPath(dir, s.Index), frame); err != nil {
 		return fmt.Errorf("write snapshot %d: %w", s.Index, err)
 	}
 	return nil
--- a/io/store/space.go
+++ b/io/store/space.go
@@ -4,10 +4,57 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"math"
+	"os"
 	"path/filepath"
 	"syscall"
 )
 
+// Disk is the file system on which a data folder's files are written; tests replace it by one that can be full.
+type Disk interface {
+	// Write appends the data to the file. If there is no room for all of it, it returns an error that wraps
+	// syscall.ENOSPC, after any part of the data.
+	Write(f *os.File, data []byte) (int, error)
+	// FreeBytes returns how many bytes can still be written to files in the folder, or math.MaxInt64 if that is unknown.
+	FreeBytes(folder string) int64
+}
+
+// SizedDisk is the file system of the operating system. The platform may limit the files of a process to fewer bytes than
+// the file system has, and then counts only theirs.
+type SizedDisk struct {
+	// Bytes is the limit of the process's files in bytes; zero means no limit but that of the file system.
+	Bytes int64
+}
+
+// Write appends the data to the file.
+func (SizedDisk) Write(f *os.File, data []byte) (int, error) { return f.Write(data) }
+
+// FreeBytes returns the smaller one of the room below the limit and in the file system.
+func (d SizedDisk) FreeBytes(folder string) int64 {
+	free := int64(math.MaxInt64)
+	if s, err := statFS(folder); err == nil && s.Blocks > 0 {
+		free = int64(s.Bavail) * s.Bsize
+	}
+	if d.Bytes > 0 {
+		free = min(free, d.Bytes-UsedBytes(folder))
+	}
+	return free
+}
+
+// UsedBytes returns the size of all files below the path. Files that are removed meanwhile may count.
+func UsedBytes(path string) (size int64) {
+	_ = filepath.WalkDir(path, func(_ string, e fs.DirEntry, err error) error {
+		if err != nil || e.IsDir() {
+			return nil
+		}
+		if info, err := e.Info(); err == nil {
+			size += info.Size()
+		}
+		return nil
+	})
+	return size
+}
+
 // CapacityOf returns the size in bytes of the file system that holds the path, or that would hold it.
 func CapacityOf(path string) (int64, error) {
 	s, err := statFS(path)
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -65,6 +65,10 @@
 			return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
 		}
 	}
+	// A crash can come between a snapshot and Trim. If the disk is full, nothing could be written before this.
+	if err := s.deleteCoveredFiles(snapshot); err != nil {
+		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
+	}
 	return raft.PersistentState{HardState: p.hardState, Snapshot: snapshot, Entries: entries}, nil
 }
 
@@ -146,7 +150,7 @@
 func (s *Store) saveReady(r raft.Ready) error {
 	record := Record{HardState: r.HardState, Entries: r.Entries}
 	if r.Snapshot != nil {
-		if err := writeSnapshot(s.dir, *r.Snapshot); err != nil {
+		if err := writeSnapshot(s.Folder.disk(), s.dir, *r.Snapshot); err != nil {
 			return err
 		}
 		record.Reset = &EntryID{Index: r.Snapshot.Index, Term: r.Snapshot.Term}
@@ -189,7 +193,7 @@
 	if cap(buf) <= maxReusedBytes {
 		s.buf = buf
 	}
-	n, err := s.segmentFile.Write(buf)
+	n, err := s.Folder.disk().Write(s.segmentFile, buf)
 	s.segmentSize += int64(n)
 	if err != nil {
 		return fmt.Errorf("write a record: %w", err)
@@ -211,7 +215,7 @@
 		return fmt.Errorf("close a segment: %w", err)
 	}
 	number := s.segments[len(s.segments)-1].number + 1
-	if err := createSegment(s.dir, number); err != nil {
+	if err := createSegment(s.Folder.disk(), s.dir, number); err != nil {
 		return err
 	}
 	s.segments = append(s.segments, logSegment{number: number})
@@ -222,7 +226,7 @@
 // WriteSnapshot writes a snapshot of the state machine's applied state and syncs it. It may run concurrently with the
 // other methods. Pass the snapshot to Trim afterwards, to delete the files that it makes unnecessary.
 func (s *Store) WriteSnapshot(snapshot raft.Snapshot) error {
-	if err := writeSnapshot(s.dir, snapshot); err != nil {
+	if err := writeSnapshot(s.Folder.disk(), s.dir, snapshot); err != nil {
 		return fmt.Errorf("save a snapshot of group %s: %w", s.Group, err)
 	}
 	return nil
@@ -265,6 +269,9 @@
 	return nil
 }
 
+// FreeBytes returns how many bytes can still be written to the data folder, or math.MaxInt64 if that is unknown.
+func (s *Store) FreeBytes() int64 { return s.Folder.disk().FreeBytes(s.Folder.Path) }
+
 // MemberID returns the Raft identity of the member with the instance name: the name and the data folder's disk id.
 func (s *Store) MemberID(name string) raft.ID { return raft.ID{Name: name, Disk: s.Folder.DiskID()} }
 
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -54,6 +54,14 @@
 	return rapid.IntRange(low, high).Draw(m.T, name)
 }
 
+// drawEntryBytes draws the size of an entry: most are small, and some are larger than several segments.
+func (m *storeModel) drawEntryBytes() int {
+	if m.drawInt("large", 0, 9) == 0 {
+		return m.drawInt("large bytes", 300, 5000)
+	}
+	return m.drawInt("bytes", 0, 60)
+}
+
 // lastIndex returns the index of the last expected entry, or of the snapshot if there is no entry after it.
 func (m *storeModel) lastIndex() uint64 { return m.want.Snapshot.Index + uint64(len(m.want.Entries)) }
 
@@ -77,7 +85,7 @@
 	term := m.lastTerm() + uint64(m.drawInt("term", 0, 1))
 	r := raft.Ready{Sync: true}
 	for i := range uint64(m.drawInt("count", 1, 5)) {
-		r.Entries = append(r.Entries, raft.Entry{Term: term, Index: from + i, Data: make([]byte, m.drawInt("bytes", 0, 60))})
+		r.Entries = append(r.Entries, raft.Entry{Term: term, Index: from + i, Data: make([]byte, m.drawEntryBytes())})
 	}
 	want.Entries = append(want.Entries, r.Entries...)
 	if m.drawInt("hard", 0, 1) == 1 || term > want.HardState.Term {
@@ -140,7 +148,7 @@
 // interruptInstall writes the snapshot file of r without the reset record, as a crash during the installation would,
 // and reopens the store.
 func (m *storeModel) interruptInstall(r raft.Ready) {
-	requireNoError(m, writeSnapshot(m.store.dir, *r.Snapshot))
+	requireNoError(m, writeSnapshot(SizedDisk{}, m.store.dir, *r.Snapshot))
 	m.want = raft.PersistentState{HardState: m.want.HardState, Snapshot: *r.Snapshot}
 	m.reopen()
 }
@@ -263,7 +271,7 @@
 	s := &Store{Folder: f, Group: "config"}
 	_, err := s.Open()
 	requireNoError(t, err)
-	requireNoError(t, createSegment(s.dir, s.segments[len(s.segments)-1].number+1))
+	requireNoError(t, createSegment(SizedDisk{}, s.dir, s.segments[len(s.segments)-1].number+1))
 	for range 2 {
 		requireNoError(t, s.Close())
 		saved, err := s.Open()
