Apply only the newest configuration that a relay has received

Callers saw: relays fall behind a large configuration that changes quickly, and lists of endpoints and notices of crashes arrive late meanwhile.

Cause: a relay read and indexed each configuration on the link's reader, one after the other.

Now the link only stores the newest one, and a goroutine of its own applies it and skips those that were superseded meanwhile. A state isn't read twice at once when a confirmation delivers it too. A panic while it is read costs that state and not the process, as it did on the link.

--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -74,6 +74,12 @@
 	lastSentMS int64
 	// version is the version of the configuration state that the relay uses.
 	version atomic.Uint64
+	// newest is the newest configuration state that was received and is not applied yet, or one without a state.
+	newest wire.ConfigState
+	// applyMu is held while a state is read and indexed, so that two copies of one are not at the same time.
+	applyMu sync.Mutex
+	// stateWake makes loopApply apply newest.
+	stateWake chan struct{}
 	// initialised is closed once the relay has a configuration state and a list of endpoints.
 	initialised chan struct{}
 	// initOnce guards the closing of initialised.
@@ -118,6 +124,7 @@
 	// relay look older than those before it.
 	f.name = r.Name + "/" + strconv.FormatUint(rand.Uint64(), 36)
 	f.reportWake = make(chan struct{}, 1)
+	f.stateWake = make(chan struct{}, 1)
 	f.initialised = make(chan struct{})
 	f.otherKeepers = map[*wire.Link]wire.Keepers{}
 }
@@ -149,7 +156,7 @@
 	case wire.KindConfigState:
 		var u wire.ConfigState
 		if u, err = wire.Decode[wire.ConfigState](fr); err == nil {
-			err = f.applyState(u)
+			f.queueState(u)
 		}
 	case wire.KindEndpoints:
 		var list place.EndpointList
@@ -190,12 +197,52 @@
 	return u, nil
 }
 
+// queueState has loopApply apply a configuration state, unless it has received a newer one. Reading a large state takes
+// longer than the time between two changes may be, and lists of endpoints on the same link must not wait for it.
+func (f *keeperFeed) queueState(u wire.ConfigState) {
+	f.mu.Lock()
+	if u.HasState() && u.Version > f.newest.Version {
+		f.newest = u
+	}
+	f.mu.Unlock()
+	select {
+	case f.stateWake <- struct{}{}:
+	default:
+	}
+}
+
+// loopApply applies the newest of the configuration states that keepers have sent, until ctx ends.
+func (f *keeperFeed) loopApply(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.stateWake:
+		}
+		f.applyNewest()
+	}
+}
+
+// applyNewest applies the newest configuration state that was received. A panic costs that state and not the process.
+func (f *keeperFeed) applyNewest() {
+	defer f.relay.guard.Recover("apply-state")
+	f.mu.Lock()
+	u := f.newest
+	f.newest = wire.ConfigState{}
+	f.mu.Unlock()
+	if err := f.applyState(u); err != nil {
+		f.relay.Log.Warn("state-not-applied", zap.Uint64("version", u.Version), zap.Error(err))
+	}
+}
+
 // applyState makes a configuration state the one that the relay uses, unless its version is not newer.
 func (f *keeperFeed) applyState(u wire.ConfigState) error {
 	if !u.HasState() {
 		return nil
 	}
 	defer f.closeInitialisedWhenReady()
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
 	if current := f.relay.index.Load(); current != nil && current.State.Version >= u.Version {
 		// Decoding a large state takes longer than most requests.
 		return nil
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -218,6 +218,7 @@
 	}
 	r.Log.Info("relay-started", zap.String("front", r.CallerAddress), zap.Strings("seeds", r.Seeds()))
 	serve.AddLoop(ctx, &g, r.feed.loop)
+	serve.AddLoop(ctx, &g, r.feed.loopApply)
 	serve.AddLoop(ctx, &g, r.feed.loopReport)
 	serve.AddLoop(ctx, &g, r.feed.loopList)
 	serve.AddLoop(ctx, &g, r.pool.loop)
