Tell callers how long the relay keeps their idle connections

A caller whose configuration is older than the relay's reuses a connection for four fifths of a limit that the relay no longer goes by, and its request meets the close: neither an answer nor a refusal.

Cause: no response named the limit, so the two could only agree by both having the same configuration. Responses of the relay now carry Keep-Alive with four fifths of the limit that is in force as their header is sent, in whole seconds rounded down, and nothing below one second or beside Connection: close. The limit that was announced holds for the connection even if a lower one comes into force before the response ends, as it does during a stream.

Ruled out: to announce the limit as the request begins.

TestIdleLimitIsAnnouncedAndKept and TestRelayAnnouncesIdleLimit. Before: no Keep-Alive, and a request 12 s after a response during which the limit fell to 1 s got no response.

--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -117,6 +117,18 @@
 	}
 }
 
+// initRelay prepares the relay to serve requests on one route without endpoints.
+func (g *callerRig) initRelay() {
+	g.relay.Names = HeaderNames{ParsePromptParts: func(string) []string { return nil }}
+	g.relay.Budget, g.relay.budgets = place.RetryBudget{Window: time.Second}, map[string]*place.RetryBudget{}
+	g.relay.drain.setRelay(g.relay)
+	g.relay.feed.initFeed(g.relay)
+	close(g.relay.feed.initialised)
+	g.relay.index.Store(state.NewConfigIndex(&state.State{
+		Limits: state.RequestLimits{HeaderBytes: 1 << 14, IdleTimeout: 15 * time.Second}, Routes: []state.Route{{Host: "h", Prefix: "/", Kind: state.Safe}},
+	}))
+}
+
 // check advances the clock and closes the connections that exceed a limit.
 func (g *callerRig) check(after time.Duration) {
 	g.clock.Advance(after)
@@ -372,18 +384,82 @@
 	}
 }
 
+// Guards against callers that reuse a connection which the relay has closed, since no response tells them the limit on idle
+// connections, or since the limit becomes lower after the response has told them.
+func TestIdleLimitIsAnnouncedAndKept(t *testing.T) {
+	for name, c := range map[string]struct{ limit, lowered, idle, want string }{
+		"limit of 15 s":               {"15s", "15s", "12s", "timeout=12"},
+		"in whole seconds":            {"2.4s", "2.4s", "1s", "timeout=1"},
+		"under a second":              {"1.2s", "1.2s", "900ms", ""},
+		"lowered during the response": {"15s", "1s", "12s", "timeout=12"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			duration := func(s string) time.Duration {
+				d, err := time.ParseDuration(s)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return d
+			}
+			g := newCallerRig(t)
+			g.setLimits(3*time.Second, duration(c.limit))
+			waits := make(chan struct{})
+			g.hooks.Store(&callerHook{moment: asConnIsIdle, f: func(*hookedConn) {
+				g.hooks.Store(&callerHook{moment: asReadBegins, f: func(*hookedConn) { close(waits) }})
+			}})
+			g.handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusOK)
+				g.setLimits(3*time.Second, duration(c.lowered))
+			})
+			_, _ = io.WriteString(g.conn, plainRequest)
+			res, err := http.ReadResponse(g.br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = res.Body.Close()
+			if got := res.Header.Get("Keep-Alive"); got != c.want {
+				t.Errorf("Keep-Alive is %q, want %q", got, c.want)
+			}
+			<-waits
+			g.check(duration(c.idle))
+			if !g.send(plainRequest) {
+				t.Error("the next request got no response")
+			}
+		})
+	}
+}
+
+// Guards against responses of a relay that leave the limit out, and against a limit beside the announcement of a close.
+func TestRelayAnnouncesIdleLimit(t *testing.T) {
+	for name, c := range map[string]struct {
+		draining bool
+		want     string
+	}{"in service": {false, "timeout=12"}, "stopping": {true, ""}} {
+		t.Run(name, func(t *testing.T) {
+			g := newCallerRig(t)
+			g.initRelay()
+			if c.draining {
+				g.relay.drain.startedAt = g.clock.Now()
+			}
+			g.handler = g.relay
+			_, _ = io.WriteString(g.conn, plainRequest)
+			res, err := http.ReadResponse(g.br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = res.Body.Close()
+			if got := res.Header.Get("Keep-Alive"); got != c.want || res.Close != c.draining {
+				t.Errorf("Keep-Alive is %q, the connection closes: %t", got, res.Close)
+			}
+		})
+	}
+}
+
 // Guards against a request without a body that ends without a response, because its deadline has passed and ends the
 // server's watch over the connection as if the caller had left.
 func TestPassedDeadlineIsAnswered(t *testing.T) {
 	g := newCallerRig(t)
-	g.relay.Names = HeaderNames{ParsePromptParts: func(string) []string { return nil }}
-	g.relay.Budget, g.relay.budgets = place.RetryBudget{Window: time.Second}, map[string]*place.RetryBudget{}
-	g.relay.drain.setRelay(g.relay)
-	g.relay.feed.initFeed(g.relay)
-	close(g.relay.feed.initialised)
-	g.relay.index.Store(state.NewConfigIndex(&state.State{
-		Limits: state.RequestLimits{HeaderBytes: 1 << 14}, Routes: []state.Route{{Host: "h", Prefix: "/", Kind: state.Safe}},
-	}))
+	g.initRelay()
 	// The rig's clock is years behind, so the deadline has passed as soon as the server watches the connection.
 	watches := make(chan struct{})
 	g.hooks.Store(&callerHook{moment: asHeaderIsRead, f: func(*hookedConn) {
--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -96,6 +96,20 @@
 	return c.expiry, c.expired
 }
 
+// PromiseIdle returns the limit on idle connections that is in force, for a response that announces it. The connection is
+// not held to a lower one after that response.
+func (t *ConnTable) PromiseIdle(nc net.Conn) time.Duration {
+	c, ok := nc.(*clientConn)
+	if !ok {
+		return 0
+	}
+	limit := t.Limits().Idle
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.promisedIdle = limit
+	return limit
+}
+
 // openCount returns the number of connections in the table.
 func (t *ConnTable) openCount() int {
 	t.mu.Lock()
@@ -173,6 +187,8 @@
 	// had no request.
 	since     time.Time
 	idleLimit time.Duration
+	// promisedIdle is the limit on idle connections that the response of the current request has announced.
+	promisedIdle time.Duration
 	// readAhead is true if a byte of the next request was read while the current one is served.
 	readAhead bool
 	// waiting is true while a read waits for bytes. As long as the header of a request is being read, the bytes that the
@@ -223,7 +239,7 @@
 	c.waiting = true
 }
 
-// setPhase records the beginning of a phase and the limit on idle connections.
+// setPhase records the beginning of a phase and the limit on idle connections, which is not below the announced one.
 func (c *clientConn) setPhase(p connPhase, idleLimit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -231,7 +247,8 @@
 		p = phaseReceiving
 	}
 	c.readAhead = false
-	c.phase, c.since, c.idleLimit = p, c.table.Clock.Now(), idleLimit
+	c.phase, c.since, c.idleLimit = p, c.table.Clock.Now(), max(idleLimit, c.promisedIdle)
+	c.promisedIdle = 0
 }
 
 // closeIfExpired closes the connection if it exceeds a limit.
