--- a/io/keeper/lists.go
+++ b/io/keeper/lists.go
@@ -43,8 +43,8 @@
 			continue
 		}
 		err := s.readAndSendList(ctx)
-		if err != nil && !failing {
-			s.keeper.Log.Warn("list-not-read", zap.Error(err))
+		if err != nil {
+			s.countFailure(err, !failing)
 		}
 		if err == nil && failing {
 			s.keeper.Log.Info("list-read-recovered")
@@ -54,6 +54,17 @@
 	return ctx.Err()
 }
 
+// countFailure counts a failed read of the list of endpoints by its reason, and logs it if log is set.
+func (s *endpointLists) countFailure(err error, log bool) {
+	reason := serve.FailureReason(err)
+	if s.keeper.Metrics != nil {
+		s.keeper.Metrics.Tagged(map[string]string{"reason": reason}).Counter("list-failures").Inc(1)
+	}
+	if log {
+		s.keeper.Log.Warn("list-not-read", zap.String("reason", reason), zap.Error(err))
+	}
+}
+
 // shouldReadList reports whether this keeper must read the list of endpoints from the platform, because it is the
 // leader or has no recent list from the leader.
 func (s *endpointLists) shouldReadList() bool {
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -352,7 +352,9 @@
 	start := f.relay.Clock.Now()
 	endpoints, err := f.relay.EndpointLister.Read(ctx)
 	if err != nil {
-		f.relay.Log.Warn("list-not-read", zap.Error(err))
+		reason := serve.FailureReason(err)
+		f.relay.meter.countReason("list-failures", reason)
+		f.relay.Log.Warn("list-not-read", zap.String("reason", reason), zap.Error(err))
 		return
 	}
 	f.relay.Log.Info("list-read", zap.Int("endpoints", len(endpoints)), zap.String("reason", "no keeper sends it"))
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -133,7 +133,7 @@
 	defer cancel()
 	pr.report, pr.err = p.relay.Engines.Report(p.relay.withControlCall(ctx, e), e.Address)
 	pr.alive = pr.err == nil || errors.Is(pr.err, ErrCallRefused)
-	p.relay.meter.countReason("engine-questions", aliveLabel(pr.alive))
+	p.relay.meter.countReason("engine-questions", pr.result())
 	if pr.alive {
 		return
 	}
@@ -141,10 +141,18 @@
 	p.relay.withTable(func(t *place.EndpointTable, now time.Time) { suspended = t.RecordFailure(e.ID, true, now) })
 	p.relay.pool.closeIdle(e.ID)
 	p.relay.Log.Info("engine-unresponsive", zap.String("endpoint", e.ID), zap.String("domain", e.Domain),
-		zap.Duration("suspended", suspended), zap.Error(pr.err))
+		zap.String("result", pr.result()), zap.Duration("suspended", suspended), zap.Error(pr.err))
 }
 
-// aliveLabel returns the metric label of the result of an engine's liveness probe.
+// result returns the metric label of the result of an engine's liveness probe.
+func (p *livenessProbe) result() string {
+	if !p.alive && serve.FailureReason(p.err) == serve.ReadOversized {
+		return serve.ReadOversized
+	}
+	return aliveLabel(p.alive)
+}
+
+// aliveLabel returns the metric label of a check whether an endpoint is alive.
 func aliveLabel(alive bool) string {
 	if alive {
 		return "alive"
--- a/io/serve/client.go
+++ b/io/serve/client.go
@@ -17,9 +17,9 @@
 
 // The reasons for which a read from another party fails, as FailureReason returns them.
 const (
-	readOversized = "oversized"
-	readTimeout   = "timeout"
-	readFailed    = "failed"
+	ReadOversized = "oversized"
+	ReadTimeout   = "timeout"
+	ReadFailed    = "failed"
 )
 
 // FailureReason returns the reason under which a failed HTTP request is counted: oversized, timeout or failed.
@@ -28,11 +28,11 @@
 	switch {
 	// net/http exports no error for a header above Transport.MaxResponseHeaderBytes.
 	case errors.Is(err, ErrOversized), strings.Contains(err.Error(), "response headers exceeded"):
-		return readOversized
+		return ReadOversized
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &n) && n.Timeout():
-		return readTimeout
+		return ReadTimeout
 	}
-	return readFailed
+	return ReadFailed
 }
 
 // NewUnpooledClient returns an HTTP client that opens a new connection for each request and accepts response headers of
