Bound the time for writing a call's response to its caller

A caller of a plain service that did not read its response held the router's handler, and the response of up to 8 MB, without a limit. Streams and completions have a write deadline; calls and refusals had none.

Refusals get 5 s.

--- a/io/router/refusal.go
+++ b/io/router/refusal.go
@@ -56,5 +56,6 @@
 		seconds := (f.RetryAfter + time.Second - 1) / time.Second
 		w.Header().Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(callerWriteDeadline))
 	serve.WriteJSON(w, f.Status(), newErrorBody(f))
 }
