Test long uploads whose caller leaves or whose endpoint does not read

Not covered: a caller that leaves while the endpoint does not read; its end is not visible behind the unread body, and the request's deadline ends it.

--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -274,3 +274,44 @@
 	q.servePlain()
 	g.within(g.left, maxEndDelay, "the endpoint is left")
 }
+
+// Guards against a long upload whose endpoint stays connected after the caller has left or the deadline has passed.
+func TestUploadEndsWithCallerAndDeadline(t *testing.T) {
+	const header = "POST /unsafe HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nContent-Length: 100000000\r\n\r\n"
+	t.Run("caller leaves", func(t *testing.T) {
+		t.Parallel()
+		g := newForwardRig(t, func(net.Conn, string) {})
+		c := g.send(header + strings.Repeat("x", 1<<20))
+		time.Sleep(50 * time.Millisecond)
+		_ = c.Close()
+		g.within(g.left, maxEndDelay, "the endpoint is left")
+	})
+	for name, sent := range map[string]int{"slow caller": 1 << 10, "endpoint that does not read": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			unread := make(chan struct{})
+			g := newForwardRig(t, func(net.Conn, string) {
+				if sent > 1<<10 {
+					<-unread
+				}
+			})
+			c := g.send(header + strings.Repeat("x", sent))
+			go func() { _, _ = io.Copy(c, neverEnding{}) }()
+			time.AfterFunc(forwardTimeout+maxEndDelay/2, func() { close(unread) })
+			res, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || res.StatusCode != http.StatusGatewayTimeout {
+				t.Errorf("the response is %v, %v", res, err)
+			}
+			g.within(g.left, maxEndDelay, "the endpoint is left")
+		})
+	}
+}
+
+// neverEnding is a body without end that is sent in pieces with pauses.
+type neverEnding struct{}
+
+// Read returns some bytes.
+func (neverEnding) Read(p []byte) (int, error) {
+	time.Sleep(10 * time.Millisecond)
+	return len(p), nil
+}
