Test 100 endless forwarded responses beside sound requests

TestEndlessForwardedResponses forwards 100 responses without end to callers that read slowly or not at all, and sends sound requests one after another meanwhile.

--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -52,13 +53,19 @@
 // newForwardRig starts a relay with one route of each kind; the paths are the names of the kinds.
 func newForwardRig(t *testing.T, script func(c net.Conn, header string)) *forwardRig {
 	t.Helper()
-	g := &forwardRig{t: t, handled: make(chan time.Duration, 8), left: make(chan time.Duration, 8)}
+	g := &forwardRig{t: t, handled: make(chan time.Duration, 1024), left: make(chan time.Duration, 1024)}
 	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = endpoint.Close() })
 	go g.loopEndpoint(endpoint, script)
+	sound, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = sound.Close() })
+	go g.loopEndpoint(sound, soundResponse)
 	r := &Relay{
 		Clock: wall.Clock{}, Log: zap.NewNop(), ctx: t.Context(), Engines: soundEngine{}, Budget: place.RetryBudget{Slack: 100, Window: time.Second},
 		budgets: map[string]*place.RetryBudget{},
@@ -86,7 +93,9 @@
 	close(r.feed.initialised)
 	r.callers.initConnTable(r)
 	r.table.Rand = rand.New(rand.NewPCG(1, 2))
-	r.table.Update([]place.Endpoint{{ID: "e", Service: "s", Address: endpoint.Addr().String(), Domain: "a"}})
+	r.table.Update([]place.Endpoint{
+		{ID: "e", Service: "s", Address: endpoint.Addr().String(), Domain: "a"}, {ID: "sound", Service: "sound", Address: sound.Addr().String(), Domain: "b"},
+	})
 	var routes []state.Route
 	for name, kind := range map[string]state.RouteKind{"safe": state.Safe, "unsafe": state.Unsafe, "stream": state.Stream} {
 		routes = append(routes, state.Route{
@@ -94,9 +103,13 @@
 			Shares: []state.ServiceShare{{Service: "s", Weight: 1}},
 		})
 	}
+	routes = append(routes, state.Route{
+		Name: "sound", Host: "h", Prefix: "/sound", Kind: state.Unsafe, Timeout: 5 * time.Second, MaxAttempts: 1,
+		Shares: []state.ServiceShare{{Service: "sound", Weight: 1}},
+	})
 	r.index.Store(state.NewConfigIndex(&state.State{
 		Limits:   state.RequestLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 30, HeaderTimeout: time.Minute, IdleTimeout: time.Minute},
-		Services: []state.Service{{Name: "s"}}, Routes: routes,
+		Services: []state.Service{{Name: "s"}, {Name: "sound"}}, Routes: routes,
 	}))
 	g.relay = r
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -172,6 +185,11 @@
 	}
 }
 
+// soundResponse sends a short response and closes the connection.
+func soundResponse(c net.Conn, header string) {
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 2\r\nConnection: close\r\n\r\nok")
+}
+
 // endlessBody sends a large body without end until the relay closes the connection.
 func endlessBody(c net.Conn, header string) {
 	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 1000000000\r\n\r\n")
@@ -315,3 +333,52 @@
 	time.Sleep(10 * time.Millisecond)
 	return len(p), nil
 }
+
+const (
+	// endlessRequests is the number of requests that meet an endless response at the same time.
+	endlessRequests = 100
+	// maxHeapGrowth bounds the growth of the heap under endless responses in bytes; it is half of the memory of a relay's
+	// instance, and covers the simulated endpoints and the callers too.
+	maxHeapGrowth = 92 << 20
+)
+
+// Guards against a relay that runs out of memory or serves sound requests no more, while 100 endless responses are
+// forwarded at once to callers that read slowly or not at all.
+func TestEndlessForwardedResponses(t *testing.T) {
+	g := newForwardRig(t, endlessBody)
+	var before, now runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var peak uint64
+	for i := range endlessRequests {
+		c := g.send(get("unsafe"))
+		if i%2 == 0 {
+			go func() {
+				for buf := make([]byte, 1<<10); ; time.Sleep(10 * time.Millisecond) {
+					if _, err := c.Read(buf); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}
+	start, served := time.Now(), 0
+	for ; time.Since(start) < forwardTimeout+writeGrace; served++ {
+		c := g.send(get("sound"))
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("a sound request got %v, %v", res, err)
+		}
+		_ = c.Close()
+		runtime.ReadMemStats(&now)
+		peak = max(peak, now.HeapInuse)
+	}
+	if grown := int64(peak) - int64(before.HeapInuse); grown > maxHeapGrowth {
+		t.Errorf("the heap grew by %d MB, want at most %d", grown>>20, maxHeapGrowth>>20)
+	} else {
+		t.Logf("the heap grew by %d MB; %d sound requests were served", grown>>20, served)
+	}
+	for range endlessRequests + served {
+		g.within(g.handled, 2*maxEndDelay, "a handler ends")
+	}
+}
