Relay: end outlasting requests when the listener closes

Requests that outlast a planned stop ended 200 ms before the process is killed, on a timer of its own, which left 100 ms for their answers. On a machine with 45 runnable processes on 8 cores, where a sleep of 5 ms took up to 95 ms longer, one of 8 runs of TestRequestsAtEndOfGraceAreAnswered lost an answer (a short body under way, EOF).

They now end as the shutdown closes the listener, 300 ms before the kill, so that 200 ms remain for their answers; the timer is gone.

--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -23,11 +23,9 @@
 	// drainMargin is added to the address TTLs of a graceful shutdown, so that the relay's report that it is draining
 	// can reach the directory.
 	drainMargin = 300 * time.Millisecond
-	// killMargin is how long before the platform kills the process a relay that is shutting down exits by itself.
+	// killMargin is how long before the platform kills the process a relay that is shutting down ends the requests that still
+	// run, so that they can be answered before their connections close, and exits by itself.
 	killMargin = 300 * time.Millisecond
-	// cutMargin is how long before the platform kills the process the requests that still run end, so that they can be
-	// answered before their connections close.
-	cutMargin = 200 * time.Millisecond
 	// exitMargin is the part of killMargin that remains for the exit after the server for callers has closed.
 	exitMargin = 100 * time.Millisecond
 	// drainCheckInterval is the time between two checks during a graceful shutdown whether all requests have ended.
@@ -95,8 +93,7 @@
 }
 
 // answerTime returns the time for which the server for callers must answer requests before it closes; zero unless the
-// shutdown has ended. Requests that arrive after that are refused at once. At the end of the grace period, those that still
-// run have until cutMargin before it, and are answered then.
+// shutdown has ended. Requests that arrive after that are refused at once, and those that still run are answered.
 func (d *drain) answerTime() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -169,7 +166,7 @@
 	running := d.inFlight
 	d.finished = true
 	d.mu.Unlock()
-	time.AfterFunc(d.relay.StopGrace-cutMargin-d.relay.Clock.Now().Sub(d.startedAt), d.cutRequests)
+	d.cutRequests()
 	d.relay.Log.Info("drain-finished", zap.Int("running", running),
 		zap.Duration("took", d.relay.Clock.Now().Sub(d.startedAt)))
 	return errDrained
