Keeper, control: answer operators when the process stops

An operator whose change was in progress when a control process stopped got an EOF at once, since its server had no time for answers; at a keeper it got one after a second if there was no quorum, since a change waits for 3 s.

Both servers now have a second, in which the replicated log goes on, and end the contexts of the requests 0.2 s before its end (serve.EndRequests), also that of a change at a keeper, which goes on if its operator leaves. The operator gets 200, or 503 as after any change that no quorum confirmed; the control process says whether the change may still take effect.

Failed before: io/ctrl TestChangeDuringStopIsAnswered and io/keeper TestPutDuringStopIsAnswered, EOF in both; now 503.

--- a/io/ctrl/control.go
+++ b/io/ctrl/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,7 +105,11 @@
 		zap.String("peer-listen", c.PeerListen), zap.String("disk", c.folder.DiskID()))
 	var g run.Group
 	serve.AddLoop(stopCtx, &g, c.loopStop)
-	serve.AddHTTPServer(&g, newHTTPServer(c.guard.Handler(c.apiHandler())), serve.LimitListener(operatorListener, maxOperatorConnections), nil)
+	requests, endRequests := context.WithCancel(ctx)
+	defer endRequests()
+	operators := newHTTPServer(c.guard.Handler(c.apiHandler()))
+	operators.BaseContext = func(net.Listener) context.Context { return requests }
+	serve.AddHTTPServer(&g, operators, serve.LimitListener(operatorListener, maxOperatorConnections), serve.EndRequests(serve.ShutdownTimeout, endRequests))
 	serve.AddHTTPServer(&g, newHTTPServer(c.peerHandler()), serve.LimitListener(peerListener, maxPeerConnections), nil)
 	for _, m := range c.groups {
 		serve.AddLoop(ctx, &g, m.loop)
--- a/io/ctrl/join_test.go
+++ b/io/ctrl/join_test.go
@@ -43,6 +43,8 @@
 type testControl struct {
 	*Control
 	done chan error
+	// stop starts the planned stop.
+	stop context.CancelFunc
 }
 
 // run runs the control process until ctx ends and sends the result on done.
@@ -61,6 +63,7 @@
 		Metrics: metric.New("control"), OperatorHashes: map[string]string{"ops": hex.EncodeToString(sum[:])},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
 	go r.run(ctx)
 	t.Cleanup(func() {
 		cancel()
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -64,6 +64,9 @@
 	guard     serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
 	ctx context.Context
+	// operators ends, by endOperators, when the operators' requests that still run must be answered because the process stops.
+	operators    context.Context
+	endOperators context.CancelFunc
 	// requests counts the requests of other processes of the system that are being handled.
 	requests sync.WaitGroup
 }
@@ -95,6 +98,8 @@
 	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
 	k.ctx = ctx
+	k.operators, k.endOperators = context.WithCancel(ctx)
+	defer k.endOperators()
 	k.guard = serve.PanicGuard{Log: k.Log}
 	if k.Metrics != nil {
 		k.guard.Metrics = k.Metrics
@@ -112,11 +117,11 @@
 	serve.AddLoop(stop, &g, k.loopStop)
 	mux := http.NewServeMux()
 	mux.Handle(wire.Path, &wire.Server{Key: k.PeerKey, HandlerFor: k.handlerFor, Log: k.Log})
-	if err := k.listen(&g, Server{Address: k.PeerAddress, Handler: mux}, maxPeerConnections); err != nil {
+	if err := k.listen(ctx, &g, Server{Address: k.PeerAddress, Handler: mux}, maxPeerConnections); err != nil {
 		return err
 	}
 	for _, s := range k.Servers {
-		if err := k.listen(&g, s, maxClientConnections); err != nil {
+		if err := k.listen(k.operators, &g, s, maxClientConnections); err != nil {
 			return err
 		}
 	}
@@ -141,8 +146,9 @@
 	return err
 }
 
-// listen opens a listener of the keeper with a limit on its connections and adds its HTTP server to the run group.
-func (k *Keeper) listen(g *run.Group, s Server, connections int) error {
+// listen opens a listener of the keeper with a limit on its connections and adds its HTTP server, whose requests end with ctx, to
+// the run group. Links between processes are hijacked connections, which the server does not close; they end with ctx too.
+func (k *Keeper) listen(ctx context.Context, g *run.Group, s Server, connections int) error {
 	l, err := serve.Listen(s.Address)
 	if err != nil {
 		return fmt.Errorf("open a listener: %w", err)
@@ -150,11 +156,9 @@
 	server := &http.Server{
 		Handler: k.guard.Handler(s.Handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout,
 		IdleTimeout: idleTimeout,
-		// Links between processes are hijacked connections, which the HTTP server does not close; they end with this
-		// context.
-		BaseContext: func(net.Listener) context.Context { return k.ctx },
+		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
-	serve.AddHTTPServer(g, server, serve.LimitListener(l, connections), func() time.Duration { return serve.ShutdownTimeout })
+	serve.AddHTTPServer(g, server, serve.LimitListener(l, connections), serve.EndRequests(serve.ShutdownTimeout, k.endOperators))
 	return nil
 }
 
--- a/io/keeper/machine.go
+++ b/io/keeper/machine.go
@@ -112,6 +112,7 @@
 	start := k.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
+	defer context.AfterFunc(k.operators, cancel)()
 	e := state.LogEntry{Version: s.Version, Document: document}
 	data, err := e.Encode()
 	if err != nil {
--- a/io/serve/serve.go
+++ b/io/serve/serve.go
@@ -52,6 +52,18 @@
 	})
 }
 
+// answerMargin is how long before a server closes its requests end, so that they can be answered.
+const answerMargin = 200 * time.Millisecond
+
+// EndRequests returns an answer time for AddHTTPServer, the timeout, and calls end as the last moment at which the requests that
+// still run can be answered has come; end ends their contexts.
+func EndRequests(timeout time.Duration, end func()) func() time.Duration {
+	return func() time.Duration {
+		time.AfterFunc(timeout-answerMargin, end)
+		return timeout
+	}
+}
+
 // WriteJSON responds with the status and v encoded as JSON, or with status 500 if v cannot be encoded. It ignores write
 // errors, which mean that the client has disconnected.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
