--- a/io/keeper/machine.go
+++ b/io/keeper/machine.go
@@ -116,6 +116,7 @@
 	start := k.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, putTimeout)
 	defer cancel()
+	defer context.AfterFunc(k.operators, cancel)()
 	e := state.NewLogEntry(s.Version, document)
 	data, err := e.Encode()
 	if err != nil {
