--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -114,7 +114,7 @@
 			t.Fatalf("%d of %d bytes are free", free, limit)
 		}
 	}
-	m.disk.others.Store(m.disk.FreeBytes("") - 100<<10)
+	m.disk.others.Store(limit)
 	time.Sleep(spaceCheckInterval + 100*time.Millisecond)
 	before := store.UsedBytes(m.folder.Path)
 	if err := m.propose(size, time.Second); !errors.Is(err, ErrNoSpace) {
