Show a short disk in the status, and refuse for lack of room as not run

A proposal that is refused for lack of room now also is ErrNotRun, so that the control process and the ledger say truthfully that it was not made; before, only the keepers knew the error. TestStatusShowsShortDisk covers the text; TestProposalWithoutRoomIsRefused the error.

--- a/io/ctrl/status.go
+++ b/io/ctrl/status.go
@@ -55,6 +55,9 @@
 	Complete bool `json:"complete"`
 	// Missing says, for each member of the Raft group that prevents Complete, what it lacks.
 	Missing []string `json:"missing,omitempty"`
+	// SpaceShort is true if the disk of the process that shows the status has too little room for a snapshot of the Raft
+	// group, so that the process takes no changes.
+	SpaceShort bool `json:"space-short,omitempty"`
 	// Engines and Blocked are the engines, and the held-back loads and unloads of models and adapters, that the leader
 	// of the Raft group config knows; Status shows them for the whole system.
 	Engines []EngineStatus `cbor:"engines,omitempty" json:"-"`
@@ -99,6 +102,7 @@
 	slices.Sort(names)
 	for _, name := range names {
 		g := c.groups[name].statusFromLeader(ctx)
+		g.SpaceShort = c.groups[name].replica.Status().SpaceShort
 		s.Groups = append(s.Groups, g)
 		s.Problems = append(s.Problems, c.groupProblems(g)...)
 		if name == ConfigGroup {
@@ -139,6 +143,9 @@
 	if g.Leader == "" {
 		out = append(out, fmt.Sprintf("group %s has no leader", g.Name))
 	}
+	if g.SpaceShort {
+		out = append(out, fmt.Sprintf("group %s: the disk of this process has too little room, so that it takes no changes", g.Name))
+	}
 	for _, text := range g.Missing {
 		out = append(out, fmt.Sprintf("group %s: %s", g.Name, text))
 	}
--- a/io/ctrl/status_test.go
+++ b/io/ctrl/status_test.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"strings"
 	"testing"
 
 	"wasabiweir/io/wire"
@@ -16,3 +17,12 @@
 		t.Fatalf("engines %v, problems %v", s.Engines, s.Problems)
 	}
 }
+
+// Guards against a process that refuses changes for lack of room on its disk without a word in its status.
+func TestStatusShowsShortDisk(t *testing.T) {
+	c := &Control{}
+	g := GroupStatus{Name: "config", Leader: "a", SpaceShort: true}
+	if out := c.groupProblems(g); len(out) != 1 || !strings.Contains(out[0], "too little room") {
+		t.Errorf("problems are %q", out)
+	}
+}
--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -60,7 +60,7 @@
 // Propose replicates the data in the log of the Raft group. Once this member has applied it, Propose returns the state
 // machine's result and the index of the log entry. A follower forwards the data to the leader, or waits until there is
 // one. A proposal that is lost in a change of leader is submitted again. Propose returns ErrNotRun if the data was not
-// submitted, because the context ended or too many proposals are queued, and ErrUnknown or ErrStopped if the data may
+// submitted, because the context ended, too many proposals are queued or the disk has no room (also ErrNoSpace), and ErrUnknown or ErrStopped if the data may
 // have been applied or may still be.
 func (r *Replica) Propose(ctx context.Context, data []byte) (any, uint64, error) {
 	o := r.queueAndWait(ctx, &proposal{data: data, done: make(chan requestOutcome, 1)})
@@ -133,11 +133,15 @@
 		err = r.node.ProposeConfChange(c)
 	} else {
 		if len(p.data) > r.proposalRoom() {
+			err = raft.ErrNoSpace
+		} else {
+			err = r.node.Propose(append(key, p.data...))
+		}
+		if errors.Is(err, raft.ErrNoSpace) {
 			// The caller may send it to another member, or again.
-			p.deliverOutcome(requestOutcome{err: fmt.Errorf("%d bytes: %w", len(p.data), ErrNoSpace)})
+			p.deliverOutcome(requestOutcome{err: fmt.Errorf("%d bytes: %w", len(p.data), errors.Join(ErrNotRun, ErrNoSpace))})
 			return true
 		}
-		err = r.node.Propose(append(key, p.data...))
 		leader, notLeader := raft.IsNotLeader(err)
 		later := errors.Is(err, raft.ErrTransferInProgress) || errors.Is(err, raft.ErrTooManyUncommitted)
 		if notLeader && leader.IsZero() || later {
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -117,8 +117,8 @@
 	m.disk.others.Store(limit)
 	time.Sleep(spaceCheckInterval + 100*time.Millisecond)
 	before := store.UsedBytes(m.folder.Path)
-	if err := m.propose(size, time.Second); !errors.Is(err, ErrNoSpace) {
-		t.Errorf("a proposal without room: %v, want ErrNoSpace", err)
+	if err := m.propose(size, time.Second); !errors.Is(err, ErrNoSpace) || !errors.Is(err, ErrNotRun) {
+		t.Errorf("a proposal without room: %v, want ErrNoSpace and ErrNotRun", err)
 	}
 	if s := m.replica.Load().Status(); !s.SpaceShort || s.Role != raft.Leader {
 		t.Errorf("status is %+v, want a leader short of space", s)
