Let the configuration alone limit the time of a caller's header

A caller that opened a connection and sent its first request 10 s later met a connection that the relay had closed, with neither an answer nor a refusal, although the configuration allowed 15 s without a request. A header to which the configuration gave more than 10 s was cut as well.

Cause: net/http held each header to a fixed 10 s of the relay itself, on a new connection from its opening on. The table of connections applies both limits of the configuration, and those of the relay before the first configuration, so the server for callers has none of its own now.

TestConfigurationAloneLimitsHeaders.

--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -47,7 +47,7 @@
 // newServer returns the HTTP server for callers and the listener on which it serves them.
 func (c *callerConns) newServer(h http.Handler, l net.Listener) (*http.Server, net.Listener) {
 	return &http.Server{
-		Handler: c.announceLimits(h), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout,
+		Handler: c.announceLimits(h), MaxHeaderBytes: maxHeaderBytes,
 		ConnState: c.table.TrackState, ConnContext: c.withConn,
 	}, c.table.Listener(serve.LimitListener(l, maxCallerConnections))
 }
--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -35,6 +35,8 @@
 	handler http.Handler
 	// served is the number of requests that the handler got.
 	served atomic.Int32
+	// deadlines is the number of read deadlines in the future that the server has set.
+	deadlines atomic.Int32
 	// hooks holds the function that is called once at the next moment of its name.
 	hooks atomic.Pointer[callerHook]
 	// idle receives a value each time the server reports an idle connection.
@@ -179,6 +181,9 @@
 
 // SetReadDeadline sets the deadline, and waits for the end of a read that it ends.
 func (c *hookedConn) SetReadDeadline(t time.Time) error {
+	if t.After(time.Now()) {
+		c.rig.deadlines.Add(1)
+	}
 	err := c.Conn.SetReadDeadline(t)
 	if !t.IsZero() && t.Before(time.Now()) {
 		c.reading.Lock()
@@ -295,6 +300,19 @@
 	}
 }
 
+// Guards against a connection that net/http closes by a fixed time on which no limit of the configuration has a bearing: 10 s
+// for the first request, when the configuration allows 15 s without one, or a longer header.
+func TestConfigurationAloneLimitsHeaders(t *testing.T) {
+	g := newCallerRig(t)
+	g.sendFirst()
+	if !g.send(plainRequest) {
+		t.Error("the second request got no response")
+	}
+	if n := g.deadlines.Load(); n > 0 {
+		t.Errorf("the server set %d read deadlines of its own", n)
+	}
+}
+
 // Guards against a header that may take as long as the idle limit, and against an idle limit that ends a header early.
 func TestHeaderLimit(t *testing.T) {
 	for name, c := range map[string]struct {
