--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -44,7 +44,7 @@
 // newServer returns the HTTP server for callers and the listener on which it serves them.
 func (c *callerConns) newServer(h http.Handler, l net.Listener) (*http.Server, net.Listener) {
 	return &http.Server{
-		Handler: c.announceLimits(h), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout,
+		Handler: c.announceLimits(h), MaxHeaderBytes: maxHeaderBytes,
 		ConnState: c.table.TrackState, ConnContext: serve.ContextWithConn,
 	}, c.table.Listener(serve.LimitListener(l, maxCallerConnections))
 }
