Compare hosts and prefixes of routes in one normal form

Two routes whose hosts differ only in the case of their letters, a port or a trailing dot were acknowledged, and requests to the second one ran at the first one's service. Validation compared hosts as written, the index compared them in lower case and without a port. A bare IPv6 address lost its last group as a port.

One function gives the normal form of a host (case, port, trailing dot, brackets and spelling of an IPv6 address), one that of a path (percent-encoding of unreserved characters, case of the digits); validation, index and lookup use them. Dot segments are left alone: clients remove them, and the path is forwarded as it was sent.

Looked at for the same class: services and accounts are compared byte by byte everywhere; the own interface routes by the names of services.

--- a/core/state/index.go
+++ b/core/state/index.go
@@ -10,21 +10,28 @@
 type ConfigIndex struct {
 	State *State
 
-	routesByHost   map[string][]*Route
+	// routesByHost holds the routes of each host by descending length of their prefixes, both in their normal forms.
+	routesByHost   map[string][]indexedRoute
 	accountsByKey  map[string]*Account
 	servicesByName map[string]*Service
 }
 
+// indexedRoute is a route with the normal form of its prefix.
+type indexedRoute struct {
+	prefix string
+	route  *Route
+}
+
 // NewConfigIndex returns an index of the configuration state, which must have passed Validate.
 func NewConfigIndex(s *State) *ConfigIndex {
-	x := &ConfigIndex{State: s, routesByHost: map[string][]*Route{}, accountsByKey: map[string]*Account{}, servicesByName: map[string]*Service{}}
+	x := &ConfigIndex{State: s, routesByHost: map[string][]indexedRoute{}, accountsByKey: map[string]*Account{}, servicesByName: map[string]*Service{}}
 	for i := range s.Routes {
 		r := &s.Routes[i]
 		host := canonicalHost(r.Host)
-		x.routesByHost[host] = append(x.routesByHost[host], r)
+		x.routesByHost[host] = append(x.routesByHost[host], indexedRoute{canonicalPath(r.Prefix), r})
 	}
 	for _, list := range x.routesByHost {
-		slices.SortFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+		slices.SortFunc(list, func(a, b indexedRoute) int { return len(b.prefix) - len(a.prefix) })
 	}
 	for i := range s.Accounts {
 		for _, key := range s.Accounts[i].Keys {
@@ -37,19 +44,12 @@
 	return x
 }
 
-// canonicalHost returns a request's host without its port, in lower case.
-func canonicalHost(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	return strings.ToLower(host)
-}
-
 // Route returns the route of the host with the longest prefix of the path, or nil if none matches.
 func (x *ConfigIndex) Route(host, path string) *Route {
+	path = canonicalPath(path)
 	for _, r := range x.routesByHost[canonicalHost(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r
+		if strings.HasPrefix(path, r.prefix) {
+			return r.route
 		}
 	}
 	return nil
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
+	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +36,10 @@
 	}{
 		"unknown service":          {func(s *State) { s.Routes[0].Shares[0].Service = "none" }, ErrUnknownService},
 		"same host and prefix":     {func(s *State) { s.Routes[1].Prefix = "/a/" }, ErrDuplicatePrefix},
+		"same host in other case":  {func(s *State) { s.Routes[1].Host, s.Routes[1].Prefix = "ONE.example", "/a/" }, ErrDuplicatePrefix},
+		"same host with a port":    {func(s *State) { s.Routes[1].Host, s.Routes[1].Prefix = "one.example:80", "/a/" }, ErrDuplicatePrefix},
+		"same host with a dot":     {func(s *State) { s.Routes[1].Host, s.Routes[1].Prefix = "one.example.", "/a/" }, ErrDuplicatePrefix},
+		"same prefix, encoded":     {func(s *State) { s.Routes[1].Prefix = "/%61/" }, ErrDuplicatePrefix},
 		"weights that add up to 0": {func(s *State) { s.Routes[1].Shares = []ServiceShare{{"s", 0}, {"t", 0}} }, ErrZeroWeight},
 		"timeout of 0":             {func(s *State) { s.Routes[0].Timeout = 0 }, ErrZeroTimeout},
 		"shared key":               {func(s *State) { s.Accounts[1].Keys = []string{"k2"} }, ErrDuplicateKey},
@@ -153,3 +160,61 @@
 		t.Errorf("entry in force is %+v, want version 1", current)
 	}
 }
+
+// respell returns the host or path in another spelling that HTTP calls equal.
+func respell(t *rapid.T, text string, spellings func(c byte) []string) string {
+	var out strings.Builder
+	for i := range len(text) {
+		out.WriteString(rapid.SampledFrom(spellings(text[i])).Draw(t, "spelling"))
+	}
+	return out.String()
+}
+
+// hostSpellings returns the spellings of one character of a host.
+func hostSpellings(c byte) []string {
+	return []string{string(c), strings.ToUpper(string(c))}
+}
+
+// pathSpellings returns the spellings of one character of a path; only characters whose percent-encoding means the same
+// have more than one.
+func pathSpellings(c byte) []string {
+	if c == '/' {
+		return []string{"/"}
+	}
+	return []string{string(c), fmt.Sprintf("%%%02x", c), fmt.Sprintf("%%%02X", c)}
+}
+
+// Guards against a state that is accepted and whose routes do not get their own requests, because validation and lookup
+// compare hosts and prefixes in different ways.
+func TestRequestsReachTheirRoute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &State{Version: 1, Services: []Service{{Name: "s"}}}
+		for i := range rapid.IntRange(1, 6).Draw(t, "routes") {
+			host := rapid.SampledFrom([]string{"a.b", "c", "10.0.0.1", "[fe80::1]"}).Draw(t, "host")
+			prefix := rapid.SampledFrom([]string{"/", "/x/", "/x/y/", "/~/"}).Draw(t, "prefix")
+			host = respell(t, host, hostSpellings) + rapid.SampledFrom([]string{"", ":80"}).Draw(t, "port")
+			s.Routes = append(s.Routes, Route{
+				Name: strconv.Itoa(i), Host: host, Prefix: respell(t, prefix, pathSpellings), Timeout: time.Second, Shares: []ServiceShare{{"s", 1}},
+			})
+		}
+		if s.Validate() != nil {
+			return
+		}
+		x := NewConfigIndex(s)
+		for i := range s.Routes {
+			r := &s.Routes[i]
+			host, _, _ := strings.Cut(strings.ToLower(r.Host), ":80")
+			if !strings.HasPrefix(host, "[") {
+				host += rapid.SampledFrom([]string{"", "."}).Draw(t, "dot")
+			}
+			host = respell(t, host, hostSpellings) + rapid.SampledFrom([]string{"", ":80", ":8080"}).Draw(t, "request port")
+			path, err := url.PathUnescape(r.Prefix)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := x.Route(host, respell(t, path+"rest", pathSpellings)); got != r {
+				t.Fatalf("a request to %s%s goes to route %+v, want %+v", host, path, got, r)
+			}
+		}
+	})
+}
--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -18,7 +18,7 @@
 	ErrNegativeValue   = eris.New("has a negative figure")
 )
 
-// hostPrefix is the host and path prefix that select a route.
+// hostPrefix is the host and path prefix that select a route, in their normal forms.
 type hostPrefix struct{ host, prefix string }
 
 // Validate returns all errors of the configuration state joined into one, or nil.
@@ -31,7 +31,7 @@
 	seen := make(map[hostPrefix]bool, len(s.Routes))
 	for i := range s.Routes {
 		r := &s.Routes[i]
-		target := hostPrefix{r.Host, r.Prefix}
+		target := hostPrefix{canonicalHost(r.Host), canonicalPath(r.Prefix)}
 		if seen[target] {
 			errs = append(errs, fmt.Errorf("route %q %w", r.Name, ErrDuplicatePrefix))
 		}
