Require keys where the list of client accounts is empty

After a configuration with an empty list of client accounts, relays took requests with any key and with none on routes that aren't public. Whether keys are needed was derived from the number of accounts, so that the removal of the last account opened all routes.

TestIndex's state sets the new field; its expectations are unchanged.

--- a/core/state/index.go
+++ b/core/state/index.go
@@ -62,7 +62,7 @@
 func (x *ConfigIndex) Service(name string) *Service { return x.servicesByName[name] }
 
 // NeedsKey reports whether requests on the route must carry the API key of a client account.
-func (x *ConfigIndex) NeedsKey(r *Route) bool { return len(x.State.Accounts) > 0 && !r.Public }
+func (x *ConfigIndex) NeedsKey(r *Route) bool { return x.State.KeysRequired && !r.Public }
 
 // PickService chooses the service for a request by the weights of the route's services; draw is a uniform random
 // number in [0, 1).
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -12,7 +12,10 @@
 	Services []Service
 	// Limits bound the size and duration of callers' requests.
 	Limits RequestLimits
-	// Accounts are the client accounts; if there are none, callers need no API keys.
+	// KeysRequired means that requests need the API key of a client account unless their route is public. If there are no
+	// accounts, no key is valid.
+	KeysRequired bool
+	// Accounts are the client accounts.
 	Accounts []Account
 	// Document is the configuration document as the operator sent it.
 	Document []byte
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -23,8 +23,9 @@
 			{Name: "a", Host: "one.example", Prefix: "/a/", Timeout: time.Second, Shares: []ServiceShare{{"s", 1}}},
 			{Name: "ab", Host: "one.example", Prefix: "/a/b/", Timeout: time.Second, Shares: []ServiceShare{{"s", 9}, {"t", 1}}, Public: true},
 		},
-		Services: []Service{{Name: "s"}, {Name: "t"}},
-		Accounts: []Account{{Name: "x", Keys: []string{"k1", "k2"}}, {Name: "y", Keys: []string{"k3"}}},
+		Services:     []Service{{Name: "s"}, {Name: "t"}},
+		KeysRequired: true,
+		Accounts:     []Account{{Name: "x", Keys: []string{"k1", "k2"}}, {Name: "y", Keys: []string{"k3"}}},
 	}
 }
 
