Refuse two client accounts of one name that share a key

Owners of keys were told apart by the names of their accounts, so that two accounts of one name could hold the same key, and the priority of the last one applied. They are told apart by their places in the list. One account may still list a key twice.

Before: TestInvalidStates accepted the new case. After: it passes.

--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -44,6 +44,7 @@
 		"weights that add up to 0": {func(s *State) { s.Routes[1].Shares = []ServiceShare{{"s", 0}, {"t", 0}} }, ErrZeroWeight},
 		"timeout of 0":             {func(s *State) { s.Routes[0].Timeout = 0 }, ErrZeroTimeout},
 		"shared key":               {func(s *State) { s.Accounts[1].Keys = []string{"k2"} }, ErrDuplicateKey},
+		"shared key, one name":     {func(s *State) { s.Accounts[1] = Account{Name: "x", Keys: []string{"k2"}} }, ErrDuplicateKey},
 		"prefix without slash":     {func(s *State) { s.Routes[0].Prefix = "/a" }, ErrInvalidPrefix},
 		"negative weight":          {func(s *State) { s.Routes[1].Shares[1].Weight = -1 }, ErrNegativeValue},
 	} {
--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -38,13 +38,13 @@
 		seen[target] = true
 		errs = append(errs, r.validate(services)...)
 	}
-	owners := map[string]string{}
-	for _, a := range s.Accounts {
+	owners := map[string]int{}
+	for i, a := range s.Accounts {
 		for _, key := range a.Keys {
-			if owner, found := owners[key]; found && owner != a.Name {
+			if owner, found := owners[key]; found && owner != i {
 				errs = append(errs, fmt.Errorf("client account %q %w", a.Name, ErrDuplicateKey))
 			}
-			owners[key] = a.Name
+			owners[key] = i
 		}
 	}
 	return errors.Join(errs...)
