Resume no stream at an endpoint that has drained for a second

A copy's holder and an endpoint with a cached prompt were only asked whether they are up and what they had said themselves, not what the list says of them.

Both now get streams for one second after the list has first shown them as draining, so that a stream whose engine is lost can still use its copy, and copies are moved to another holder meanwhile. Ruled out: no streams at all from the first sight on, which would lose the copies of all streams that their engines send there.

Before: TestDrainingHolderGetsNoLateResumes failed (resumed after more than a second, and copies stayed). After: it passes. Calls of Update in tests pass the time.

--- a/core/place/announcement.go
+++ b/core/place/announcement.go
@@ -88,24 +88,24 @@
 	return s.announced.record(n, sent, now)
 }
 
-// AcceptsCached reports whether the endpoint with the id is up and takes requests whose prompt it has cached; it may be full.
+// AcceptsCached reports whether the endpoint with the id takes requests whose prompt it has cached; it may be full.
 func (t *EndpointTable) AcceptsCached(id string, now time.Time) bool {
 	s := t.endpoints.Get(id)
-	return s != nil && s.isUp(now) && !s.announced.isLeaving() && s.announced.pauseLeft(now) == 0
+	return s != nil && s.takesResumed(now) && !s.announced.isLeaving() && s.announced.pauseLeft(now) == 0
 }
 
 // AcceptsResumed reports whether the endpoint with the id may be sent a stream to resume from a copy that it holds. A leaving
 // endpoint still gets streams whose request arrived before it said so.
 func (t *EndpointTable) AcceptsResumed(id string, arrived, now time.Time) bool {
 	s := t.endpoints.Get(id)
-	return s != nil && s.isUp(now) && s.announced.pauseLeft(now) == 0 &&
+	return s != nil && s.takesResumed(now) && s.announced.pauseLeft(now) == 0 &&
 		(!s.announced.isLeaving() || arrived.Before(s.announced.leavingSince))
 }
 
 // KeepsCopies reports whether the endpoint with the id is up and not about to end with the KV cache copies that it holds.
 func (t *EndpointTable) KeepsCopies(id string, now time.Time) bool {
 	s := t.endpoints.Get(id)
-	return s != nil && s.isUp(now) && !s.announced.isLeaving()
+	return s != nil && s.takesNew(now)
 }
 
 // IsPaused reports whether the endpoint with the id has asked for a pause that is not over.
--- a/core/place/announcement_test.go
+++ b/core/place/announcement_test.go
@@ -117,13 +117,13 @@
 	list := testEngines(3)
 	address := list[1].Address
 	list[1].ID = "e01-again"
-	x.Update(list)
+	x.Update(list, at(0))
 	if chosen(x, "e01-again", at(1)) == 0 || x.endpoints.Get("e01") != nil || x.endpoints.Get("gone") != nil {
 		t.Error("the next endpoint at the address gets no requests, or the old one is kept")
 	}
 	x.RecordAnnouncement("e02", Announcement{Leaving: true, Pause: time.Minute}, at(0), at(0))
 	list[2].Address = address
-	x.Update(list)
+	x.Update(list, at(0))
 	if chosen(x, "e02", at(1)) == 0 {
 		t.Error("an endpoint that is back at another address gets no requests")
 	}
@@ -205,3 +205,27 @@
 		t.Errorf("the end of the pause of %v is reported again", ended)
 	}
 }
+
+// Guards against streams that are resumed at an endpoint which the platform's list has shown as draining for long, and against
+// copies that are lost with it.
+func TestDrainingHolderGetsNoLateResumes(t *testing.T) {
+	x := newTable(4)
+	list := testEngines(4)
+	list[1].Draining = true
+	x.Update(list, at(10))
+	x.Update(list, at(10.5))
+	if !x.AcceptsCached("e01", at(10.9)) || !x.AcceptsResumed("e01", at(9), at(10.9)) {
+		t.Error("a stream isn't resumed at an endpoint that has just begun to drain")
+	}
+	if x.AcceptsCached("e01", at(11.1)) || x.AcceptsResumed("e01", at(9), at(11.1)) {
+		t.Error("a stream is resumed at an endpoint that has drained for more than a second")
+	}
+	if x.KeepsCopies("e01", at(10.1)) {
+		t.Error("copies stay at a draining holder")
+	}
+	list[1].Draining = false
+	x.Update(list, at(12))
+	if !x.AcceptsCached("e01", at(20)) || !x.KeepsCopies("e01", at(20)) {
+		t.Error("an endpoint that no longer drains gets no streams")
+	}
+}
--- a/core/place/limit_test.go
+++ b/core/place/limit_test.go
@@ -15,7 +15,7 @@
 	tables := make([]*EndpointTable, relays)
 	for i := range tables {
 		x := &EndpointTable{Rand: rand.New(rand.NewPCG(1, uint64(i)))}
-		x.Update([]Endpoint{{ID: "e", Service: "p", Domain: "d"}})
+		x.Update([]Endpoint{{ID: "e", Service: "p", Domain: "d"}}, testStart)
 		x.SetTurns(i, relays, testStart)
 		if i == 0 {
 			x.limits.Name("e", limit, testStart)
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -13,7 +13,7 @@
 // newTable returns a table of n model engines in three failure domains, for a relay without an index.
 func newTable(n int) *EndpointTable {
 	t := &EndpointTable{Rand: rand.New(rand.NewPCG(1, 1)), relayIndex: -1}
-	t.Update(testEngines(n))
+	t.Update(testEngines(n), testStart)
 	return t
 }
 
@@ -209,7 +209,7 @@
 	}
 	list := testEngines(3)
 	list[1].Draining = true
-	x.Update(list)
+	x.Update(list, testStart)
 	if !x.IsUp("e01", testStart) {
 		t.Error("a draining endpoint counts as down")
 	}
@@ -251,7 +251,7 @@
 func TestUnlistedEndpointsAreDeleted(t *testing.T) {
 	x := newTable(3)
 	x.RequestStarted("e00", true, testStart)
-	x.Update([]Endpoint{{ID: "new", Service: "m", Domain: "d0"}})
+	x.Update([]Endpoint{{ID: "new", Service: "m", Domain: "d0"}}, testStart)
 	if x.endpoints.Len() != 2 {
 		t.Errorf("%d endpoints, want the new one and the one that runs a request", x.endpoints.Len())
 	}
@@ -259,7 +259,7 @@
 		t.Error("an unlisted endpoint is returned")
 	}
 	x.RequestEnded("e00")
-	x.Update([]Endpoint{{ID: "new", Service: "m", Domain: "d0"}})
+	x.Update([]Endpoint{{ID: "new", Service: "m", Domain: "d0"}}, testStart)
 	if x.endpoints.Len() != 1 {
 		t.Errorf("%d endpoints, want one", x.endpoints.Len())
 	}
@@ -268,7 +268,7 @@
 // Guards against sending requests of a plain service to an endpoint that reports high load or slowness.
 func TestPlainRequestsFollowReportedLoad(t *testing.T) {
 	x := &EndpointTable{Rand: rand.New(rand.NewPCG(1, 1))}
-	x.Update([]Endpoint{{ID: "a", Service: "p", Slots: 6}, {ID: "b", Service: "p", Slots: 6}, {ID: "c", Service: "p", Slots: 6}})
+	x.Update([]Endpoint{{ID: "a", Service: "p", Slots: 6}, {ID: "b", Service: "p", Slots: 6}, {ID: "c", Service: "p", Slots: 6}}, testStart)
 	x.RecordLoad("a", EndpointLoad{Running: 6, Waiting: 4, Slots: 6, Slowness: 1}, testStart)
 	x.RecordLoad("b", EndpointLoad{Running: 1, Slots: 6, Slowness: 4}, testStart)
 	for range 20 {
--- a/core/place/survey_test.go
+++ b/core/place/survey_test.go
@@ -44,7 +44,7 @@
 	}
 	for i := range loadRelays {
 		t := &EndpointTable{Rand: rand.New(rand.NewPCG(uint64(i), 1))}
-		t.Update(endpoints)
+		t.Update(endpoints, testStart)
 		t.SetRelayIndex(i, loadRelays)
 		l.tables = append(l.tables, t)
 	}
@@ -161,7 +161,7 @@
 	now := time.UnixMilli(0)
 	table := &EndpointTable{Rand: rand.New(rand.NewPCG(1, 1))}
 	endpoints := []Endpoint{{ID: "a", Service: "m", Domain: "x"}, {ID: "b", Service: "m", Domain: "y"}, {ID: "c", Service: "m", Domain: "z"}}
-	table.Update(endpoints)
+	table.Update(endpoints, testStart)
 	req := EndpointRequirements{Service: "m", ModelEngines: true, Tokens: 6000}
 	full := EngineWork{FreeTokens: 5000, HasMemory: true}
 	idle := EngineWork{FreeTokens: 50000, HasMemory: true}
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -91,6 +91,8 @@
 	// addressReusedUntil is the time up to which the endpoint gets no requests because another endpoint has its
 	// address.
 	addressReusedUntil time.Time
+	// drainingSince is when the platform's list first showed the endpoint as draining; zero if it does not.
+	drainingSince time.Time
 	// announced is what the endpoint has said of itself.
 	announced    announced
 	reportedLoad EndpointLoad
@@ -111,7 +113,7 @@
 
 // Update replaces the endpoints that the platform's list contains. An endpoint that is no longer listed is kept while
 // it runs requests or holds KV cache copies.
-func (t *EndpointTable) Update(endpoints []Endpoint) {
+func (t *EndpointTable) Update(endpoints []Endpoint, now time.Time) {
 	seen := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
 		seen[e.ID] = true
@@ -119,10 +121,12 @@
 			if s.Address != e.Address {
 				s.announced = announced{}
 			}
-			s.Endpoint, s.listed = e, true
+			s.setListed(e, now)
 			continue
 		}
-		t.endpoints.Put(e.ID, endpointState{Endpoint: e, listed: true})
+		var s endpointState
+		s.setListed(e, now)
+		t.endpoints.Put(e.ID, s)
 	}
 	t.endpoints.Each(func(id string, s *endpointState) bool {
 		if seen[id] {
@@ -138,6 +142,17 @@
 	t.assignPreferredEndpoints()
 }
 
+// setListed records the endpoint's entry in the platform's list.
+func (s *endpointState) setListed(e Endpoint, now time.Time) {
+	s.Endpoint, s.listed = e, true
+	switch {
+	case !e.Draining:
+		s.drainingSince = time.Time{}
+	case s.drainingSince.IsZero():
+		s.drainingSince = now
+	}
+}
+
 // SetRelayIndex sets this relay's index among all relays, each of which prefers an equal part of the endpoints.
 func (t *EndpointTable) SetRelayIndex(index, relays int) {
 	t.relayIndex, t.relayCount = index, relays
@@ -278,6 +293,10 @@
 	return wait, limited
 }
 
+// maxDrainResume is how long a draining endpoint still gets streams to resume. It is well below the time for which platforms let
+// endpoints serve after the list shows them as draining, since the list is some hundred milliseconds old.
+const maxDrainResume = time.Second
+
 // Limits returns the limits that the endpoints have named.
 func (t *EndpointTable) Limits() *LimitTable { return &t.limits }
 
@@ -291,6 +310,12 @@
 	return s.isUp(now) && !s.Draining && !s.announced.isLeaving()
 }
 
+// takesResumed reports whether the endpoint is up and may get a stream that it has run or holds a copy of: while it drains, only
+// for maxDrainResume.
+func (s *endpointState) takesResumed(now time.Time) bool {
+	return s.isUp(now) && (!s.Draining || now.Sub(s.drainingSince) <= maxDrainResume)
+}
+
 // isUp reports whether the endpoint is in the platform's list, is not in backoff after a failure, and has not lost its
 // address to another endpoint.
 func (s *endpointState) isUp(now time.Time) bool {
--- a/io/relay/cut_test.go
+++ b/io/relay/cut_test.go
@@ -88,7 +88,7 @@
 	for _, x := range s.Services {
 		endpoints = append(endpoints, place.Endpoint{ID: x.Name, Service: x.Name, Domain: "d", Address: endpoint.Addr().String()})
 	}
-	r.table.Update(endpoints)
+	r.table.Update(endpoints, time.Now())
 	r.table.SetTurns(0, 1, time.Now())
 	r.table.Limits().Name("queued", 0.01, time.Now())
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -238,7 +238,7 @@
 	if !newer || same {
 		return
 	}
-	f.relay.withTable(func(t *place.EndpointTable, _ time.Time) { t.Update(list.Endpoints) })
+	f.relay.withTable(func(t *place.EndpointTable, now time.Time) { t.Update(list.Endpoints, now) })
 	f.closeInitialisedWhenReady()
 }
 
