--- a/core/bench/waves.go
+++ b/core/bench/waves.go
@@ -166,7 +166,7 @@
 		list = append(list, e.Endpoint)
 	}
 	for _, r := range w.relays {
-		r.table.Update(list)
+		r.table.Update(list, w.now)
 	}
 }
 
