Send a first configuration of version 0 to relays

A first configuration with version 0 was acknowledged and never reached relays, which took 0 for "none" and refused all requests as without a configuration. A relay now tells its keeper whether it has a configuration at all, beside the version.

Relays of an earlier release that don't tell get the configuration once more, which they skip.

--- a/io/keeper/feeds.go
+++ b/io/keeper/feeds.go
@@ -22,8 +22,9 @@
 
 // relayFeed records what this keeper has sent to one connected relay.
 type relayFeed struct {
-	// version is the version of the configuration state that the relay has or was sent.
-	version uint64
+	// version is the version of the configuration state that the relay has or was sent, if hasState is true.
+	version  uint64
+	hasState bool
 	// keepers is the last message with the addresses of keepers and relays that the relay was sent.
 	keepers wire.Keepers
 }
@@ -53,7 +54,7 @@
 	s.mu.Lock()
 	_, known := s.links[l]
 	if !known {
-		s.links[l] = &relayFeed{version: p.Revision}
+		s.links[l] = &relayFeed{version: p.Revision, hasState: p.HasState}
 	}
 	s.mu.Unlock()
 	if !known {
@@ -66,10 +67,10 @@
 	if err := s.keeper.confirmApplied(ctx); err != nil {
 		return wire.ConfigState{}, err
 	}
-	u := s.keeper.machine.stateSince(p.Revision)
+	u := s.keeper.machine.stateSince(p.Revision, p.HasState)
 	s.mu.Lock()
 	if f := s.links[l]; f != nil {
-		f.version = max(f.version, u.Version)
+		f.version, f.hasState = max(f.version, u.Version), f.hasState || u.Exists
 	}
 	s.mu.Unlock()
 	return u, nil
@@ -90,11 +91,11 @@
 // pushStates sends the current configuration state to each relay that has an older one.
 func (s *relayFeeds) pushStates() {
 	s.forEachRelay(func(l *wire.Link, f *relayFeed) error {
-		u := s.keeper.machine.stateSince(f.version)
+		u := s.keeper.machine.stateSince(f.version, f.hasState)
 		if !u.HasState() {
 			return nil
 		}
-		f.version = u.Version
+		f.version, f.hasState = u.Version, true
 		return l.Post(wire.KindConfigState, "", u)
 	})
 }
--- a/io/keeper/machine.go
+++ b/io/keeper/machine.go
@@ -84,15 +84,15 @@
 	return m.machine.Current()
 }
 
-// stateSince returns the newest configuration state for a relay that has the given version; the document is left out
-// if the relay has it.
-func (m *stateMachine) stateSince(version uint64) wire.ConfigState {
+// stateSince returns the newest configuration state for a relay that has the given version, or none if hasState is false;
+// the document is left out if the relay has it.
+func (m *stateMachine) stateSince(version uint64, hasState bool) wire.ConfigState {
 	newest, ok := m.newestEntry()
 	if !ok {
 		return wire.ConfigState{}
 	}
 	u := wire.ConfigState{Version: newest.Version, Exists: true}
-	if newest.Version > version {
+	if !hasState || newest.Version > version {
 		u.Document, u.Compressed = newest.Document, newest.Compressed
 	}
 	return u
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -132,7 +132,7 @@
 // confirmState asks a keeper which configuration state a quorum holds now, and applies it. The first call on a link
 // subscribes this relay to what the keeper sends.
 func (f *keeperFeed) confirmState(ctx context.Context, l *wire.Link) error {
-	u, err := f.requestState(ctx, l, wire.ConfigUpdateRequest{Revision: f.version.Load()})
+	u, err := f.requestState(ctx, l, wire.ConfigUpdateRequest{Revision: f.version.Load(), HasState: f.relay.index.Load() != nil})
 	if err != nil {
 		return err
 	}
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -61,6 +61,8 @@
 	Revision uint64 `cbor:"1,keyasint"`
 	// Digest is the digest of the sender's configuration at that revision.
 	Digest object.Digest `cbor:"2,keyasint"`
+	// HasState means that the sender has a configuration, which may have the version 0.
+	HasState bool `cbor:"4,keyasint,omitempty"`
 	// OnlyConfirm asks whether a quorum confirms the keeper's state, without its content and without a subscription to
 	// what the keeper sends to relays.
 	OnlyConfirm bool `cbor:"3,keyasint,omitempty"`
