--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -40,11 +40,11 @@
 	return serve.ConnLimits{Idle: l.IdleTimeout, Header: l.HeaderTimeout}
 }
 
-// newServer returns the HTTP server for callers and the listener on which it serves them. The server has no time limits of its
-// own: the configuration's may be longer, and the table of connections enforces them.
+// newServer returns the HTTP server for callers and the listener on which it serves them.
 func (c *callerConns) newServer(h http.Handler, l net.Listener) (*http.Server, net.Listener) {
 	return &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ConnState: c.table.TrackState, ConnContext: c.withConn,
+		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: callerHeaderTimeout,
+		ConnState: c.table.TrackState, ConnContext: c.withConn,
 	}, c.table.Listener(serve.LimitListener(l, maxCallerConnections))
 }
 
--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -317,23 +317,6 @@
 	}
 }
 
-// Guards against a limit of net/http that ends a header, or a new connection without a request, before the configuration does.
-func TestConfigurationMayAllowSlowHeaders(t *testing.T) {
-	t.Parallel()
-	for name, first := range map[string]int{"header": 20, "new connection": 0} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			g := newCallerRig(t)
-			g.setLimits(time.Minute, time.Minute)
-			_, _ = io.WriteString(g.conn, plainRequest[:first])
-			time.Sleep(callerHeaderTimeout + 200*time.Millisecond)
-			if !g.send(plainRequest[first:]) || g.served.Load() != 1 {
-				t.Error("the request was not served")
-			}
-		})
-	}
-}
-
 // Guards against a header that is held to the idle limit because its first byte came while the request before was served.
 func TestHeaderBegunDuringRequestIsHeldToHeaderLimit(t *testing.T) {
 	for took, want := range map[time.Duration]bool{2 * time.Second: true, 4 * time.Second: false} {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// callerHeaderTimeout is the limit for the header of a caller's request, and callerIdleTimeout that for idle connections of
-	// callers, before a configuration is known.
+	// callerHeaderTimeout is the upper limit for the header of a caller's request; the configuration can set a lower one.
+	// callerIdleTimeout is the limit for idle connections of callers before a configuration is known.
 	callerHeaderTimeout = 10 * time.Second
 	callerIdleTimeout   = 60 * time.Second
 	// maxBufferedBody is the size in bytes up to which a request body is buffered, so that it can be sent again in a
