--- a/core/state/validate.go
+++ b/core/state/validate.go
@@ -18,7 +18,7 @@
 	ErrNegativeValue   = eris.New("has a negative figure")
 )
 
-// hostPrefix is the host and path prefix that select a route.
+// hostPrefix is the host and path prefix that select a route, in their normal forms.
 type hostPrefix struct{ host, prefix string }
 
 // Validate returns all errors of the configuration state joined into one, or nil.
@@ -31,20 +31,20 @@
 	seen := make(map[hostPrefix]bool, len(s.Routes))
 	for i := range s.Routes {
 		r := &s.Routes[i]
-		target := hostPrefix{r.Host, r.Prefix}
+		target := hostPrefix{canonicalHost(r.Host), canonicalPath(r.Prefix)}
 		if seen[target] {
 			errs = append(errs, fmt.Errorf("route %q %w", r.Name, ErrDuplicatePrefix))
 		}
 		seen[target] = true
 		errs = append(errs, r.validate(services)...)
 	}
-	owners := map[string]string{}
-	for _, a := range s.Accounts {
+	owners := map[string]int{}
+	for i, a := range s.Accounts {
 		for _, key := range a.Keys {
-			if owner, found := owners[key]; found && owner != a.Name {
+			if owner, found := owners[key]; found && owner != i {
 				errs = append(errs, fmt.Errorf("client account %q %w", a.Name, ErrDuplicateKey))
 			}
-			owners[key] = a.Name
+			owners[key] = i
 		}
 	}
 	return errors.Join(errs...)
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -139,7 +139,7 @@
 // confirmState asks a keeper which configuration state a quorum holds now, and applies it. The first call on a link
 // subscribes this relay to what the keeper sends.
 func (f *keeperFeed) confirmState(ctx context.Context, l *wire.Link) error {
-	u, err := f.requestState(ctx, l, wire.ConfigUpdateRequest{Revision: f.version.Load()})
+	u, err := f.requestState(ctx, l, wire.ConfigUpdateRequest{Revision: f.version.Load(), HasState: f.relay.index.Load() != nil})
 	if err != nil {
 		return err
 	}
@@ -285,7 +285,7 @@
 	if !newer || same {
 		return
 	}
-	f.relay.withTable(func(t *place.EndpointTable, _ time.Time) { t.Update(list.Endpoints) })
+	f.relay.withTable(func(t *place.EndpointTable, now time.Time) { t.Update(list.Endpoints, now) })
 	f.closeInitialisedWhenReady()
 }
 
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -95,7 +95,7 @@
 	r.table.Rand = rand.New(rand.NewPCG(1, 2))
 	r.table.Update([]place.Endpoint{
 		{ID: "e", Service: "s", Address: endpoint.Addr().String(), Domain: "a"}, {ID: "sound", Service: "sound", Address: sound.Addr().String(), Domain: "b"},
-	})
+	}, time.Now())
 	var routes []state.Route
 	for name, kind := range map[string]state.RouteKind{"safe": state.Safe, "unsafe": state.Unsafe, "stream": state.Stream} {
 		routes = append(routes, state.Route{
