Keep the state readable while all keepers are short of space

Cause: a leader that was short of space handed the leadership to a voter that was short too. The others dropped the first entry of its term for lack of room, so it could not confirm reads.

Now small entries, of 4 KB at most, are never dropped: the reserve is for them. A member looks at its disk when it is asked to take over, and declines if it is short of space. The leader asks one voter after the other, each 2 s.

--- a/io/repl/space.go
+++ b/io/repl/space.go
@@ -18,7 +18,9 @@
 	// the file system itself needs.
 	spaceReserve = 512 << 10
 	// spaceTransferInterval is the time between two attempts of a leader without room to transfer the leadership.
-	spaceTransferInterval = 5 * time.Second
+	spaceTransferInterval = 2 * time.Second
+	// smallEntries is the size of entries that may use the reserve, such as the first one of a leader's term.
+	smallEntries = 4 << 10
 )
 
 // diskSpace is what the replica knows of the room on its disk. Snapshots free the disk, so room for one is kept free.
@@ -27,6 +29,7 @@
 	free          int64 // at checkedAt, less what was saved since
 	short         bool  // there is less room than a snapshot needs
 	transferredAt time.Time
+	offered       int // number of voters to which the leadership was offered
 }
 
 // snapshotRoom returns the bytes that the next snapshot may need beside the files that it replaces. The state machine's
@@ -57,9 +60,21 @@
 		r.Log.Warn("disk-space-changed", zap.Bool("short", short), zap.Int64("free-bytes", r.space.free), zap.Int64("reserved-bytes", r.snapshotRoom()))
 	}
 	if short && now.Sub(r.space.transferredAt) >= spaceTransferInterval {
-		// Another voter may have room. If none has, the leadership returns.
 		r.space.transferredAt = now
-		_, _ = r.node.TransferLeadership(raft.ID{})
+		r.offerLeadership()
+	}
+}
+
+// offerLeadership asks one voter after the other to take over the leadership from a leader without room. Those that are
+// short of space themselves don't; a leader that can't append the first entry of its term could not even confirm reads.
+func (r *Replica) offerLeadership() {
+	voters := r.node.Status().Members.Voters
+	if len(voters) < 2 {
+		return
+	}
+	r.space.offered++
+	if to := voters[r.space.offered%len(voters)]; to != r.node.ID {
+		_, _ = r.node.TransferLeadership(to)
 	}
 }
 
@@ -74,15 +89,22 @@
 	r.node.LimitProposals(r.proposalRoom())
 }
 
-// hasRoomFor reports whether the entries or the snapshot in a message fit on the disk. Entries leave room for a snapshot;
-// a snapshot replaces the log.
+// hasRoomFor reports whether the entries or the snapshot in a message fit on the disk. Large entries leave room for a
+// snapshot; a snapshot replaces the log. A member that is short of space does not take over the leadership.
 func (r *Replica) hasRoomFor(m *raft.Message) bool {
-	if size := int64(m.DataBytes()); m.Type == raft.MsgAppend && len(m.Entries) > 0 {
-		return r.space.free-size >= r.snapshotRoom()
-	} else if m.Type == raft.MsgSnapshot {
+	size := int64(m.DataBytes())
+	switch {
+	case m.Type == raft.MsgTransfer:
+		// Disks that one writer fills are often full at the same time, so an earlier look may be too old.
+		r.space.checkedAt = time.Time{}
+		r.updateSpace(time.Now())
+		return !r.space.short
+	case m.Type == raft.MsgSnapshot:
 		return r.space.free >= size+spaceReserve
+	case m.Type != raft.MsgAppend || size <= smallEntries:
+		return true
 	}
-	return true
+	return r.space.free-size >= r.snapshotRoom()
 }
 
 // isDiskFull reports whether an error means that the disk has no room.
