Confirm the end of responses without a length

Streams asked whether the engine still responds, but a process that was started at its address since counted as the same one.

Cause: a killed process closes its connections without a reset once it has read all that it was sent, and the relay took the end of the connection for the end of the body. Ruled out: heads, chunk sizes, chunks, last chunks and trailers that are cut (http.ReadResponse and its body return an error at each byte), and resets.

A service without a health path is checked by a new connection as before. Responses that end within 20 ms share a check; those with a length or chunks cost none. If the end is not confirmed, the attempt counts as reset: a repeatable request runs elsewhere, any other gets 502, and a forwarded response is broken off. A failed write of a request body also leaves the end unconfirmed, since the kernel reports a reset only once and a later read finds an end of file.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -118,6 +118,9 @@
 	}
 	if res.StatusCode != http.StatusOK {
 		body, complete, err := s.readBuffered(res.Body, maxBufferedResponse)
+		if err == nil && complete {
+			err = s.confirmEnd(ctx, a.endpoint, c, res)
+		}
 		if err != nil || !complete || s.headerSent || res.StatusCode >= 500 && s.canRetry() {
 			return attemptResult{outcome: outcomeUnknown, cause: common.RetryRefused, err: errors.New(res.Status)}
 		}
@@ -149,13 +152,8 @@
 		if errors.Is(err, io.EOF) && s.lastEventID == 0 {
 			err = errNoEvent
 		}
-		if errors.Is(err, io.EOF) && len(events.buf) == 0 && s.isWhole(ctx, a, res) {
-			if !w.firstEventSeen && s.needsConfirmation() {
-				return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: errNoEvent}
-			}
-			s.markSound(w)
-			s.relay.pool.releaseConn(c, res)
-			return attemptResult{outcome: completed, res: res}
+		if errors.Is(err, io.EOF) && len(events.buf) == 0 {
+			return s.endEvents(ctx, a, c, res, w)
 		}
 		if err != nil {
 			return attemptResult{outcome: outcomeUnknown, cause: failureCause(err), err: err}
@@ -201,6 +199,21 @@
 	}
 }
 
+// endEvents returns the result of an attempt whose response has ended between two events.
+func (s *streamRequest) endEvents(
+	ctx context.Context, a streamAttempt, c *endpointConn, res *http.Response, w *silenceWatch,
+) attemptResult {
+	if err := s.confirmEnd(ctx, a.endpoint, c, res); err != nil {
+		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+	}
+	if !w.firstEventSeen && s.needsConfirmation() {
+		return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: errNoEvent}
+	}
+	s.markSound(w)
+	s.relay.pool.releaseConn(c, res)
+	return attemptResult{outcome: completed, res: res}
+}
+
 // forwardEvent sends an event to the caller at once.
 func (s *streamRequest) forwardEvent(flusher *http.ResponseController, e streamEvent) error {
 	if _, err := s.w.Write(e.raw); err != nil {
@@ -234,18 +247,6 @@
 	return s.emptyEnds == 1 && s.route.Repeatable() && s.route.MaxAttempts > 1
 }
 
-// isWhole reports whether a stream whose connection has ended between two events is complete. Without a length or
-// chunks, the end of an engine looks the same, so the engine must go on.
-func (s *streamRequest) isWhole(ctx context.Context, a streamAttempt, res *http.Response) bool {
-	return hasFraming(res) || !s.relay.prober.isLostSince(ctx, a.endpoint, s.relay.Clock.Now())
-}
-
-// hasFraming reports whether the response has a length or chunked encoding, so that its end differs from a connection
-// that was cut.
-func hasFraming(res *http.Response) bool {
-	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-}
-
 // recordForwarded updates a stream's event count, pauses and last event id after an event was sent to the caller.
 func (s *streamRequest) recordForwarded(e streamEvent) {
 	now := s.relay.Clock.Now()
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -73,6 +74,9 @@
 	hasForeign bool
 	// bodyStreamed is true if a request body is sent while the response is being read.
 	bodyStreamed bool
+	// uploadFailed is true once a part of such a body could not be sent. The kernel reports a reset connection only once: after
+	// a failed write, a read finds what looks like the end of the response.
+	uploadFailed atomic.Bool
 
 	mu sync.Mutex
 	// uses counts how often the connection was put into the pool. It identifies the request that has the connection.
@@ -384,6 +388,7 @@
 func (u *bodyUpload) run() {
 	defer u.request.relay.guard.Recover("body-upload")
 	if err := u.sendBody(); err != nil {
+		u.conn.uploadFailed.Store(true)
 		u.request.log.Info("body-not-sent", zap.String("endpoint", u.conn.endpoint.ID), zap.Error(err))
 	}
 }
--- /dev/null
+++ b/io/relay/ending_test.go
@@ -0,0 +1,393 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
+	"wasabiweir/core/state"
+	"wasabiweir/io/guard"
+	"wasabiweir/io/serve"
+	"wasabiweir/io/stand"
+	"wasabiweir/io/wall"
+)
+
+// The forms in which an endpoint may state where the body of its response ends.
+const (
+	formLength     = "length"
+	formChunks     = "chunks"
+	formConnection = "end of the connection"
+)
+
+// wholeAnswer returns a complete response with the body in a form; head is the size of its header.
+func wholeAnswer(form, contentType string, body []byte) (text string, head int) {
+	b := &strings.Builder{}
+	b.WriteString("HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Signature: s\r\n" + contentType)
+	switch form {
+	case formLength:
+		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+	case formChunks:
+		b.WriteString("Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n")
+	default:
+		b.WriteString("Connection: close\r\n\r\n")
+	}
+	head = b.Len()
+	if form != formChunks {
+		b.Write(body)
+		return b.String(), head
+	}
+	half := len(body) / 2
+	for _, chunk := range [][]byte{body[:half], body[half:]} {
+		if len(chunk) > 0 {
+			fmt.Fprintf(b, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+	}
+	b.WriteString("0\r\nX-Sum: 1\r\n\r\n")
+	return b.String(), head
+}
+
+// cutEndpoint is an endpoint that sends a text for each request and ends the connection. It answers health requests under the
+// id that they name.
+type cutEndpoint struct {
+	t        testing.TB
+	listener net.Listener
+	id       string
+	text     string
+	// resets ends the connection by a reset in place of a close.
+	resets bool
+	// endsWithAnswer stops the listener before the connection of the response ends, like the end of the process.
+	endsWithAnswer bool
+	// successor is the id of an endpoint that takes the address when this one ends; empty if none does.
+	successor string
+	health    atomic.Int64
+	runs      atomic.Int64
+}
+
+// startCutEndpoint starts the endpoint.
+func startCutEndpoint(t testing.TB, e *cutEndpoint) *cutEndpoint {
+	t.Helper()
+	l, err := net.Listen("tcp", net.JoinHostPort(stand.LoopbackHost(), "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e.t, e.listener = t, l
+	go e.run()
+	return e
+}
+
+// run accepts connections.
+func (e *cutEndpoint) run() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(c)
+	}
+}
+
+// serve answers the requests on a connection.
+func (e *cutEndpoint) serve(c net.Conn) {
+	defer c.Close()
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if req.URL.Path == "/healthz" {
+		e.health.Add(1)
+		successor := ""
+		if e.runs.Load() > 0 {
+			successor = e.successor
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Endpoint: "+cmp.Or(successor, req.Header.Get("X-Expect"))+"\r\nContent-Length: 0\r\n\r\n")
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	e.runs.Add(1)
+	_, _ = io.WriteString(c, e.text)
+	if e.endsWithAnswer {
+		_ = e.listener.Close()
+	}
+	if e.resets {
+		// The relay has read what was sent before the reset.
+		time.Sleep(2 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// newEndingRelay returns a relay whose service "p" has the endpoints.
+func newEndingRelay(t testing.TB, attempts int, endpoints ...*cutEndpoint) *Relay {
+	r := &Relay{Clock: wall.Clock{}, Log: zap.NewNop(), Engines: &soundEngine{}, ctx: t.Context(), Names: HeaderNames{
+		RequestID: "X-Id", Deadline: "X-Deadline", ExpectedEndpoint: "X-Expect", EndpointID: "X-Endpoint", Signature: "X-Signature",
+		NotExecuted: "X-Not-Run", LastEvent: "Last-Event-Id", Load: "X-Load", Limit: "X-Limit",
+		ParseAnnouncement: func(int, http.Header) place.Announcement { return place.Announcement{} },
+		ParseLimit:        func(string) (float64, bool) { return 0, false },
+		ParseLoad:         func(string) (place.EndpointLoad, bool) { return place.EndpointLoad{}, false },
+		ParseTokenCount:   func(string) int { return 0 }, ParsePromptParts: func(string) []string { return nil },
+		ResumeFromValue: func(string, string) string { return "" },
+	}}
+	r.Budget = place.RetryBudget{Slack: 100, Window: time.Minute}
+	r.budgets = map[string]*place.RetryBudget{}
+	r.started = r.Clock.Now()
+	r.callers.initConnTable(r)
+	r.drain.setRelay(r)
+	r.meter.initMetrics(nil)
+	r.pool.initPool(r)
+	r.prober.initProber(r)
+	r.losses.initLossChecker(r)
+	r.identities.initIdentityChecker(r)
+	r.finder.initFinder(r)
+	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope, Send: func([]poison.Crash) {}}
+	r.guard = serve.PanicGuard{Log: r.Log, Metrics: r.meter.scope}
+	r.feed.initFeed(r)
+	close(r.feed.initialised)
+	r.index.Store(state.NewConfigIndex(&state.State{
+		Limits: state.RequestLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20}, Services: []state.Service{
+			{Name: "p", HealthPath: "/healthz"}, {Name: "m", HealthPath: "/healthz", Model: &state.Model{Slots: 4}},
+		},
+		Routes: []state.Route{
+			endingRoute("unsafe", state.Unsafe, "p", attempts), endingRoute("safe", state.Safe, "p", attempts),
+			endingRoute("message", state.Safe, "m", attempts), endingRoute("stream", state.Stream, "m", attempts),
+		},
+	}))
+	list := []place.Endpoint{}
+	for _, e := range endpoints {
+		for _, service := range []string{"p", "m"} {
+			list = append(list, place.Endpoint{ID: e.id + service, Service: service, Address: e.listener.Addr().String(), Domain: "a", Slots: 4})
+		}
+	}
+	r.table.Rand = rand.New(rand.NewPCG(1, 2))
+	r.table.Update(list)
+	return r
+}
+
+// soundEngine is an engine client whose engines respond, and accept no orders.
+type soundEngine struct {
+	EngineClient
+	// ended is true if the engines do not respond.
+	ended bool
+}
+
+// Report returns an empty report.
+func (e *soundEngine) Report(context.Context, string) (EngineReport, error) {
+	if e.ended {
+		return EngineReport{}, syscall.ECONNREFUSED
+	}
+	return EngineReport{}, nil
+}
+
+// CachedParts returns no parts.
+func (*soundEngine) CachedParts(context.Context, string) (map[string]bool, error) { return nil, nil } //nolint:nilnil // no parts
+
+// RequestCopy returns ErrRequestNotRunning.
+func (*soundEngine) RequestCopy(context.Context, string, string, string) (string, error) {
+	return "", ErrRequestNotRunning
+}
+
+// endingRoute returns a route of the kind to the service, on the path of its name.
+func endingRoute(name string, kind state.RouteKind, service string, attempts int) state.Route {
+	return state.Route{
+		Name: name, Host: "h", Prefix: "/" + name, Kind: kind, Timeout: 5 * time.Second, LatencyObjective: 2 * time.Second, MaxAttempts: attempts,
+		Shares: []state.ServiceShare{{Service: service, Weight: 1}}, Public: true, Resumable: true,
+	}
+}
+
+// callRelay sends a request on the route and returns the response; whole is false if the relay has broken it off.
+func callRelay(t testing.TB, r *Relay, route string) (res *httptest.ResponseRecorder, whole bool) {
+	t.Helper()
+	res = httptest.NewRecorder()
+	defer func() {
+		if err := recover(); err != nil {
+			if e, ok := err.(error); !ok || !errors.Is(e, http.ErrAbortHandler) {
+				t.Errorf("panic: %v", err)
+			}
+			whole = false
+		}
+	}()
+	req := httptest.NewRequest(http.MethodPost, "/"+route, http.NoBody)
+	req.Host = "h"
+	req.Header.Set("X-Id", "7")
+	r.ServeHTTP(res, req)
+	return res, true
+}
+
+// endingBody returns a body for the route, and a line of the header for its type.
+func endingBody(route string) (body []byte, contentType string) {
+	if route == "stream" {
+		return []byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), "Content-Type: text/event-stream\r\n"
+	}
+	return []byte("history of 7"), ""
+}
+
+// Guards against a response that looks whole although its endpoint has stopped in its header, in a chunk or its size, in the
+// trailer, or right after the header, or has reset the connection.
+func TestCutResponseIsNotWhole(t *testing.T) {
+	for _, route := range []string{"unsafe", "safe", "message", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			for _, form := range []string{formLength, formChunks, formConnection} {
+				for _, prefix := range []string{"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"} {
+					checkCuts(t, route, form, prefix)
+				}
+			}
+		})
+	}
+}
+
+// checkCuts sends a request to a fresh endpoint for each place at which a response in the form, after a prefix, can be cut. With
+// a reset, or a prefix, it leaves out two of three places.
+func checkCuts(t *testing.T, route, form, prefix string) {
+	body, contentType := endingBody(route)
+	text, _ := wholeAnswer(form, contentType, body)
+	text = prefix + text
+	for cut := 0; cut <= len(text); cut++ {
+		for _, resets := range []bool{false, true} {
+			if (resets || prefix != "") && cut%3 != 0 && cut < len(text) {
+				continue
+			}
+			e := startCutEndpoint(t, &cutEndpoint{id: "e", text: text[:cut], resets: resets, endsWithAnswer: true})
+			r := newEndingRelay(t, 1, e)
+			r.Engines = &soundEngine{ended: true}
+			res, whole := callRelay(t, r, route)
+			wantWhole := cut == len(text) && form != formConnection
+			if got := whole && res.Code == http.StatusOK; got != wantWhole || got && res.Body.String() != string(body) {
+				t.Errorf("%s, reset %t: %d of %d bytes: whole %t, status %d, %q", form, resets, cut, len(text), whole, res.Code, res.Body)
+			}
+		}
+	}
+}
+
+// Guards against the half response of an endpoint that was killed: without a length or chunks it looks whole. It must be
+// dropped also if another endpoint has started at the address, while the whole one of an endpoint that goes on must be kept.
+func TestResponseWithoutLength(t *testing.T) {
+	for _, route := range []string{"unsafe", "safe", "message", "stream"} {
+		body, contentType := endingBody(route)
+		whole, head := wholeAnswer(formConnection, contentType, body)
+		half := whole[:head+len(body)/2]
+		if route == "stream" {
+			half = whole[:head+strings.Index(string(body), "id: 2")]
+		}
+		for _, x := range []struct {
+			name     string
+			endpoint *cutEndpoint
+			isWhole  bool
+		}{
+			{"goes on", &cutEndpoint{text: whole}, true},
+			{"killed", &cutEndpoint{text: half, endsWithAnswer: true}, false},
+			{"replaced", &cutEndpoint{text: half, successor: "f"}, false},
+			{"reset", &cutEndpoint{text: whole, resets: true}, false},
+		} {
+			e := x.endpoint
+			e.id = "e"
+			startCutEndpoint(t, e)
+			res, isWhole := callRelay(t, newEndingRelay(t, 1, e), route)
+			if got := isWhole && res.Code == http.StatusOK; got != x.isWhole {
+				t.Errorf("%s, %s: whole %t, status %d, %q", route, x.name, isWhole, res.Code, res.Body)
+			}
+			if x.isWhole && (e.health.Load() != 2 || res.Body.String() != string(body)) {
+				t.Errorf("%s, %s: %d health requests, %q", route, x.name, e.health.Load(), res.Body)
+			}
+			if !x.isWhole && e.runs.Load() != 1 {
+				t.Errorf("%s, %s: ran %d times", route, x.name, e.runs.Load())
+			}
+		}
+	}
+}
+
+// Guards against health requests for responses that state where they end.
+func TestFramedResponseNeedsNoHealthRequest(t *testing.T) {
+	for _, form := range []string{formLength, formChunks} {
+		text, _ := wholeAnswer(form, "", []byte("history of 7"))
+		e := startCutEndpoint(t, &cutEndpoint{id: "e", text: text})
+		if res, whole := callRelay(t, newEndingRelay(t, 1, e), "unsafe"); !whole || res.Code != http.StatusOK || e.health.Load() != 0 {
+			t.Errorf("%s: status %d, %d health requests", form, res.Code, e.health.Load())
+		}
+	}
+}
+
+// Guards against a repeatable request that fails because its endpoint was killed, while another one is there.
+func TestResponseWithoutLengthIsRepeatedElsewhere(t *testing.T) {
+	body := []byte("history of 7")
+	unframed, head := wholeAnswer(formConnection, "", body)
+	framed, _ := wholeAnswer(formLength, "", body)
+	for seed, runs := uint64(0), int64(0); runs == 0; seed++ {
+		killed := startCutEndpoint(t, &cutEndpoint{id: "e", text: unframed[:head+3], endsWithAnswer: true})
+		sound := startCutEndpoint(t, &cutEndpoint{id: "f", text: framed})
+		r := newEndingRelay(t, 2, killed, sound)
+		r.table.Rand = rand.New(rand.NewPCG(seed, 0))
+		res, whole := callRelay(t, r, "safe")
+		runs = killed.runs.Load()
+		if !whole || res.Code != http.StatusOK || res.Body.String() != string(body) {
+			t.Fatalf("status %d, %q; %d and %d runs", res.Code, res.Body, runs, sound.runs.Load())
+		}
+	}
+}
+
+// Guards against a large response without a length, of which the relay has forwarded a part, that looks whole to its caller
+// although the endpoint was killed.
+func TestLargeResponseWithoutLengthIsBrokenOff(t *testing.T) {
+	text, _ := wholeAnswer(formConnection, "", bytes.Repeat([]byte("x"), 2*maxBufferedResponse))
+	for _, killed := range []bool{false, true} {
+		e := startCutEndpoint(t, &cutEndpoint{id: "e", text: text, endsWithAnswer: killed})
+		s := httptest.NewServer(newEndingRelay(t, 1, e))
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL+"/safe", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h"
+		req.Header.Set("X-Id", "7")
+		res, err := s.Client().Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+		if (err != nil) != killed || n != 2*maxBufferedResponse {
+			t.Errorf("killed %t: %d bytes, error %v", killed, n, err)
+		}
+		s.Close()
+	}
+}
+
+// Guards against a part of a response that is taken for all of it: whatever the body and the place of the cut, a response
+// with a length or chunks is read whole or not at all.
+func TestCutFramedResponseIsAnError(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "body")
+		form := rapid.SampledFrom([]string{formLength, formChunks}).Draw(t, "form")
+		text, _ := wholeAnswer(form, "", body)
+		cut := rapid.IntRange(0, len(text)).Draw(t, "cut")
+		c := newEndpointConn(&scriptedConn{r: strings.NewReader(text[:cut])}, place.Endpoint{})
+		res, err := c.readResponse(http.MethodPost, "X-Id", "7")
+		if err != nil {
+			if cut == len(text) {
+				t.Fatal(err)
+			}
+			return
+		}
+		got, err := io.ReadAll(res.Body)
+		if (err == nil) != (cut == len(text)) || err == nil && !bytes.Equal(got, body) {
+			t.Fatalf("%d of %d bytes: error %v, %d bytes of %d", cut, len(text), err, len(got), len(body))
+		}
+	})
+}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -243,6 +243,11 @@
 	}
 	defer stop()
 	result := q.receiveResponse(c)
+	if result.outcome == completed && result.unreadConn == nil {
+		if err := q.confirmEnd(ctx, e, c, result.res); err != nil {
+			result = attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
+		}
+	}
 	if result.outcome != completed {
 		_ = c.Close()
 		if result.outcome == outcomeUnknown && ctx.Err() != nil {
@@ -381,6 +386,9 @@
 		if err == nil {
 			err = q.forwardRest(result.res)
 		}
+		if err == nil {
+			err = q.confirmEnd(q.ctx, e, result.unreadConn, result.res)
+		}
 		_ = result.unreadConn.Close()
 		if err != nil {
 			q.log.Warn("response-interrupted", zap.String("endpoint", e.ID), zap.Error(err))
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -70,6 +70,8 @@
 	Account string
 	// ExpectedEndpoint carries the id of the endpoint that a request is meant for.
 	ExpectedEndpoint string
+	// EndpointID carries the id of the endpoint that responds to a health request.
+	EndpointID string
 	// Signature is set by an endpoint on each of its responses.
 	Signature string
 	// NotExecuted is set by an endpoint that did not run the request.
@@ -139,17 +141,19 @@
 
 	started time.Time
 	// index is the current configuration state; nil before the first one.
-	index   atomic.Pointer[state.ConfigIndex]
-	feed    keeperFeed
-	pool    connPool
-	prober  prober
-	losses  lossChecker
-	finder  promptFinder
-	drain   drain
-	callers callerConns
-	meter   relayMetrics
-	guard   serve.PanicGuard
-	buffers bufferBudget
+	index  atomic.Pointer[state.ConfigIndex]
+	feed   keeperFeed
+	pool   connPool
+	prober prober
+	losses lossChecker
+	// identities confirms the ends of responses without a length.
+	identities identityChecker
+	finder     promptFinder
+	drain      drain
+	callers    callerConns
+	meter      relayMetrics
+	guard      serve.PanicGuard
+	buffers    bufferBudget
 	// crashes keeps requests whose prompt crashes engines away from them.
 	crashes guard.Guard
 	// ctx ends when the process stops, after the graceful shutdown.
@@ -196,6 +200,7 @@
 	r.pool.initPool(r)
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
+	r.identities.initIdentityChecker(r)
 	r.finder.initFinder(r)
 	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope, Send: r.feed.sendCrashes}
 	r.feed.initFeed(r)
