--- a/io/relay/cut_test.go
+++ b/io/relay/cut_test.go
@@ -71,6 +71,7 @@
 	r.pool.initPool(r)
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
+	r.identities.initIdentityChecker(r)
 	r.feed.initFeed(r)
 	close(r.feed.initialised)
 	r.drain.setRelay(r)
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -32,12 +32,6 @@
 	maxEndDelay = 500 * time.Millisecond
 )
 
-// soundEngine responds to each request for its report.
-type soundEngine struct{ EngineClient }
-
-// Report returns an empty report.
-func (soundEngine) Report(context.Context, string) (EngineReport, error) { return EngineReport{}, nil }
-
 // forwardRig is a relay with one caller and one endpoint, whose script is called for each request that it gets.
 type forwardRig struct {
 	t     *testing.T
@@ -67,7 +61,7 @@
 	t.Cleanup(func() { _ = sound.Close() })
 	go g.loopEndpoint(sound, soundResponse)
 	r := &Relay{
-		Clock: wall.Clock{}, Log: zap.NewNop(), ctx: t.Context(), Engines: soundEngine{}, Budget: place.RetryBudget{Slack: 100, Window: time.Second},
+		Clock: wall.Clock{}, Log: zap.NewNop(), ctx: t.Context(), Engines: &soundEngine{}, Budget: place.RetryBudget{Slack: 100, Window: time.Second},
 		budgets: map[string]*place.RetryBudget{},
 		Names: HeaderNames{
 			RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Account: "X-Account", ExpectedEndpoint: "X-Endpoint", Signature: "X-Signature",
@@ -87,6 +81,7 @@
 	r.pool.initPool(r)
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
+	r.identities.initIdentityChecker(r)
 	r.finder.initFinder(r)
 	r.drain.setRelay(r)
 	r.feed.initFeed(r)
