Reset the connection of a caller that does not read before its write deadline

Callers of a large response that is broken off at its deadline waited for up to minutes for its end when the machine was busy: their connection was closed in order, with megabytes that the kernel still sent, and a caller without a length or chunks could take it for complete.

Cause: net/http closes a connection as soon as a write on it times out. The write deadline was 50 ms later than the timer that turns the close into a reset, and under load the timer fired later than that (the log said "use of closed network connection" for the reset). Ruled out: a reset that the receiver drops; the relay's socket was in FIN-WAIT-1 with 3.6 MB unsent. The deadline is a second later than the limit while the handler runs, and moves to the limit as it ends.

--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -302,13 +302,12 @@
 // limitWriting bounds the time for writing the response, so that a caller that does not read holds neither its handler nor
 // the endpoint's connection. The bound begins when the response does: a relay that was paused still answers.
 func (q *request) limitWriting() {
+	q.writeLimit.Stop()
 	left := max(0, q.deadline.Sub(q.relay.Clock.Now())) + writeGrace
-	limit, err := serve.LimitWriting(q.w, q.r, left)
-	if err != nil {
+	var err error
+	if q.writeLimit, err = serve.LimitWriting(q.w, q.r, left); err != nil {
 		q.log.Warn("writing-not-limited", zap.Error(err))
 	}
-	q.writeLimit.Stop()
-	q.writeLimit = limit
 }
 
 // hasCallerLeft reports whether the caller has disconnected before its deadline. After it, the end of the request's context
--- a/io/serve/writelimit.go
+++ b/io/serve/writelimit.go
@@ -9,8 +9,13 @@
 	"time"
 )
 
-// flushMargin is the time that net/http has to flush a response whose handler has ended just before its write limit.
-const flushMargin = 50 * time.Millisecond
+const (
+	// flushMargin is the time that net/http has to flush a response whose handler has ended just before its write limit.
+	flushMargin = 50 * time.Millisecond
+	// deadlineMargin is the time by which the write deadline is later than the limit while the handler runs. net/http closes a
+	// connection whose deadline has passed, after which the limit can no longer make that a reset; timers fire late under load.
+	deadlineMargin = time.Second
+)
 
 // connContextKey is the context key under which a request finds the network connection on which its client sent it.
 type connContextKey struct{}
@@ -31,6 +36,8 @@
 	w       http.ResponseWriter
 	request *http.Request
 	timer   *time.Timer
+	// until is when the limit is enforced.
+	until time.Time
 	// fired is closed once the limit has been enforced.
 	fired chan struct{}
 }
@@ -38,10 +45,10 @@
 // LimitWriting makes writes of the response fail after the duration d, and resets the connection then. Stop must be
 // called before the handler returns.
 func LimitWriting(w http.ResponseWriter, r *http.Request, d time.Duration) (*WriteLimit, error) {
-	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d + flushMargin)); err != nil {
-		return nil, fmt.Errorf("set a write deadline: %w", err)
+	l := &WriteLimit{w: w, request: r, until: time.Now().Add(d), fired: make(chan struct{})}
+	if err := l.setDeadline(l.until.Add(deadlineMargin)); err != nil {
+		return nil, err
 	}
-	l := &WriteLimit{w: w, request: r, fired: make(chan struct{})}
 	l.timer = time.AfterFunc(d, l.run)
 	return l, nil
 }
@@ -50,14 +57,27 @@
 func (l *WriteLimit) run() {
 	defer close(l.fired)
 	_ = ResetOnClose(ConnOf(l.request.Context()))
-	_ = http.NewResponseController(l.w).SetWriteDeadline(time.Now())
+	_ = l.setDeadline(time.Now())
 }
 
 // Stop ends the watch over a response, whose rest may still be flushed within the limit. It may be called on nil.
 func (l *WriteLimit) Stop() {
-	if l != nil && !l.timer.Stop() {
+	if l == nil {
+		return
+	}
+	if !l.timer.Stop() {
 		<-l.fired
+		return
+	}
+	_ = l.setDeadline(l.until.Add(flushMargin))
+}
+
+// setDeadline sets the time at which writes of the response fail.
+func (l *WriteLimit) setDeadline(t time.Time) error {
+	if err := http.NewResponseController(l.w).SetWriteDeadline(t); err != nil {
+		return fmt.Errorf("set a write deadline: %w", err)
 	}
+	return nil
 }
 
 // ResetOnClose makes the end of the connection a reset, which drops what the peer has not read yet. The kernel otherwise
