Leave room for all requests in TestEndlessForwardedResponses

The rig's channels of 1,024 entries were full after some 920 sound requests, so that the test's own handler waited before its response was sent: "a sound request got i/o timeout" after 20 s, once in a run of the package. The bounds are the same.

--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -53,7 +53,7 @@
 // newForwardRig starts a relay with one route of each kind; the paths are the names of the kinds.
 func newForwardRig(t *testing.T, script func(c net.Conn, header string)) *forwardRig {
 	t.Helper()
-	g := &forwardRig{t: t, handled: make(chan time.Duration, 1024), left: make(chan time.Duration, 1024)}
+	g := &forwardRig{t: t, handled: make(chan time.Duration, 1<<16), left: make(chan time.Duration, 1<<16)}
 	endpoint, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
