Keep a stream at its engine while its caller does not read

A caller of a stream that stopped reading for two seconds lost its sound engine: the relay, waiting in the write to the caller, read nothing, its watch took the engine for stalled and the stream went to another one, which costs a retry and a prefill each time.

The time of a write to the caller no longer counts as the engine's silence. Ruled out: resetting the silence after each write, since comments now and then would then count as progress.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -167,7 +167,7 @@
 			if idlessBytes += len(e.raw); idlessBytes > maxIdlessBytes {
 				return attemptResult{outcome: outcomeUnknown, cause: common.RetryOversized, err: errEventSize}
 			}
-			if err := s.forwardEvent(flusher, e); err != nil {
+			if err := s.forwardEvent(w, flusher, e); err != nil {
 				return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
 			}
 			continue
@@ -192,7 +192,7 @@
 		w.lastEventID.Store(e.id)
 		w.recordProgress()
 		idlessBytes = 0
-		if err := s.forwardEvent(flusher, e); err != nil {
+		if err := s.forwardEvent(w, flusher, e); err != nil {
 			return attemptResult{outcome: outcomeUnknown, cause: common.RetryReset, err: err}
 		}
 		s.recordForwarded(e)
@@ -203,7 +203,9 @@
 }
 
 // forwardEvent sends an event to the caller at once.
-func (s *streamRequest) forwardEvent(flusher *http.ResponseController, e streamEvent) error {
+func (s *streamRequest) forwardEvent(w *silenceWatch, flusher *http.ResponseController, e streamEvent) error {
+	w.beginForwarding()
+	defer w.endForwarding()
 	if _, err := s.w.Write(e.raw); err != nil {
 		return fmt.Errorf("forward an event: %w", err)
 	}
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -63,6 +63,8 @@
 	// lastActivity is when data last arrived that continues the stream: the response header or the next event. It is a
 	// time since the start of the process in nanoseconds.
 	lastActivity atomic.Int64
+	// forwardingSince is when the write to the caller that is in progress began, in the same unit; 0 if there is none.
+	forwardingSince atomic.Int64
 	// mayLeaveSlow is true if enough attempts are left to leave an engine that is only slow.
 	mayLeaveSlow bool
 	// closeCause is why the watch closed the connection; nil if it did not.
@@ -150,9 +152,23 @@
 	}
 }
 
-// silentFor returns the time since the endpoint last sent data of the stream.
+// silentFor returns the time since the endpoint last sent data of the stream, without the time for which the relay read
+// nothing because the caller did not read.
 func (w *silenceWatch) silentFor() time.Duration {
-	return w.stream.relay.uptime() - time.Duration(w.lastActivity.Load())
+	until := w.stream.relay.uptime()
+	if since := w.forwardingSince.Load(); since != 0 {
+		until = time.Duration(since)
+	}
+	return until - time.Duration(w.lastActivity.Load())
+}
+
+// beginForwarding records that a write to the caller begins.
+func (w *silenceWatch) beginForwarding() { w.forwardingSince.Store(int64(w.stream.relay.uptime())) }
+
+// endForwarding records that the write to the caller has ended.
+func (w *silenceWatch) endForwarding() {
+	w.lastActivity.Add(int64(w.stream.relay.uptime()) - w.forwardingSince.Load())
+	w.forwardingSince.Store(0)
 }
 
 // stallTimeout returns the time without an event after which a stream leaves an engine that responds to liveness
