Confirm the end of replies without a length on the own interface

What callers saw: nothing reported. A plain call whose endpoint was killed in the middle of a response without a length or chunks got the first part as a whole response, and a router took the first lines of a metrics page for the page.

Cause: as in io/relay, the end of the connection was taken for the end of the body. Generations are not concerned (they end with [DONE] after a finish reason), nor replies in JSON, which show their own end.

Now the decision of serve.ConfirmEnd applies here too. The own interface has no health path and no id to ask for, so a router opens an unused connection when such a response begins; it must outlive the response by 50 ms, which a process started at the address since cannot provide. A metrics page without framing is KindReset. If the response arrives whole before that connection is accepted, a restart in between is not noticed.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"wasabiweir/io/serve"
 )
 
 // Default timeouts and limits of the connections to engines, for Transport fields that are zero.
@@ -220,5 +222,9 @@
 	if len(b) > maxReplyBytes {
 		return nil, &Error{Kind: KindProtocol, Sent: true, Err: eris.Errorf("reply above %d bytes", maxReplyBytes)}
 	}
+	// A JSON object shows its own end; the first lines of a metrics page look like a page.
+	if err := serve.ConfirmEnd(r, func() bool { return json.Valid(b) }); err != nil {
+		return nil, &Error{Kind: KindReset, Sent: true, Err: err}
+	}
 	return b, nil
 }
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -299,6 +299,11 @@
 		return nil, fmt.Errorf("send call: %w", err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	var w *witness
+	if !serve.HasFraming(res) {
+		w = newWitness(ctx, address)
+		defer w.close()
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
@@ -306,6 +311,9 @@
 	if len(body) > maxResponseBytes {
 		return nil, fmt.Errorf("read response: %w", errResponseTooLarge)
 	}
+	if err := serve.ConfirmEnd(res, func() bool { return w.isOpen(ctx) }); err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
 	return &endpointResponse{status: res.StatusCode, header: copyForwardedHeaders(res.Header), body: body}, nil
 }
 
