Leave time to end a response that is broken off, and dial slowly in the tests' relays

TestForwardedResponseEndsAtDeadline ended 1.50 to 1.52 s after its start in two of 47 runs beside a load of 55 on 8 cores, with a bound of 1.5 s: a response that a caller does not read ended 0.45 s after the request's deadline, which left 50 ms. It ends 0.35 s after it now. TestEndlessForwardedResponses got a 503 without an endpoint, and TestRequestsAtEndOfGraceAreAnswered a request that did not run, since the relay waits 250 ms for a connection to an endpoint in the test's own process; the tests' relays wait longer. The dial timeout of the relay and the bounds of the tests are unchanged.

--- a/io/relay/cut_test.go
+++ b/io/relay/cut_test.go
@@ -69,6 +69,7 @@
 	r.guard = serve.PanicGuard{Log: r.Log, Metrics: r.meter.scope}
 	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope}
 	r.pool.initPool(r)
+	r.pool.dial = dialSlowly
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
 	r.identities.initIdentityChecker(r)
--- a/io/relay/ending_test.go
+++ b/io/relay/ending_test.go
@@ -153,6 +153,7 @@
 	r.drain.setRelay(r)
 	r.meter.initMetrics(nil)
 	r.pool.initPool(r)
+	r.pool.dial = dialSlowly
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
 	r.identities.initIdentityChecker(r)
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -32,6 +32,11 @@
 	maxEndDelay = 500 * time.Millisecond
 )
 
+// dialSlowly connects to an endpoint in the test's own process, which may take longer than the relay waits for a real one.
+func dialSlowly(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: 10 * time.Second}).DialContext(ctx, network, address)
+}
+
 // forwardRig is a relay with one caller and one endpoint, whose script is called for each request that it gets.
 type forwardRig struct {
 	t     *testing.T
@@ -79,6 +84,7 @@
 	r.guard = serve.PanicGuard{Log: r.Log}
 	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: tally.NoopScope, Send: func([]poison.Crash) {}}
 	r.pool.initPool(r)
+	r.pool.dial = dialSlowly
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
 	r.identities.initIdentityChecker(r)
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -38,7 +38,7 @@
 	retryAfterCrash = 700 * time.Millisecond
 	// writeGrace is the time after the request's deadline within which the caller must have taken the response. It covers
 	// the relay's own response to a request that has reached its deadline.
-	writeGrace = 400 * time.Millisecond
+	writeGrace = 300 * time.Millisecond
 )
 
 // request is the state of one caller's request while it is being served.
