Reset a caller's connection also when a write limit runs late

Callers that read slowly got the rest of an incomplete response for 20 s and more after the deadline, instead of a reset.

Cause: net/http closes a connection by itself as soon as a write of the body fails (chunkWriter.Write). If the write deadline passed before the timer of WriteLimit ran, which is set 50 ms earlier, the connection was closed without SO_LINGER, and the reset came too late ("use of closed network connection"). The kernel then kept sending megabytes in FIN-WAIT-1. The class is a bound that holds only if two timers run in order.

Now the connection itself asks for the reset when a write runs into its deadline, before net/http sees the error.

Ruled out: a longer margin between the two timers, which only makes the order likelier. Complete responses are not affected: a write that has run into its deadline has not taken all of its data.

--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -220,6 +222,16 @@
 	return n, err //nolint:wrapcheck // net/http compares the error with io.EOF
 }
 
+// Write writes to the connection. After a write that has run into its deadline, the connection ends with a reset: net/http
+// closes it as soon as the write has failed, before the handler can ask for that.
+func (c *clientConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = ResetOnClose(c)
+	}
+	return n, err //nolint:wrapcheck // net/http looks for timeouts by their type
+}
+
 // Close closes the connection and takes it out of its table.
 func (c *clientConn) Close() error {
 	c.table.remove(c)
