Accept a new leader's first entry while the disk is short of room

Operators and relays saw: once the disks of all keepers were short of room, the configuration could not be read either, for as long as they stayed short.

Cause: a follower without room drops each append with entries, also the empty entry of a new leader, and a leader that is short transfers the leadership within half a second. The next leader never commits the first entry of its term, and without that it answers no read. A member drops by the kind of the message, where only proposals are to be refused.

Ruled out: no transfer while all members are short, which a leader can't know; an election for another reason has the same effect.

--- a/io/repl/space.go
+++ b/io/repl/space.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"syscall"
 	"time"
 
@@ -74,10 +75,11 @@
 	r.node.LimitProposals(r.proposalRoom())
 }
 
-// hasRoomFor reports whether the entries or the snapshot in a message fit on the disk. Entries leave room for a snapshot;
-// a snapshot replaces the log.
+// hasRoomFor reports whether the entries or the snapshot in a message fit on the disk. Entries leave room for a snapshot,
+// except for those without a proposal: without the first entry of its term, a new leader can't answer reads. A snapshot
+// replaces the log.
 func (r *Replica) hasRoomFor(m *raft.Message) bool {
-	if size := int64(m.DataBytes()); m.Type == raft.MsgAppend && len(m.Entries) > 0 {
+	if size := int64(m.DataBytes()); m.Type == raft.MsgAppend && slices.ContainsFunc(m.Entries, isProposal) {
 		return r.space.free-size >= r.snapshotRoom()
 	} else if m.Type == raft.MsgSnapshot {
 		return r.space.free >= size+spaceReserve
@@ -85,5 +87,8 @@
 	return true
 }
 
+// isProposal reports whether the entry holds a proposal.
+func isProposal(e raft.Entry) bool { return e.Type == raft.EntryData }
+
 // isDiskFull reports whether an error means that the disk has no room.
 func isDiskFull(err error) bool { return errors.Is(err, syscall.ENOSPC) }
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -183,3 +183,39 @@
 		t.Errorf("the data folder has %d bytes, want at most %d", used, 4<<20)
 	}
 }
+
+// Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
+// entry is dropped like a proposal, and no read is answered before it is committed.
+func TestReadsWhileAllDisksAreShort(t *testing.T) {
+	g := newGroup(t, 5*time.Millisecond)
+	var members []*member
+	var disks []*limitedDisk
+	var voters raft.Members
+	for _, name := range []string{"a", "b", "c"} {
+		m := g.newMember(name)
+		d := &limitedDisk{folder: m.folder.Path, limit: 16 << 20}
+		m.folder.Disk = d
+		members, disks = append(members, m), append(disks, d)
+		voters.Voters = append(voters.Voters, m.Store.MemberID(name))
+	}
+	for _, m := range members {
+		m.Bootstrap = voters
+		g.startMember(m)
+	}
+	g.propose(g.leader(), "0")
+	for _, d := range disks {
+		d.others.Store(d.limit - store.UsedBytes(d.folder) - 300<<10)
+	}
+	// By then, each leader has seen that its disk is short and has transferred the leadership.
+	time.Sleep(2 * spaceCheckInterval)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for _, m := range members {
+		if _, err := m.ReadIndex(ctx); err != nil {
+			t.Fatalf("%s, short of space %v: %v", m.Name, m.Status().SpaceShort, err)
+		}
+		if !m.Status().SpaceShort {
+			t.Errorf("%s is not short of space", m.Name)
+		}
+	}
+}
