--- a/io/relay/cut_test.go
+++ b/io/relay/cut_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -16,13 +15,10 @@
 	"time"
 
 	"github.com/oklog/run"
-	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
 	"wasabiweir/core/state"
-	"wasabiweir/io/guard"
 	"wasabiweir/io/serve"
-	"wasabiweir/io/wall"
 )
 
 // drainRig is a relay's server for callers with a grace period of drainRigGrace, and an endpoint.
@@ -55,28 +51,8 @@
 	server := &http.Server{Handler: g}
 	go func() { _ = server.Serve(endpoint) }()
 	t.Cleanup(func() { _ = server.Close() })
-	r := &Relay{
-		Clock: wall.Clock{}, Log: zap.NewNop(), StopGrace: drainRigGrace, AddressTTL: time.Minute, ctx: t.Context(), started: time.Now(),
-		Budget: place.RetryBudget{Ratio: 0.8, Slack: 150, Window: 10 * time.Second}, budgets: map[string]*place.RetryBudget{},
-		Names: HeaderNames{
-			RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", Key: "X-Key", NotExecuted: "X-Not-Run", Load: "X-Load", Limit: "X-Limit",
-			ExpectedEndpoint: "X-Endpoint", ParseAnnouncement: func(int, http.Header) place.Announcement { return place.Announcement{} },
-			ParseLimit: func(string) (float64, bool) { return 0, false },
-			ParseLoad:  func(string) (place.EndpointLoad, bool) { return place.EndpointLoad{}, false },
-		},
-	}
-	r.meter.initMetrics(nil)
-	r.guard = serve.PanicGuard{Log: r.Log, Metrics: r.meter.scope}
-	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope}
-	r.pool.initPool(r)
-	r.pool.dial = dialSlowly
-	r.prober.initProber(r)
-	r.losses.initLossChecker(r)
-	r.identities.initIdentityChecker(r)
-	r.feed.initFeed(r)
-	close(r.feed.initialised)
-	r.drain.setRelay(r)
-	r.callers.initConnTable(r)
+	r := newTestRelay(t)
+	r.StopGrace, r.AddressTTL = drainRigGrace, time.Minute
 	s := &state.State{Limits: state.RequestLimits{HeaderBytes: 1 << 16, BodyBytes: 1 << 20, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}}
 	for _, name := range []string{"silent", "late", "half", "queued"} {
 		for _, kind := range []state.RouteKind{state.Safe, state.Unsafe} {
@@ -88,7 +64,6 @@
 		s.Services = append(s.Services, state.Service{Name: name, MaxConnections: 100})
 	}
 	r.index.Store(state.NewConfigIndex(s))
-	r.table.Rand = rand.New(rand.NewPCG(1, 1))
 	var endpoints []place.Endpoint
 	for _, x := range s.Services {
 		endpoints = append(endpoints, place.Endpoint{ID: x.Name, Service: x.Name, Domain: "d", Address: endpoint.Addr().String()})
--- a/io/relay/ending_test.go
+++ b/io/relay/ending_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"cmp"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -15,20 +14,14 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"wasabiweir/core/place"
-	"wasabiweir/core/poison"
 	"wasabiweir/core/state"
-	"wasabiweir/io/guard"
-	"wasabiweir/io/serve"
 	"wasabiweir/io/stand"
-	"wasabiweir/io/wall"
 )
 
 // The forms in which an endpoint may state where the body of its response ends.
@@ -137,31 +130,7 @@
 
 // newEndingRelay returns a relay whose service "p" has the endpoints.
 func newEndingRelay(t testing.TB, attempts int, endpoints ...*cutEndpoint) *Relay {
-	r := &Relay{Clock: wall.Clock{}, Log: zap.NewNop(), Engines: &soundEngine{}, ctx: t.Context(), Names: HeaderNames{
-		RequestID: "X-Id", Deadline: "X-Deadline", ExpectedEndpoint: "X-Expect", EndpointID: "X-Endpoint", Signature: "X-Signature",
-		NotExecuted: "X-Not-Run", LastEvent: "Last-Event-Id", Load: "X-Load", Limit: "X-Limit",
-		ParseAnnouncement: func(int, http.Header) place.Announcement { return place.Announcement{} },
-		ParseLimit:        func(string) (float64, bool) { return 0, false },
-		ParseLoad:         func(string) (place.EndpointLoad, bool) { return place.EndpointLoad{}, false },
-		ParseTokenCount:   func(string) int { return 0 }, ParsePromptParts: func(string) []string { return nil },
-		ResumeFromValue: func(string, string) string { return "" },
-	}}
-	r.Budget = place.RetryBudget{Slack: 100, Window: time.Minute}
-	r.budgets = map[string]*place.RetryBudget{}
-	r.started = r.Clock.Now()
-	r.callers.initConnTable(r)
-	r.drain.setRelay(r)
-	r.meter.initMetrics(nil)
-	r.pool.initPool(r)
-	r.pool.dial = dialSlowly
-	r.prober.initProber(r)
-	r.losses.initLossChecker(r)
-	r.identities.initIdentityChecker(r)
-	r.finder.initFinder(r)
-	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope, Send: func([]poison.Crash) {}}
-	r.guard = serve.PanicGuard{Log: r.Log, Metrics: r.meter.scope}
-	r.feed.initFeed(r)
-	close(r.feed.initialised)
+	r := newTestRelay(t)
 	r.index.Store(state.NewConfigIndex(&state.State{
 		Limits: state.RequestLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20}, Services: []state.Service{
 			{Name: "p", HealthPath: "/healthz"}, {Name: "m", HealthPath: "/healthz", Model: &state.Model{Slots: 4}},
@@ -177,34 +146,10 @@
 			list = append(list, place.Endpoint{ID: e.id + service, Service: service, Address: e.listener.Addr().String(), Domain: "a", Slots: 4})
 		}
 	}
-	r.table.Rand = rand.New(rand.NewPCG(1, 2))
 	r.table.Update(list, time.Now())
 	return r
 }
 
-// soundEngine is an engine client whose engines respond, and accept no orders.
-type soundEngine struct {
-	EngineClient
-	// ended is true if the engines do not respond.
-	ended bool
-}
-
-// Report returns an empty report.
-func (e *soundEngine) Report(context.Context, string) (EngineReport, error) {
-	if e.ended {
-		return EngineReport{}, syscall.ECONNREFUSED
-	}
-	return EngineReport{}, nil
-}
-
-// CachedParts returns no parts.
-func (*soundEngine) CachedParts(context.Context, string) (map[string]bool, error) { return nil, nil } //nolint:nilnil // no parts
-
-// RequestCopy returns ErrRequestNotRunning.
-func (*soundEngine) RequestCopy(context.Context, string, string, string) (string, error) {
-	return "", ErrRequestNotRunning
-}
-
 // endingRoute returns a route of the kind to the service, on the path of its name.
 func endingRoute(name string, kind state.RouteKind, service string, attempts int) state.Route {
 	return state.Route{
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -14,15 +13,10 @@
 	"testing"
 	"time"
 
-	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
-	"wasabiweir/core/poison"
 	"wasabiweir/core/state"
-	"wasabiweir/io/guard"
-	"wasabiweir/io/serve"
-	"wasabiweir/io/wall"
 )
 
 const (
@@ -32,11 +26,6 @@
 	maxEndDelay = 500 * time.Millisecond
 )
 
-// dialSlowly connects to an endpoint in the test's own process, which may take longer than the relay waits for a real one.
-func dialSlowly(ctx context.Context, network, address string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: 10 * time.Second}).DialContext(ctx, network, address)
-}
-
 // forwardRig is a relay with one caller and one endpoint, whose script is called for each request that it gets.
 type forwardRig struct {
 	t     *testing.T
@@ -65,35 +54,7 @@
 	}
 	t.Cleanup(func() { _ = sound.Close() })
 	go g.loopEndpoint(sound, soundResponse)
-	r := &Relay{
-		Clock: wall.Clock{}, Log: zap.NewNop(), ctx: t.Context(), Engines: &soundEngine{}, Budget: place.RetryBudget{Slack: 100, Window: time.Second},
-		budgets: map[string]*place.RetryBudget{},
-		Names: HeaderNames{
-			RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Account: "X-Account", ExpectedEndpoint: "X-Endpoint", Signature: "X-Signature",
-			NotExecuted: "X-Not-Run", LastEvent: "X-Last", Load: "X-Load", Limit: "X-Limit", PromptParts: "X-Parts", TokenCount: "X-Tokens",
-			ResumeFromValue:   func(string, string) string { return "" },
-			ParsePromptParts:  func(string) []string { return nil },
-			ParseTokenCount:   func(string) int { return 0 },
-			ParseAnnouncement: func(int, http.Header) place.Announcement { return place.Announcement{} },
-			ParseLimit:        func(string) (float64, bool) { return 0, false },
-			ParseLoad:         func(string) (place.EndpointLoad, bool) { return place.EndpointLoad{}, false },
-		},
-	}
-	r.started = r.Clock.Now()
-	r.meter.initMetrics(nil)
-	r.guard = serve.PanicGuard{Log: r.Log}
-	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: tally.NoopScope, Send: func([]poison.Crash) {}}
-	r.pool.initPool(r)
-	r.pool.dial = dialSlowly
-	r.prober.initProber(r)
-	r.losses.initLossChecker(r)
-	r.identities.initIdentityChecker(r)
-	r.finder.initFinder(r)
-	r.drain.setRelay(r)
-	r.feed.initFeed(r)
-	close(r.feed.initialised)
-	r.callers.initConnTable(r)
-	r.table.Rand = rand.New(rand.NewPCG(1, 2))
+	r := newTestRelay(t)
 	r.table.Update([]place.Endpoint{
 		{ID: "e", Service: "s", Address: endpoint.Addr().String(), Domain: "a"}, {ID: "sound", Service: "sound", Address: sound.Addr().String(), Domain: "b"},
 	}, time.Now())
