--- a/io/repl/space.go
+++ b/io/repl/space.go
@@ -79,10 +79,12 @@
 // except for those without a proposal: without the first entry of its term, a new leader can't answer reads. A snapshot
 // replaces the log.
 func (r *Replica) hasRoomFor(m *raft.Message) bool {
-	if size := int64(m.DataBytes()); m.Type == raft.MsgAppend && slices.ContainsFunc(m.Entries, isProposal) {
-		return r.space.free-size >= r.snapshotRoom()
-	} else if m.Type == raft.MsgSnapshot {
-		return r.space.free >= size+spaceReserve
+	switch {
+	case m.Type == raft.MsgAppend && slices.ContainsFunc(m.Entries, isProposal):
+		return r.space.free-int64(m.DataBytes()) >= r.snapshotRoom()
+	case m.Type == raft.MsgSnapshot:
+		// The message carries a chunk; HintTerm is the size of the whole snapshot, which is saved at once.
+		return r.space.free >= int64(min(m.HintTerm, math.MaxInt32))+spaceReserve
 	}
 	return true
 }
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -223,3 +223,16 @@
 		}
 	}
 }
+
+// Guards against a member that takes a snapshot chunk by chunk although the whole does not fit on its disk, and fails when
+// it saves it.
+func TestSnapshotWithoutRoomIsDropped(t *testing.T) {
+	const size = 4 << 20
+	m := raft.Message{Type: raft.MsgSnapshot, HintTerm: size, Snapshot: &raft.Snapshot{Data: make([]byte, 64<<10)}}
+	for free, want := range map[int64]bool{size / 2: false, size: false, size + spaceReserve: true} {
+		r := &Replica{space: diskSpace{free: free}}
+		if got := r.hasRoomFor(&m); got != want {
+			t.Errorf("a snapshot of %d bytes fits in %d: %t, want %t", size, free, got, want)
+		}
+	}
+}
