--- a/io/repl/space.go
+++ b/io/repl/space.go
@@ -100,7 +100,8 @@
 		r.updateSpace(time.Now())
 		return !r.space.short
 	case m.Type == raft.MsgSnapshot:
-		return r.space.free >= size+spaceReserve
+		// The message carries a chunk; HintTerm is the size of the whole snapshot, which is saved at once.
+		return r.space.free >= int64(min(m.HintTerm, math.MaxInt32))+spaceReserve
 	case m.Type != raft.MsgAppend || size <= smallEntries:
 		return true
 	}
