Bound the time for writing a response by one deadline

The limit is now the write deadline alone. The tracked connection asks for the reset when a write runs into it, before net/http sees the error, and tries a write whose deadline has passed once more for 50 ms; a caller that doesn't read gets no more than that.

TestUnreadCallResponseEnds calls the shorter writeResponse; its bounds are unchanged.

--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -80,8 +80,6 @@
 	fingerprint string
 	// isTrial is true if the request may be sent once although a part of it is in quarantine.
 	isTrial bool
-	// writeLimit bounds the time for writing the response; nil until that begins.
-	writeLimit *serve.WriteLimit
 	// tried holds the ids of the endpoints that may have run the request or refused it.
 	tried map[string]bool
 	// sentAt is when the current attempt was sent.
@@ -108,7 +106,6 @@
 	r.drain.requestStarted()
 	defer r.drain.requestEnded()
 	defer q.giveBuffers()
-	defer func() { q.writeLimit.Stop() }()
 	defer r.callers.reportClosedInUse(q)
 	if r.drain.hasStarted() {
 		w.Header().Set("Connection", "close")
@@ -302,10 +299,8 @@
 // limitWriting bounds the time for writing the response, so that a caller that does not read holds neither its handler nor
 // the endpoint's connection. The bound begins when the response does: a relay that was paused still answers.
 func (q *request) limitWriting() {
-	q.writeLimit.Stop()
 	left := max(0, q.deadline.Sub(q.relay.Clock.Now())) + writeGrace
-	var err error
-	if q.writeLimit, err = serve.LimitWriting(q.w, q.r, left); err != nil {
+	if err := serve.LimitWriting(q.w, left); err != nil {
 		q.log.Warn("writing-not-limited", zap.Error(err))
 	}
 }
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -123,15 +123,14 @@
 		r.refuse(w, req, r.stopRefusal(req, err))
 		return
 	}
-	writeResponse(w, req, out, c.deadline)
+	writeResponse(w, out, c.deadline)
 }
 
 // writeResponse copies an endpoint's response to the caller of a call with the given time limit. The caller has as much
 // time again to read it, and callerWriteDeadline at least.
-func writeResponse(w http.ResponseWriter, req *http.Request, out *endpointResponse, timeout time.Duration) {
-	if limit, err := serve.LimitWriting(w, req, max(timeout, callerWriteDeadline)); err == nil {
-		defer limit.Stop()
-	}
+func writeResponse(w http.ResponseWriter, out *endpointResponse, timeout time.Duration) {
+	// A response writer without write deadlines is that of a test.
+	_ = serve.LimitWriting(w, max(timeout, callerWriteDeadline))
 	for name, values := range out.header {
 		w.Header()[name] = values
 	}
--- a/io/router/callerwrite_test.go
+++ b/io/router/callerwrite_test.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"testing"
 	"time"
-
-	"wasabiweir/io/serve"
 )
 
 // Guards against a caller that does not read the response of a call and holds its handler without a limit.
@@ -17,12 +15,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	handler := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		start := time.Now()
 		defer func() { ended <- time.Since(start) }()
-		writeResponse(w, req, &endpointResponse{status: http.StatusOK, body: make([]byte, maxResponseBytes)}, 100*time.Millisecond)
+		writeResponse(w, &endpointResponse{status: http.StatusOK, body: make([]byte, maxResponseBytes)}, 100*time.Millisecond)
 	})
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, ConnContext: serve.ContextWithConn}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	defer func() { _ = server.Close() }()
 	go func() { _ = server.Serve(l) }()
 	c, err := net.Dial("tcp", l.Addr().String())
--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -191,6 +192,8 @@
 	idleLimit time.Duration
 	// promisedIdle is the limit on idle connections that the response of the current request has announced.
 	promisedIdle time.Duration
+	// lateWriteUsed is true once a write was tried again after the present write deadline.
+	lateWriteUsed atomic.Bool
 	// readAhead is true if a byte of the next request was read while the current one is served.
 	readAhead bool
 	// waiting is true while a read waits for bytes. As long as the header of a request is being read, the bytes that the
@@ -222,10 +225,25 @@
 	return n, err //nolint:wrapcheck // net/http compares the error with io.EOF
 }
 
-// Write writes to the connection. After a write that has run into its deadline, the connection ends with a reset: net/http
-// closes it as soon as the write has failed, before the handler can ask for that.
+// lateWriteTime is the time for a write whose deadline has passed before it began.
+const lateWriteTime = 50 * time.Millisecond
+
+// SetWriteDeadline sets the time at which writes fail.
+func (c *clientConn) SetWriteDeadline(t time.Time) error {
+	c.lateWriteUsed.Store(false)
+	return c.Conn.SetWriteDeadline(t) //nolint:wrapcheck // the caller adds the context
+}
+
+// Write writes to the connection. A write that its deadline ends is tried once more for a moment, since the process may have
+// stood still until then. If that fails too, the connection ends with a reset: net/http closes it as soon as a write has failed,
+// before a handler can ask for that.
 func (c *clientConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.lateWriteUsed.Swap(true) && c.Conn.SetWriteDeadline(time.Now().Add(lateWriteTime)) == nil {
+		var more int
+		more, err = c.Conn.Write(p[n:])
+		n += more
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		_ = ResetOnClose(c)
 	}
