--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -201,7 +201,7 @@
 // longer than the time between two changes may be, and lists of endpoints on the same link must not wait for it.
 func (f *keeperFeed) queueState(u wire.ConfigState) {
 	f.mu.Lock()
-	if u.HasState() && u.Version > f.newest.Version {
+	if u.HasState() && (!f.newest.HasState() || u.Version > f.newest.Version) {
 		f.newest = u
 	}
 	f.mu.Unlock()
--- a/io/relay/feed_test.go
+++ b/io/relay/feed_test.go
@@ -46,7 +46,7 @@
 		}
 		r.feed.HandleFrame(nil, wire.Frame{Kind: wire.KindConfigState, Body: body})
 	}
-	receive(1)
+	receive(0)
 	<-d.started
 	for version := uint64(2); version < 4; version++ {
 		receive(version)
@@ -65,7 +65,7 @@
 			t.Fatalf("version %d is applied, want 5", r.feed.version.Load())
 		}
 	}
-	if want := []uint64{1, 3, 5}; !slices.Equal(d.decoded, want) {
+	if want := []uint64{0, 3, 5}; !slices.Equal(d.decoded, want) {
 		t.Errorf("versions %v were read, want %v", d.decoded, want)
 	}
 }
