Leave the endpoint of an upload when its caller resets

Cause: net/http notices the end of a connection only when it reads to it, and nothing reads while the endpoint's socket is full.

Fix: while a body is sent on, the relay asks the kernel each 0.1 s whether the caller has closed its end (POLLRDHUP), which shows also behind unread data, and ends the request then as it does for any caller that left. Ruled out: reading ahead, which has no bound that covers each case.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -376,6 +376,9 @@
 	return true, nil
 }
 
+// uploadCheckInterval is the time between two checks whether the caller of an upload has closed its connection.
+const uploadCheckInterval = 100 * time.Millisecond
+
 // bodyUpload sends an unbuffered request body to the endpoint while the response is being read.
 type bodyUpload struct {
 	request  *request
@@ -387,12 +390,28 @@
 // response or in the lack of one.
 func (u *bodyUpload) run() {
 	defer u.request.relay.guard.Recover("body-upload")
+	ctx, cancel := context.WithCancel(u.request.ctx)
+	defer cancel()
+	go u.loopWatchCaller(ctx)
 	if err := u.sendBody(); err != nil {
 		u.conn.uploadFailed.Store(true)
 		u.request.log.Info("body-not-sent", zap.String("endpoint", u.conn.endpoint.ID), zap.Error(err))
 	}
 }
 
+// loopWatchCaller ends the request when its caller closes the connection, until ctx ends. net/http notices that only at the end of
+// what the caller has sent, which stays unread while the endpoint does not read.
+func (u *bodyUpload) loopWatchCaller(ctx context.Context) {
+	defer u.request.relay.guard.Recover("upload-watch")
+	nc := serve.ConnOf(u.request.r.Context())
+	for serve.Sleep(ctx, uploadCheckInterval) {
+		if serve.HasPeerClosed(nc) {
+			u.request.cancel(errCallerDisconnected)
+			return
+		}
+	}
+}
+
 // startUpload starts sending an unbuffered request body to the endpoint. Such a body can be sent only once.
 func (q *request) startUpload(c *endpointConn, o *outgoingRequest) {
 	if o.bodyReader == nil {
--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -65,10 +65,10 @@
 
 // requestContext returns a context for a request that also ends, with errRequestCut as its cause, when the request must be
 // answered because the relay exits.
-func (d *drain) requestContext(parent context.Context) (ctx context.Context, cancel func()) {
+func (d *drain) requestContext(parent context.Context) (ctx context.Context, cancel context.CancelCauseFunc) {
 	ctx, end := context.WithCancelCause(parent)
 	stop := context.AfterFunc(d.requests, func() { end(errRequestCut) })
-	return ctx, func() { stop(); end(nil) }
+	return ctx, func(cause error) { stop(); end(cause) }
 }
 
 // requestStarted counts a caller's request that is being served.
@@ -195,7 +195,7 @@
 
 // isAbandoned reports whether the request has ended for a reason that says nothing about its endpoint: its caller has disconnected, or
 // the relay exits.
-func (q *request) isAbandoned() bool { return q.r.Context().Err() != nil || q.isCut() }
+func (q *request) isAbandoned() bool { return q.hasCallerDisconnected() || q.isCut() }
 
 // countCut counts and logs a request that ends because the relay exits; outcome is what its caller gets.
 func (q *request) countCut(outcome string) {
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -283,6 +283,20 @@
 		_ = c.Close()
 		g.within(g.left, maxEndDelay, "the endpoint is left")
 	})
+	t.Run("caller resets, endpoint does not read", func(t *testing.T) {
+		t.Parallel()
+		unread := make(chan struct{})
+		g := newForwardRig(t, func(net.Conn, string) { <-unread })
+		defer close(unread)
+		c := g.send(header)
+		_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+		if n, err := c.Write(make([]byte, 64<<20)); err == nil {
+			t.Fatalf("all %d bytes were sent", n)
+		}
+		_ = c.SetLinger(0)
+		_ = c.Close()
+		g.within(g.handled, maxEndDelay, "the handler ends")
+	})
 	for name, sent := range map[string]int{"slow caller": 1 << 10, "endpoint that does not read": 1 << 20} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -47,7 +47,9 @@
 	w     http.ResponseWriter
 	r     *http.Request
 	ctx   context.Context
-	log   *zap.Logger
+	// cancel ends ctx with a cause.
+	cancel context.CancelCauseFunc
+	log    *zap.Logger
 
 	// id is the request id that the caller sent.
 	id string
@@ -100,9 +102,8 @@
 		tried: map[string]bool{},
 	}
 	q.log = r.Log.With(zap.String("request", q.id))
-	ctx, cancel := r.drain.requestContext(q.ctx)
-	defer cancel()
-	q.ctx = ctx
+	q.ctx, q.cancel = r.drain.requestContext(q.ctx)
+	defer q.cancel(nil)
 	r.drain.requestStarted()
 	defer r.drain.requestEnded()
 	defer q.giveBuffers()
@@ -308,7 +309,15 @@
 // hasCallerLeft reports whether the caller has disconnected before its deadline. After it, the end of the request's context
 // shows nothing: the bound on the time for the body can look like a disconnection to net/http, and the caller still waits.
 func (q *request) hasCallerLeft() bool {
-	return q.r.Context().Err() != nil && q.relay.Clock.Now().Before(q.deadline)
+	return q.hasCallerDisconnected() && q.relay.Clock.Now().Before(q.deadline)
+}
+
+// errCallerDisconnected is the cause with which a request ends whose caller has closed its connection in the middle of the body.
+var errCallerDisconnected = errors.New("the caller has closed its connection")
+
+// hasCallerDisconnected reports whether the caller has closed its connection, or the server has ended the request.
+func (q *request) hasCallerDisconnected() bool {
+	return q.r.Context().Err() != nil || errors.Is(context.Cause(q.ctx), errCallerDisconnected)
 }
 
 // failRequest ends a request for which no further attempt is possible. The status depends on whether the request may
