Use one error for responses that exceed a bound in bytes

io/relay's errTooLarge was serve.ErrOversized under a second name, so that an error that a reader of io/serve returns was not counted as oversized. No other change of behaviour.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -53,9 +53,6 @@
 	maxMismatchedResponses = 2
 )
 
-// errTooLarge is wrapped by the errors for responses that exceed a bound in bytes.
-var errTooLarge = eris.New("the response is too large")
-
 // errMismatchedResponse is returned when a connection to an endpoint delivers only responses to other requests.
 var errMismatchedResponse = eris.New("the response belongs to another request")
 
@@ -124,13 +121,13 @@
 	left int64
 }
 
-// Read reads from the connection; it returns errTooLarge if the bound is exceeded.
+// Read reads from the connection; it returns serve.ErrOversized if the bound is exceeded.
 func (s *limitedSource) Read(p []byte) (int, error) {
 	if s.left == unlimitedBytes {
 		return s.r.Read(p) //nolint:wrapcheck // readers compare the error with io.EOF
 	}
 	if s.left == 0 {
-		return 0, errTooLarge
+		return 0, serve.ErrOversized
 	}
 	n, err := s.r.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
@@ -469,7 +466,7 @@
 		return fmt.Errorf("discard the response: %w", err)
 	}
 	if n > maxDiscardedBody {
-		return errTooLarge
+		return serve.ErrOversized
 	}
 	return nil
 }
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -16,6 +16,7 @@
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
 	"wasabiweir/core/state"
+	"wasabiweir/io/serve"
 )
 
 const (
@@ -344,7 +345,7 @@
 
 // failureCause returns the reason under which an attempt with a read error is counted.
 func failureCause(err error) common.Reason {
-	if errors.Is(err, errTooLarge) || errors.Is(err, errEventSize) {
+	if errors.Is(err, serve.ErrOversized) || errors.Is(err, errEventSize) {
 		return common.RetryOversized
 	}
 	if errors.Is(err, errForeign) {
@@ -392,7 +393,7 @@
 		return fmt.Errorf("forward the response: %w", err)
 	}
 	if n > maxForwardedResponse {
-		return errTooLarge
+		return serve.ErrOversized
 	}
 	return nil
 }
