Blame the request that stopped an endpoint for its loss

Callers of a sound request got 503 with crashes-engines for seconds.

Cause: a request stopped an endpoint of a plain service. Its attempt ended with cause=silent after 1 s, while the endpoint still listened, so that no crash was recorded. Popular requests that were sent to the endpoint after that were reset 0.13 and 0.33 s later, when it restarted, and each counted as a crash by the popular request. Three endpoints later it was in quarantine, as the only explanation (ambiguous=false), and the request that stops endpoints came in only 0.4 s later.

Ruled out: a slow machine.

An answer ends the silence. Relays and routers use it alike, through io/guard. The loss is logged as loss-after-silence when nobody is blamed.

TestLossAfterSilence (io/relay) fails without the change: two crashes are recorded, one of them by the later request.

--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -23,8 +23,9 @@
 	// Send sends crashes to the other processes; it may drop them.
 	Send func(list []poison.Crash)
 
-	mu    sync.Mutex
-	table poison.Table
+	mu       sync.Mutex
+	table    poison.Table
+	silences poison.Silences
 	// logged holds the quarantines that were logged last, by part.
 	logged map[string]poison.Quarantine
 }
@@ -58,6 +59,35 @@
 	g.send(news)
 }
 
+// RecordSign records that an endpoint sent something.
+func (g *Guard) RecordSign(endpoint string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silences.RecordSign(endpoint, g.Clock.Now())
+}
+
+// RecordUnanswered records that the request of the crash, which was sent at the given time, has ended without an answer. If its
+// endpoint is lost before it sends anything, this counts as the crash.
+func (g *Guard) RecordUnanswered(c poison.Crash, sent time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silences.RecordUnanswered(c, sent, g.Clock.Now())
+}
+
+// RecordLoss records the loss of an endpoint at the given time that the request of the crash has seen, which was sent at the time
+// sent. It counts as a crash by the request, or by those that the endpoint left unanswered before.
+func (g *Guard) RecordLoss(c poison.Crash, sent, at time.Time) {
+	g.mu.Lock()
+	list := g.silences.CrashesOf(c, sent, at)
+	g.mu.Unlock()
+	if len(list) == 0 {
+		g.Log.Info("loss-after-silence", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.Time("sent", sent))
+	}
+	for _, crash := range list {
+		g.Record(crash, at)
+	}
+}
+
 // MarkSound records that an engine survived the beginning of its answer to a prompt with the parts.
 func (g *Guard) MarkSound(parts []string, began time.Time) {
 	g.mu.Lock()
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -67,6 +67,7 @@
 	switch {
 	case q.isAbandoned() || len(q.parts) == 0 && q.bodyReader != nil:
 	case result.outcome == completed:
+		q.relay.crashes.RecordSign(e.ID)
 		q.recordAnswer(result.res.StatusCode)
 	case result.outcome != outcomeUnknown || result.cause != common.RetryReset && result.cause != common.RetrySilent:
 	case !q.goesToModelEngine():
@@ -87,8 +88,11 @@
 // a request that could be sent to a third endpoint waits for the result.
 func (q *request) startCrashCheck(e place.Endpoint, silent bool) {
 	c := &crashCheck{
-		relay: q.relay, endpoint: e, crash: poison.NewCrash(q.id, e.ID, e.Domain, q.crashParts()), at: q.relay.Clock.Now(), silent: silent,
-		done: make(chan struct{}),
+		relay: q.relay, endpoint: e, crash: poison.NewCrash(q.id, e.ID, e.Domain, q.crashParts()), sent: q.sentAt, at: q.relay.Clock.Now(),
+		silent: silent, done: make(chan struct{}),
+	}
+	if silent {
+		q.relay.crashes.RecordUnanswered(c.crash, c.sent)
 	}
 	go c.run()
 	if q.attempts < poison.MaxRequestCrashes || !q.canRetry() {
--- a/io/relay/crashes_test.go
+++ b/io/relay/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,9 +13,12 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/clock"
+	"wasabiweir/core/common"
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
+	"wasabiweir/core/state"
 	"wasabiweir/io/guard"
+	"wasabiweir/io/stand"
 	"wasabiweir/io/wall"
 )
 
@@ -90,3 +94,39 @@
 		t.Error("a trial that has run may be sent once more")
 	}
 }
+
+// The restart of an endpoint that has left a request unanswered must count against that request, not against those that were sent
+// to the endpoint afterwards.
+func TestLossAfterSilence(t *testing.T) {
+	l, err := net.Listen("tcp", net.JoinHostPort(stand.LoopbackHost(), "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	now := &clock.Manual{}
+	now.Set(time.Unix(1000, 0))
+	r := newTestRelay(t)
+	r.Clock, r.crashes.Clock = now, now
+	e := place.Endpoint{ID: "e", Address: l.Addr().String()}
+	newRequest := func(id string) *request {
+		return &request{
+			relay: r, r: httptest.NewRequest(http.MethodPost, "/"+id, http.NoBody), id: id, ctx: t.Context(), index: &state.ConfigIndex{}, sentAt: now.Now(),
+			route: &state.Route{Kind: state.Unsafe},
+		}
+	}
+	unanswered := newRequest("unanswered")
+	now.Advance(900 * time.Millisecond)
+	later := newRequest("later")
+	now.Advance(100 * time.Millisecond)
+	unanswered.recordPlainOutcome(e, attemptResult{outcome: outcomeUnknown, cause: common.RetrySilent})
+	now.Advance(200 * time.Millisecond)
+	_ = l.Close()
+	later.recordPlainOutcome(e, attemptResult{outcome: outcomeUnknown, cause: common.RetryReset})
+	<-r.losses.check(e, now.Now()).done
+	for end := time.Now().Add(time.Second); !r.crashes.HasCrashes() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if list := r.crashes.All(); len(list) != 1 || list[0].Request != "unanswered" {
+		t.Errorf("recorded crashes: %v, want one by the unanswered request", list)
+	}
+}
--- a/io/relay/losscheck.go
+++ b/io/relay/losscheck.go
@@ -98,7 +98,8 @@
 	relay    *Relay
 	endpoint place.Endpoint
 	crash    poison.Crash
-	at       time.Time
+	// sent is when the request was sent, and at when its response was lost.
+	sent, at time.Time
 	// silent is true if the endpoint sent nothing in time. Then it counts only if it does not listen any more: a host that does
 	// not respond may be cut off.
 	silent bool
@@ -112,6 +113,6 @@
 	check := c.relay.losses.check(c.endpoint, c.at)
 	<-check.done
 	if check.refused || check.lost && !c.silent {
-		c.relay.crashes.Record(c.crash, c.at)
+		c.relay.crashes.RecordLoss(c.crash, c.sent, c.at)
 	}
 }
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -287,11 +287,11 @@
 		c.router.dispatcher.attemptFailed(a, callRetryReason(err))
 		c.router.Log.Info("call-failed", zap.String("request", x.request), zap.String("service", x.service.Name), zap.String("endpoint", a.name),
 			zap.String("account", x.account.Name), zap.Error(err))
-		c.recordCrash(ctx, x, a, err)
+		c.recordFailure(ctx, x, a, sentAt, err)
 		return nil, err
 	}
 	c.router.dispatcher.attemptFinished(a)
-	c.markSound(x, out, sentAt)
+	c.markSound(x, a, out, sentAt)
 	return out, nil
 }
 
--- a/io/router/callcrashes.go
+++ b/io/router/callcrashes.go
@@ -59,20 +59,24 @@
 	return f
 }
 
-// recordCrash records a crash if the endpoint of a failed attempt is lost. An endpoint that only lost its response
-// still accepts connections. One that does not answer may be cut off, which is no evidence against the call.
-func (c *callSender) recordCrash(ctx context.Context, x *serviceCall, a *attempt, err error) {
-	if callRetryReason(err) != common.RetryReset || ctx.Err() != nil {
-		return
-	}
+// recordFailure records what a failed attempt, which began at the given time, says about the call: a crash if its connection was
+// reset and the endpoint is lost. An endpoint that only lost its response still accepts connections. One that does not answer may
+// be cut off, which is no evidence against the call unless the endpoint is lost later.
+func (c *callSender) recordFailure(ctx context.Context, x *serviceCall, a *attempt, sentAt time.Time, err error) {
 	check := &crashCheck{
-		router: c.router, request: x.request, attempt: a, parts: x.crashParts(), loss: poison.Loss{LastSign: c.router.Clock.Now()},
+		router: c.router, request: x.request, attempt: a, parts: x.crashParts(), sent: sentAt, loss: poison.Loss{LastSign: c.router.Clock.Now()},
+	}
+	switch reason := callRetryReason(err); {
+	case reason == common.RetrySilent:
+		c.router.crashes.RecordUnanswered(check.crash(), sentAt)
+	case reason == common.RetryReset && ctx.Err() == nil:
+		check.recordCrash(ctx)
 	}
-	check.recordCrash(ctx)
 }
 
-// markSound records that an endpoint survived the call, if its response shows that.
-func (c *callSender) markSound(x *serviceCall, out *endpointResponse, sentAt time.Time) {
+// markSound records that an endpoint has responded, and that it survived the call if its response shows that.
+func (c *callSender) markSound(x *serviceCall, a *attempt, out *endpointResponse, sentAt time.Time) {
+	c.router.crashes.RecordSign(a.name)
 	if guard.Outlived(out.status) && c.router.crashes.HasCrashes() {
 		c.router.crashes.MarkSound(x.crashParts(), sentAt)
 	}
--- a/io/router/callcrashes_test.go
+++ b/io/router/callcrashes_test.go
@@ -60,13 +60,13 @@
 		advance(c, time.Second)
 	}
 	for _, status := range []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout} {
-		c.markSound(x, &endpointResponse{status: status}, c.router.Clock.Now())
+		c.markSound(x, &attempt{name: "rondas"}, &endpointResponse{status: status}, c.router.Clock.Now())
 		if f := sendAnyCall(t, c, http.MethodGet); f == nil || f.Reason != common.ReasonCrashesEngines || s.calls.Load() > 0 {
 			t.Fatalf("after status %d the call is refused with %v and sent %d times, want it in quarantine", status, f, s.calls.Load())
 		}
 	}
 	s.status.Store(http.StatusNotFound)
-	c.markSound(x, &endpointResponse{status: http.StatusNotFound}, c.router.Clock.Now())
+	c.markSound(x, &attempt{name: "rondas"}, &endpointResponse{status: http.StatusNotFound}, c.router.Clock.Now())
 	if f := sendAnyCall(t, c, http.MethodGet); f != nil || s.calls.Load() != 1 {
 		t.Errorf("after an answer the call is refused with %v and sent %d times", f, s.calls.Load())
 	}
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -142,6 +142,8 @@
 	request string
 	attempt *attempt
 	parts   []string
+	// sent is when a call was sent; zero for a generation.
+	sent time.Time
 	// loss is how far the engine had got.
 	loss poison.Loss
 	// lastActivity is the time of the attempt's last activity, which done receives when the check is over.
@@ -159,10 +161,15 @@
 // recordCrash checks the engine, and a second time if it is not lost, and records a crash if it is.
 func (c *crashCheck) recordCrash(ctx context.Context) {
 	if c.isLost(ctx) || serve.Sleep(ctx, lossRecheckDelay) && c.isLost(ctx) {
-		c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.attempt.domain, c.parts), c.loss.LastSign)
+		c.router.crashes.RecordLoss(c.crash(), c.sent, c.loss.LastSign)
 	}
 }
 
+// crash returns the record of a crash by the request.
+func (c *crashCheck) crash() poison.Crash {
+	return poison.NewCrash(c.request, c.attempt.name, c.attempt.domain, c.parts)
+}
+
 // isLost reports whether the engine is lost. One that hangs still accepts connections, but if it has sent nothing, it may
 // have hung before the request came.
 func (c *crashCheck) isLost(ctx context.Context) bool {
