Doubt the crash of a request sent in a silence instead of dropping it

A request that crashes endpoints was hidden when it came after a slow one, a stopper with a longer deadline than its neighbours went free, and requests that were unanswered in the silence were blamed although they had been sent later.

Cause: an unanswered request and no other response to this process is weak evidence that an endpoint has stopped; it was treated as proof.

Doubtful crashes are used only for losses that the others don't explain. Each response ends the silence, refusals and rejected ones too. The beginning of a silence is logged and counted. TestLossAfterSilence waits for the check of the silent request now, so that it replays the trace.

--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -32,6 +32,8 @@
 	Age time.Duration `cbor:"5,keyasint"`
 	// Domain is the endpoint's failure domain; empty if it is not known.
 	Domain string `cbor:"6,keyasint,omitempty"`
+	// Doubtful is true if the endpoint may have stopped responding before it got the request.
+	Doubtful bool `cbor:"7,keyasint,omitempty"`
 }
 
 // NewCrash returns the record of a crash at an endpoint in a failure domain; its age is zero.
--- a/core/poison/request.go
+++ b/core/poison/request.go
@@ -32,7 +32,21 @@
 // request is known exactly, so it needs fewer crashes that are apart in time. Of the requests with enough crashes it takes, one
 // after the other, the one that says most about those that are not explained yet, until none has minCrashes of these: what is left
 // over were bystanders, or will soon have crashes of its own. The losses under a request that crashes engines are not always seen.
-func findRequests(crashes []crash, explained []bool) (out []*Quarantine) {
+// Doubtful crashes count only for what the others don't explain.
+func findRequests(crashes []crash, explained []bool) []*Quarantine {
+	firm := make([]bool, len(crashes))
+	for i := range crashes {
+		firm[i] = explained[i] || crashes[i].Doubtful
+	}
+	out := explainByRequests(crashes, firm)
+	for _, q := range out {
+		explain(crashes, explained, q.Part)
+	}
+	return append(out, explainByRequests(crashes, explained)...)
+}
+
+// explainByRequests returns the quarantines of whole requests for the crashes that are not explained.
+func explainByRequests(crashes []crash, explained []bool) (out []*Quarantine) {
 	open := collectSuspects(crashes, explained)
 	for len(open) > 0 {
 		unexplained := collectSuspects(crashes, explained)
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -51,7 +51,7 @@
 	now := g.Clock.Now()
 	c.Age = max(0, now.Sub(at))
 	g.Log.Info("engine-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.String("domain", c.Domain),
-		zap.Duration("age", c.Age), zap.Strings("parts", c.Parts))
+		zap.Duration("age", c.Age), zap.Bool("doubtful", c.Doubtful), zap.Strings("parts", c.Parts))
 	g.Metrics.Counter("engine-crashes").Inc(1)
 	news := g.table.Merge([]poison.Crash{c}, now)
 	g.logChanges(now)
@@ -59,7 +59,7 @@
 	g.send(news)
 }
 
-// RecordSign records that an endpoint sent something.
+// RecordSign records that an endpoint sent a response.
 func (g *Guard) RecordSign(endpoint string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -67,22 +67,24 @@
 }
 
 // RecordUnanswered records that the request of the crash, which was sent at the given time, has ended without an answer. If its
-// endpoint is lost before it sends anything, this counts as the crash.
+// endpoint is lost before it sends a response, the request may have crashed it.
 func (g *Guard) RecordUnanswered(c poison.Crash, sent time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.silences.RecordUnanswered(c, sent, g.Clock.Now())
+	now := g.Clock.Now()
+	if g.silences.RecordUnanswered(c, sent, now) {
+		g.Log.Info("endpoint-silent", zap.String("endpoint", c.Endpoint), zap.String("domain", c.Domain), zap.String("request", c.Request),
+			zap.Duration("sent", now.Sub(sent)))
+		g.Metrics.Counter("endpoint-silences").Inc(1)
+	}
 }
 
-// RecordLoss records the loss of an endpoint at the given time that the request of the crash has seen, which was sent at the time
-// sent. It counts as a crash by the request, or by those that the endpoint left unanswered before.
+// RecordLoss records the loss of an endpoint at the given time, noticed by the request of the crash, which was sent at the time sent.
+// It counts as a crash by the request, and by those that may have stopped the endpoint before.
 func (g *Guard) RecordLoss(c poison.Crash, sent, at time.Time) {
 	g.mu.Lock()
 	list := g.silences.CrashesOf(c, sent, at)
 	g.mu.Unlock()
-	if len(list) == 0 {
-		g.Log.Info("loss-after-silence", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.Time("sent", sent))
-	}
 	for _, crash := range list {
 		g.Record(crash, at)
 	}
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -61,13 +61,24 @@
 	s.recordCrash(a.endpoint, result.run.LastSign)
 }
 
+// hasResponded reports whether the endpoint of an attempt has sent a response, be it a refusal or one that the relay rejects.
+func (r *attemptResult) hasResponded() bool {
+	switch r.cause {
+	case common.RetryConnect, common.RetryReset, common.RetrySilent:
+		return false
+	}
+	return true
+}
+
 // recordPlainOutcome records what an attempt whose response is one message says about the request. Nothing shows
-// when the engine began to answer, so each loss by a reset counts as a crash, and only a response as sound.
+// when the engine began to answer, so each loss by a reset may be a crash, and only a response counts as sound.
 func (q *request) recordPlainOutcome(e place.Endpoint, result attemptResult) {
+	if result.hasResponded() {
+		q.relay.crashes.RecordSign(e.ID)
+	}
 	switch {
 	case q.isAbandoned() || len(q.parts) == 0 && q.bodyReader != nil:
 	case result.outcome == completed:
-		q.relay.crashes.RecordSign(e.ID)
 		q.recordAnswer(result.res.StatusCode)
 	case result.outcome != outcomeUnknown || result.cause != common.RetryReset && result.cause != common.RetrySilent:
 	case !q.goesToModelEngine():
--- a/io/relay/crashes_test.go
+++ b/io/relay/crashes_test.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// The restart of an endpoint that has left a request unanswered must count against that request, not against those that were sent
-// to the endpoint afterwards.
+// The restart of an endpoint that has left a request unanswered must count against that request, and be in doubt for those that were
+// sent to the endpoint afterwards.
 func TestLossAfterSilence(t *testing.T) {
 	l, err := net.Listen("tcp", net.JoinHostPort(stand.LoopbackHost(), "0"))
 	if err != nil {
@@ -119,14 +119,14 @@
 	later := newRequest("later")
 	now.Advance(100 * time.Millisecond)
 	unanswered.recordPlainOutcome(e, attemptResult{outcome: outcomeUnknown, cause: common.RetrySilent})
+	<-r.losses.check(e, now.Now()).done
 	now.Advance(200 * time.Millisecond)
 	_ = l.Close()
 	later.recordPlainOutcome(e, attemptResult{outcome: outcomeUnknown, cause: common.RetryReset})
-	<-r.losses.check(e, now.Now()).done
-	for end := time.Now().Add(time.Second); !r.crashes.HasCrashes() && time.Now().Before(end); {
+	for end := time.Now().Add(time.Second); len(r.crashes.All()) < 2 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
-	if list := r.crashes.All(); len(list) != 1 || list[0].Request != "unanswered" {
-		t.Errorf("recorded crashes: %v, want one by the unanswered request", list)
+	if list := r.crashes.All(); len(list) != 2 || list[0].Request != "unanswered" || list[0].Doubtful || !list[1].Doubtful {
+		t.Errorf("recorded crashes: %v, want one by the unanswered request and a doubtful one", list)
 	}
 }
--- a/io/relay/losscheck.go
+++ b/io/relay/losscheck.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// crashCheck records the crash of an endpoint of a plain service by a request if the endpoint is lost.
+// crashCheck records the loss of an endpoint of a plain service, noticed by a request, if the endpoint is lost.
 type crashCheck struct {
 	relay    *Relay
 	endpoint place.Endpoint
--- a/io/router/callcrashes.go
+++ b/io/router/callcrashes.go
@@ -61,12 +61,16 @@
 
 // recordFailure records what a failed attempt, which began at the given time, says about the call: a crash if its connection was
 // reset and the endpoint is lost. An endpoint that only lost its response still accepts connections. One that does not answer may
-// be cut off, which is no evidence against the call unless the endpoint is lost later.
+// be cut off, which is no evidence against the call unless the endpoint is lost before it sends a response.
 func (c *callSender) recordFailure(ctx context.Context, x *serviceCall, a *attempt, sentAt time.Time, err error) {
+	reason := callRetryReason(err)
+	if reason == common.RetryConnect {
+		return
+	}
 	check := &crashCheck{
 		router: c.router, request: x.request, attempt: a, parts: x.crashParts(), sent: sentAt, loss: poison.Loss{LastSign: c.router.Clock.Now()},
 	}
-	switch reason := callRetryReason(err); {
+	switch {
 	case reason == common.RetrySilent:
 		c.router.crashes.RecordUnanswered(check.crash(), sentAt)
 	case reason == common.RetryReset && ctx.Err() == nil:
