--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -23,8 +23,9 @@
 	// Send sends crashes to the other processes; it may drop them.
 	Send func(list []poison.Crash)
 
-	mu    sync.Mutex
-	table poison.Table
+	mu       sync.Mutex
+	table    poison.Table
+	silences poison.Silences
 	// logged holds the quarantines that were logged last, by part.
 	logged map[string]poison.Quarantine
 }
@@ -50,7 +51,7 @@
 	now := g.Clock.Now()
 	c.Age = max(0, now.Sub(at))
 	g.Log.Info("engine-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.String("domain", c.Domain),
-		zap.Duration("age", c.Age), zap.Strings("parts", c.Parts))
+		zap.Duration("age", c.Age), zap.Bool("doubtful", c.Doubtful), zap.Strings("parts", c.Parts))
 	g.Metrics.Counter("engine-crashes").Inc(1)
 	news := g.table.Merge([]poison.Crash{c}, now)
 	g.logChanges(now)
@@ -58,6 +59,37 @@
 	g.send(news)
 }
 
+// RecordSign records that an endpoint sent a response.
+func (g *Guard) RecordSign(endpoint string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silences.RecordSign(endpoint, g.Clock.Now())
+}
+
+// RecordUnanswered records that the request of the crash, which was sent at the given time, has ended without an answer. If its
+// endpoint is lost before it sends a response, the request may have crashed it.
+func (g *Guard) RecordUnanswered(c poison.Crash, sent time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.Clock.Now()
+	if g.silences.RecordUnanswered(c, sent, now) {
+		g.Log.Info("endpoint-silent", zap.String("endpoint", c.Endpoint), zap.String("domain", c.Domain), zap.String("request", c.Request),
+			zap.Duration("sent", now.Sub(sent)))
+		g.Metrics.Counter("endpoint-silences").Inc(1)
+	}
+}
+
+// RecordLoss records the loss of an endpoint at the given time, noticed by the request of the crash, which was sent at the time sent.
+// It counts as a crash by the request, and by those that may have stopped the endpoint before.
+func (g *Guard) RecordLoss(c poison.Crash, sent, at time.Time) {
+	g.mu.Lock()
+	list := g.silences.CrashesOf(c, sent, at)
+	g.mu.Unlock()
+	for _, crash := range list {
+		g.Record(crash, at)
+	}
+}
+
 // MarkSound records that an engine survived the beginning of its answer to a prompt with the parts.
 func (g *Guard) MarkSound(parts []string, began time.Time) {
 	g.mu.Lock()
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -61,9 +61,21 @@
 	s.recordCrash(a.endpoint, result.run.LastSign)
 }
 
+// hasResponded reports whether the endpoint of an attempt has sent a response, be it a refusal or one that the relay rejects.
+func (r *attemptResult) hasResponded() bool {
+	switch r.cause {
+	case common.RetryConnect, common.RetryReset, common.RetrySilent:
+		return false
+	}
+	return true
+}
+
 // recordPlainOutcome records what an attempt whose response is one message says about the request. Nothing shows
-// when the engine began to answer, so each loss by a reset counts as a crash, and only a response as sound.
+// when the engine began to answer, so each loss by a reset may be a crash, and only a response counts as sound.
 func (q *request) recordPlainOutcome(e place.Endpoint, result attemptResult) {
+	if result.hasResponded() {
+		q.relay.crashes.RecordSign(e.ID)
+	}
 	switch {
 	case q.isAbandoned() || len(q.parts) == 0 && q.bodyReader != nil:
 	case result.outcome == completed:
@@ -87,8 +99,11 @@
 // a request that could be sent to a third endpoint waits for the result.
 func (q *request) startCrashCheck(e place.Endpoint, silent bool) {
 	c := &crashCheck{
-		relay: q.relay, endpoint: e, crash: poison.NewCrash(q.id, e.ID, e.Domain, q.crashParts()), at: q.relay.Clock.Now(), silent: silent,
-		done: make(chan struct{}),
+		relay: q.relay, endpoint: e, crash: poison.NewCrash(q.id, e.ID, e.Domain, q.crashParts()), sent: q.sentAt, at: q.relay.Clock.Now(),
+		silent: silent, done: make(chan struct{}),
+	}
+	if silent {
+		q.relay.crashes.RecordUnanswered(c.crash, c.sent)
 	}
 	go c.run()
 	if q.attempts < poison.MaxRequestCrashes || !q.canRetry() {
