Count a silent engine as crashed from two seconds on

What callers saw: on the own interface, a generation that had lost an engine of a failure domain was refused with crashes-engines, because the router also counted a sound engine as crashed after 0.69 s of silence (TestDomainLoss beside load).

Cause: after a stall, the check gave the engine 250 ms to respond, twice. A sound engine may be silent for a second or so, so this was too early. Ruled out: the double count of one failure domain, which was fixed before (the engine was outside the lost domain).

Now core/poison decides: the probe waits until 2 s after the last sign of life, on one connection of its own. A response on it shows a sound engine; a reset shows one that ended or was restarted meanwhile. A second probe tells a silent engine from a router that was itself paused. The next attempt does not wait for the check, except for up to 250 ms after a reset, and until there is a result if the request has lost as many engines as it may crash. While the check runs, the loss is a suspected crash, so that answers elsewhere speak for its parts as before. The check no longer ends with the generation.

TestSilentEngineIsCrashed with the old check: an engine that goes on after 1 s was recorded as crashed (the other two cases passed); it passes now.

--- a/core/poison/crash.go
+++ b/core/poison/crash.go
@@ -70,29 +70,6 @@
 	return "hash-" + strconv.FormatUint(h.Sum64(), 16)
 }
 
-// Loss says how far an engine had got with a request when it was lost.
-type Loss struct {
-	// Began is when the engine began to answer; zero if it had not.
-	Began time.Time
-	// LastSign is when the engine last gave a sign of life: its last output, or the end of the connection.
-	LastSign time.Time
-}
-
-// HasBegun reports whether the engine had begun to answer.
-func (l Loss) HasBegun() bool { return !l.Began.IsZero() }
-
-// Lasted returns the time from the beginning of the answer to the last sign of life; zero if the engine had not begun.
-func (l Loss) Lasted() time.Duration {
-	if !l.HasBegun() {
-		return 0
-	}
-	return l.LastSign.Sub(l.Began)
-}
-
-// IsEarly reports whether the engine was lost so soon after it began to answer that the request may have crashed it. The
-// silence in which the loss was noticed does not count.
-func (l Loss) IsEarly() bool { return l.HasBegun() && l.Lasted() < BeginWindow }
-
 // lastPart returns the last part, which belongs to the request itself.
 func (c *Crash) lastPart() string { return c.Parts[len(c.Parts)-1] }
 
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -11,6 +11,8 @@
 	// latter are smaller, and each engine that is lost has one for each request that it was running.
 	maxCrashes      = 64
 	maxWholeCrashes = 256
+	// maxSuspects bounds the suspected crashes; more of them are not counted before they are known to be crashes.
+	maxSuspects = 256
 	// maxPerQuarantine is the number of crashes of a quarantined part above which the table gives them up first when it is
 	// full.
 	maxPerQuarantine = 8
@@ -33,7 +35,9 @@
 
 // Table holds the known crashes and the parts that are quarantined because of them. It is not safe for concurrent use.
 type Table struct {
-	crashes     []crash
+	crashes []crash
+	// suspects are losses of engines that this process still checks, so that answers in the meantime speak for their parts.
+	suspects    []crash
 	quarantines map[string]*Quarantine
 	// trials holds when this process last allowed a trial of a part.
 	trials map[string]time.Time
@@ -109,25 +113,18 @@
 // MarkSound records that an engine survived the beginning of its answer to a request with the parts; the answer began
 // at the given time. It returns the crashes for which this is news.
 func (t *Table) MarkSound(parts []string, began, now time.Time) (news []Crash) {
-	if len(t.crashes) == 0 {
+	if !t.HasCrashes() {
 		return nil
 	}
 	parts = limitParts(parts)
 	if len(parts) == 1 {
 		t.recent.record(parts[0], began)
 	}
+	for i := range t.suspects {
+		t.suspects[i].markSound(parts, began)
+	}
 	for i := range t.crashes {
-		c := &t.crashes[i]
-		if !began.After(c.at) {
-			continue
-		}
-		before := c.Sound
-		for j, p := range c.Parts {
-			if slices.Contains(parts, p) {
-				c.Sound |= 1 << j
-			}
-		}
-		if c.Sound != before {
+		if c := &t.crashes[i]; c.markSound(parts, began) {
 			news = append(news, c.withAge(now))
 		}
 	}
@@ -144,8 +141,59 @@
 	return out
 }
 
-// HasCrashes reports whether the table holds any crash.
-func (t *Table) HasCrashes() bool { return len(t.crashes) > 0 }
+// markSound marks the parts as answered if the answer began after the crash, and reports whether this is news.
+func (c *crash) markSound(parts []string, began time.Time) bool {
+	if !began.After(c.at) {
+		return false
+	}
+	before := c.Sound
+	for j, p := range c.Parts {
+		if slices.Contains(parts, p) {
+			c.Sound |= 1 << j
+		}
+	}
+	return c.Sound != before
+}
+
+// HasCrashes reports whether the table holds any crash, or any loss that may be one.
+func (t *Table) HasCrashes() bool { return len(t.crashes)+len(t.suspects) > 0 }
+
+// Suspect adds the loss of an engine at the given time that may be a crash, until Resolve is called for it. The loss counts in
+// MustWait only.
+func (t *Table) Suspect(c Crash, at time.Time) {
+	if c.isValid() && len(t.suspects) < maxSuspects && t.findSuspect(c.Key()) < 0 {
+		c.Parts = slices.Clone(c.Parts)
+		t.suspects = append(t.suspects, crash{Crash: c, at: at})
+	}
+}
+
+// findSuspect returns the index of the suspected crash, or -1.
+func (t *Table) findSuspect(key string) int {
+	return slices.IndexFunc(t.suspects, func(s crash) bool { return s.Key() == key })
+}
+
+// Resolve removes the suspected crash, and merges it as Merge does if it was one.
+func (t *Table) Resolve(c Crash, crashed bool, now time.Time) (news []Crash) {
+	if i := t.findSuspect(c.Key()); i >= 0 {
+		c = t.suspects[i].withAge(now)
+		t.suspects = slices.Delete(t.suspects, i, i+1)
+	}
+	if !crashed {
+		return nil
+	}
+	return t.Merge([]Crash{c}, now)
+}
+
+// MustWait reports whether the request may be sent to a further engine only if not all of its suspected losses are crashes.
+func (t *Table) MustWait(request string) bool {
+	request = limitID(request)
+	if !slices.ContainsFunc(t.suspects, func(s crash) bool { return s.Request == request }) {
+		return false
+	}
+	all := slices.Concat(t.crashes, t.suspects)
+	slices.SortStableFunc(all, func(a, b crash) int { return a.at.Compare(b.at) })
+	return mayRetry(t.crashes, request) && !mayRetry(all, request)
+}
 
 // All returns all crashes, for a process that may not know them.
 func (t *Table) All(now time.Time) []Crash {
@@ -159,12 +207,14 @@
 
 // MayRetry reports whether a request may be sent to a further engine, given those that it has crashed. Engines of one
 // failure domain that crashed together count once.
-func (t *Table) MayRetry(request string) bool {
-	request = limitID(request)
+func (t *Table) MayRetry(request string) bool { return mayRetry(t.crashes, limitID(request)) }
+
+// mayRetry reports whether the request may be sent to a further engine, given the crashes in order of time.
+func mayRetry(crashes []crash, request string) bool {
 	suspicious, all := 0, 0
 	var last *crash
-	for i := range t.crashes {
-		c := &t.crashes[i]
+	for i := range crashes {
+		c := &crashes[i]
 		if c.Request != request || last != nil && c.isSameEvent(last) {
 			continue
 		}
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -49,15 +49,51 @@
 	g.mu.Lock()
 	now := g.Clock.Now()
 	c.Age = max(0, now.Sub(at))
+	g.recordCrash(&c)
+	news := g.table.Merge([]poison.Crash{c}, now)
+	g.logChanges(now)
+	g.mu.Unlock()
+	g.send(news)
+}
+
+// recordCrash logs and counts a crash.
+func (g *Guard) recordCrash(c *poison.Crash) {
 	g.Log.Info("engine-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.String("domain", c.Domain),
 		zap.Duration("age", c.Age), zap.Strings("parts", c.Parts))
 	g.Metrics.Counter("engine-crashes").Inc(1)
-	news := g.table.Merge([]poison.Crash{c}, now)
+}
+
+// Suspect adds the loss of an engine at the given time that this process checks. Resolve must be called for it.
+func (g *Guard) Suspect(c poison.Crash, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Suspect(c, at)
+}
+
+// Resolve ends the check of a suspected loss, which happened at the given time, and records it if it was a crash.
+func (g *Guard) Resolve(c poison.Crash, crashed bool, at time.Time) {
+	g.mu.Lock()
+	now := g.Clock.Now()
+	c.Age = max(0, now.Sub(at))
+	if crashed {
+		g.recordCrash(&c)
+	} else {
+		g.Log.Info("engine-not-crashed", zap.String("request", c.Request), zap.String("endpoint", c.Endpoint), zap.Duration("age", c.Age))
+	}
+	news := g.table.Resolve(c, crashed, now)
 	g.logChanges(now)
 	g.mu.Unlock()
 	g.send(news)
 }
 
+// MustWait reports whether a request has to wait for the checks of the engines that it may have crashed before it is sent to a
+// further one.
+func (g *Guard) MustWait(request string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.MustWait(request)
+}
+
 // MarkSound records that an engine survived the beginning of its answer to a prompt with the parts.
 func (g *Guard) MarkSound(parts []string, began time.Time) {
 	g.mu.Lock()
--- a/io/router/callcrashes.go
+++ b/io/router/callcrashes.go
@@ -65,10 +65,10 @@
 	if callRetryReason(err) != common.RetryReset || ctx.Err() != nil {
 		return
 	}
-	check := &crashCheck{
-		router: c.router, request: x.request, attempt: a, parts: x.crashParts(), loss: poison.Loss{LastSign: c.router.Clock.Now()},
+	check := c.router.newCrashCheck(x.request, a, x.crashParts(), poison.Loss{LastSign: c.router.Clock.Now()})
+	if check.hasCrashed(ctx) {
+		c.router.crashes.Record(check.crash, check.loss.LastSign)
 	}
-	check.recordCrash(ctx)
 }
 
 // markSound records that an endpoint survived the call, if its response shows that.
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -24,8 +24,6 @@
 const (
 	// crashResendRounds is the number of exchanges of in-flight counts after which all known crashes are sent once more.
 	crashResendRounds = 20
-	// lossQueryTimeout bounds the connection and the query by which a router finds out whether an engine is lost.
-	lossQueryTimeout = 250 * time.Millisecond
 	// lossRecheckDelay is the pause before an engine that has reset a connection and still responds is asked again: an
 	// engine that ends may respond for a moment after that.
 	lossRecheckDelay = 50 * time.Millisecond
@@ -136,54 +134,98 @@
 	return l
 }
 
-// crashCheck finds out whether the engine of a lost attempt is down, and records it as a crash by the request if it is.
+// crashCheck finds out whether the engine of a lost attempt has crashed, and records it as a crash by the request if it has.
 type crashCheck struct {
 	router  *Router
-	request string
 	attempt *attempt
-	parts   []string
+	crash   poison.Crash
 	// loss is how far the engine had got.
 	loss poison.Loss
-	// lastActivity is the time of the attempt's last activity, which done receives when the check is over.
-	lastActivity time.Time
-	done         chan<- time.Time
+	// done receives a value when the check is over, and when it takes long, unless the channel is full.
+	done chan<- struct{}
 }
 
-// run records the crash in the background of a session.
+// newCrashCheck returns the check of the attempt's engine, which the request with the parts may have crashed.
+func (r *Router) newCrashCheck(request string, a *attempt, parts []string, loss poison.Loss) *crashCheck {
+	return &crashCheck{router: r, attempt: a, crash: poison.NewCrash(request, a.name, a.domain, parts), loss: loss}
+}
+
+// run makes the check in the background. Until it is over, the loss is a suspected crash.
 func (c *crashCheck) run(ctx context.Context) {
 	defer c.router.guard.Recover("crash-check")
-	defer func() { c.done <- c.lastActivity }()
-	c.recordCrash(ctx)
+	crashed := false
+	defer func() {
+		c.router.crashes.Resolve(c.crash, crashed, c.loss.LastSign)
+		c.notify()
+	}()
+	defer time.AfterFunc(poison.MinProbeTime, c.notify).Stop()
+	crashed = c.hasCrashed(ctx)
 }
 
-// recordCrash checks the engine, and a second time if it is not lost, and records a crash if it is.
-func (c *crashCheck) recordCrash(ctx context.Context) {
-	if c.isLost(ctx) || serve.Sleep(ctx, lossRecheckDelay) && c.isLost(ctx) {
-		c.router.crashes.Record(poison.NewCrash(c.request, c.attempt.name, c.attempt.domain, c.parts), c.loss.LastSign)
+// notify lets the session look at what is known.
+func (c *crashCheck) notify() {
+	select {
+	case c.done <- struct{}{}:
+	default:
 	}
 }
 
-// isLost reports whether the engine is lost. One that hangs still accepts connections, but if it has sent nothing, it may
-// have hung before the request came.
-func (c *crashCheck) isLost(ctx context.Context) bool {
-	conn, err := (&net.Dialer{Timeout: lossQueryTimeout}).DialContext(ctx, "tcp", c.attempt.address)
+// hasCrashed probes the engine, and a second time unless it has ended, and reports whether it has crashed. The second probe also
+// tells a silent engine from a router that was paused itself.
+func (c *crashCheck) hasCrashed(ctx context.Context) bool {
+	return c.probe(ctx) == poison.ProbeFailed || serve.Sleep(ctx, lossRecheckDelay) && c.loss.IsCrash(c.probe(ctx))
+}
+
+// probe connects to the engine, and asks for its load if it had begun to answer.
+func (c *crashCheck) probe(ctx context.Context) poison.ProbeResult {
+	probeCtx, cancel := context.WithTimeout(ctx, c.loss.ProbeTimeout(c.router.Clock.Now()))
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(probeCtx, "tcp", c.attempt.address)
 	if err != nil {
-		return ctx.Err() == nil
+		if ctx.Err() != nil {
+			return poison.ProbeAnswered
+		}
+		return poison.ProbeFailed
 	}
 	_ = conn.Close()
-	return c.loss.HasBegun() && c.isHanging(ctx)
+	if !c.loss.HasBegun() {
+		return poison.ProbeAnswered
+	}
+	_, err = (&engine.Client{Address: c.attempt.address, Fresh: true}).Metrics(probeCtx)
+	if err == nil || ctx.Err() != nil {
+		return poison.ProbeAnswered
+	}
+	switch engine.KindOf(err) {
+	case engine.KindRefused, engine.KindProtocol:
+		return poison.ProbeAnswered
+	case engine.KindCanceled, engine.KindTimeout:
+		return poison.ProbeSilent
+	}
+	return poison.ProbeFailed
 }
 
-// isHanging reports whether the engine does not answer a query of its load.
-func (c *crashCheck) isHanging(ctx context.Context) bool {
-	queryCtx, cancel := context.WithTimeout(ctx, lossQueryTimeout)
-	defer cancel()
-	_, err := (&engine.Client{Address: c.attempt.address, Fresh: true}).Metrics(queryCtx)
-	if err == nil || ctx.Err() != nil {
-		return false
+// startCrashCheck starts the check whether the attempt, which was lost at its beginning, has crashed its engine, and schedules the
+// next attempt. That one waits for the check only after a reset, which a new connection explains at once, or if the generation may
+// have crashed as many engines as it may.
+func (s *session) startCrashCheck(ctx context.Context, t *streamAttempt, reason common.Reason) {
+	c := s.router.newCrashCheck(s.id, t.attempt, s.promptParts(), t.loss(reason, s.now()))
+	c.done = s.crashChecked
+	s.router.crashes.Suspect(c.crash, c.loss.LastSign)
+	go c.run(s.router.ctx)
+	s.heldSince = t.lastActivity()
+	if reason == common.RetrySilent {
+		s.releaseHeld(ctx)
+	}
+}
+
+// releaseHeld schedules the attempt that waits for the checks of lost engines, unless it must wait on.
+func (s *session) releaseHeld(ctx context.Context) {
+	if s.heldSince.IsZero() || s.router.crashes.MustWait(s.id) {
+		return
 	}
-	kind := engine.KindOf(err)
-	return kind != engine.KindRefused && kind != engine.KindProtocol
+	due := s.heldSince
+	s.heldSince = time.Time{}
+	s.scheduleAttempt(ctx, due)
 }
 
 // markSound records that the engine of the attempt survived the beginning of its answer.
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -73,9 +73,10 @@
 	stallDetector stream.StallDetector
 	// resumeTurn receives a value when the resume queue lets this session continue.
 	resumeTurn chan struct{}
-	// crashChecked receives the time of the last activity of a lost attempt after the check whether it has crashed its
-	// engine.
-	crashChecked  chan time.Time
+	// crashChecked receives a value after the check whether a lost attempt has crashed its engine.
+	crashChecked chan struct{}
+	// heldSince is the last activity of the lost attempt whose successor waits for such checks; zero if none waits.
+	heldSince     time.Time
 	attemptEvents chan attemptEvent
 	replies       chan stream.Reply
 	stop          context.CancelFunc
@@ -112,7 +113,7 @@
 	s.attemptEvents = make(chan attemptEvent, attemptEventQueueSize)
 	s.replies = make(chan stream.Reply, replyQueueSize)
 	s.resumeTurn = make(chan struct{}, 1)
-	s.crashChecked = make(chan time.Time, 1)
+	s.crashChecked = make(chan struct{}, 1)
 	s.changed = make(chan struct{})
 	s.failedEndpoints = route.NameSet{}
 	s.lastProgress = s.router.Clock.Now()
@@ -155,8 +156,8 @@
 			s.sendMessages(s.owner.Handle(s.now(), r))
 		case reason := <-s.interruptChan():
 			s.loseAttempt(ctx, reason)
-		case lastActivity := <-s.crashChecked:
-			s.scheduleAttempt(ctx, lastActivity)
+		case <-s.crashChecked:
+			s.releaseHeld(ctx)
 		case <-s.resumeTurn:
 			s.startAttempt(ctx)
 		case <-tick.C:
@@ -285,11 +286,7 @@
 		return
 	}
 	if s.lostAtBeginning(t, reason) {
-		c := &crashCheck{
-			router: s.router, request: s.id, attempt: t.attempt, parts: s.promptParts(), loss: t.loss(reason, s.now()),
-			lastActivity: t.lastActivity(), done: s.crashChecked,
-		}
-		go c.run(ctx)
+		s.startCrashCheck(ctx, t, reason)
 		return
 	}
 	s.scheduleAttempt(ctx, t.lastActivity())
