Count a silent engine of a relay's stream as crashed from two seconds on

Cause: after a stream was lost at its beginning, the relay recorded a crash if the engine did not respond to one of two probes of 120 ms, while a sound engine may be silent for a second or so.

Now the relay checks in the background with a probe that waits until 2 s after the last sign of life, by the rule of core/poison. The streams of an engine share it. The engine is still suspended after 120 ms without a response. A stream waits for the check for up to 250 ms after a reset, and until there is a result only if it has lost as many engines as it may crash. Requests with one message keep their check.

--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -53,12 +53,31 @@
 	}
 }
 
-// recordStreamCrash records a crash if the engine of a failed attempt is lost just after it began to answer.
+// recordStreamCrash starts to find out whether the engine of a failed attempt has crashed just after it began to answer. The stream
+// waits for the result for a moment after a reset, which a new connection explains at once, and until there is one if it may have
+// crashed as many engines as it may.
 func (s *streamRequest) recordStreamCrash(a streamAttempt, result attemptResult) {
 	if result.outcome == completed || !result.run.IsEarly() || s.isAbandoned() || len(s.crashParts()) == 0 {
 		return
 	}
-	s.recordCrash(a.endpoint, result.run.LastSign)
+	c := &streamCrashCheck{
+		relay: s.relay, endpoint: a.endpoint, crash: poison.NewCrash(s.id, a.endpoint.ID, a.endpoint.Domain, s.crashParts()),
+		loss: result.run.Loss, done: make(chan struct{}),
+	}
+	s.relay.crashes.Suspect(c.crash, c.loss.LastSign)
+	go c.run()
+	if result.cause != common.RetrySilent {
+		t := time.NewTimer(poison.MinProbeTime)
+		defer t.Stop()
+		select {
+		case <-c.done:
+		case <-t.C:
+		case <-s.ctx.Done():
+		}
+	}
+	for s.canRetry() && s.relay.crashes.MustWait(s.id) && s.sleep(resumeRetryInterval) {
+		continue
+	}
 }
 
 // recordPlainOutcome records what an attempt whose response is one message says about the request. Nothing shows
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -20,6 +20,8 @@
 	mu sync.Mutex
 	// probes holds the latest probe of each engine by its id.
 	probes map[string]*livenessProbe
+	// lossProbes holds the loss probes in flight by the engine's id.
+	lossProbes map[string]*lossProbe
 	// lastActivity is when each engine last sent data on any stream, as time since the start of the process.
 	lastActivity map[string]time.Duration
 }
@@ -37,6 +39,7 @@
 func (p *prober) initProber(r *Relay) {
 	p.relay = r
 	p.probes = map[string]*livenessProbe{}
+	p.lossProbes = map[string]*lossProbe{}
 	p.lastActivity = map[string]time.Duration{}
 }
 
@@ -137,11 +140,16 @@
 	if pr.alive {
 		return
 	}
+	p.suspend(e, pr.result(), pr.err)
+}
+
+// suspend suspends an engine that did not respond to a probe.
+func (p *prober) suspend(e place.Endpoint, result string, err error) {
 	var suspended time.Duration
 	p.relay.withTable(func(t *place.EndpointTable, now time.Time) { suspended = t.RecordFailure(e.ID, true, now) })
 	p.relay.pool.closeIdle(e.ID)
 	p.relay.Log.Info("engine-unresponsive", zap.String("endpoint", e.ID), zap.String("domain", e.Domain),
-		zap.String("result", pr.result()), zap.Duration("suspended", suspended), zap.Error(pr.err))
+		zap.String("result", result), zap.Duration("suspended", suspended), zap.Error(err))
 }
 
 // result returns the metric label of the result of an engine's liveness probe.
--- a/io/relay/prober_test.go
+++ b/io/relay/prober_test.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"wasabiweir/core/common"
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
+	"wasabiweir/core/state"
+	"wasabiweir/io/serve"
 	"wasabiweir/io/wall"
 )
 
@@ -37,3 +43,47 @@
 		t.Error("the engine counts as sound")
 	}
 }
+
+// pausedEngine responds to a request for its report after a pause, or with an error.
+type pausedEngine struct {
+	EngineClient
+	until time.Time
+	err   error
+}
+
+// Report waits for the end of the pause.
+func (e *pausedEngine) Report(ctx context.Context, _ string) (EngineReport, error) {
+	if !serve.Sleep(ctx, time.Until(e.until)) {
+		return EngineReport{}, ctx.Err()
+	}
+	return EngineReport{}, e.err
+}
+
+// A silent engine that had begun to answer a stream must count as crashed if it stays silent or ends, and not if it goes on after a
+// second; no case may keep the stream from its next engine.
+func TestSilentEngineOfStreamIsCrashed(t *testing.T) {
+	t.Parallel()
+	for name, x := range map[string]struct {
+		pause time.Duration
+		err   error
+		want  bool
+	}{"goes-on": {pause: time.Second}, "stays-silent": {pause: time.Minute, want: true}, "ends": {time.Second, syscall.ECONNRESET, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newTestRelay(t)
+			r.Engines = &pausedEngine{until: time.Now().Add(x.pause), err: x.err}
+			sign := time.Now().Add(-400 * time.Millisecond)
+			s := &streamRequest{request: &request{relay: r, id: "r", ctx: t.Context(), parts: []string{"own"}, r: &http.Request{}, route: &state.Route{}}}
+			s.recordStreamCrash(streamAttempt{endpoint: place.Endpoint{ID: "e"}}, attemptResult{
+				outcome: outcomeUnknown, cause: common.RetrySilent, run: runProgress{Loss: poison.Loss{Began: sign.Add(-100 * time.Millisecond), LastSign: sign}},
+			})
+			if d := time.Since(sign); d > 600*time.Millisecond {
+				t.Errorf("the stream waited %s for the check", d-400*time.Millisecond)
+			}
+			time.Sleep(time.Until(sign.Add(3 * time.Second)))
+			if got := len(r.crashes.All()) == 1; got != x.want {
+				t.Errorf("the engine has crashed: %t", got)
+			}
+		})
+	}
+}
