--- a/io/router/callcrashes.go
+++ b/io/router/callcrashes.go
@@ -67,14 +67,12 @@
 	if reason == common.RetryConnect {
 		return
 	}
-	check := &crashCheck{
-		router: c.router, request: x.request, attempt: a, parts: x.crashParts(), sent: sentAt, loss: poison.Loss{LastSign: c.router.Clock.Now()},
-	}
+	check := c.router.newCrashCheck(x.request, a, x.crashParts(), poison.Loss{LastSign: c.router.Clock.Now()})
 	switch {
 	case reason == common.RetrySilent:
-		c.router.crashes.RecordUnanswered(check.crash(), sentAt)
-	case reason == common.RetryReset && ctx.Err() == nil:
-		check.recordCrash(ctx)
+		c.router.crashes.RecordUnanswered(check.crash, sentAt)
+	case reason == common.RetryReset && ctx.Err() == nil && check.hasCrashed(ctx):
+		c.router.crashes.RecordLoss(check.crash, sentAt, check.loss.LastSign)
 	}
 }
 
