Log that a request waits for the check of its engines

What operators saw: nothing between the loss of an attempt and the next one while a request that may have crashed two engines waited for the checks. Now attempt-held names the engine and its last activity. No test of its own: it is a log line.

--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"wasabiweir/core/common"
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
@@ -75,6 +77,9 @@
 		case <-s.ctx.Done():
 		}
 	}
+	if s.canRetry() && s.relay.crashes.MustWait(s.id) {
+		s.log.Info("attempt-held", zap.String("endpoint", a.endpoint.ID), zap.Time("last-activity", c.loss.LastSign))
+	}
 	for s.canRetry() && s.relay.crashes.MustWait(s.id) && s.sleep(resumeRetryInterval) {
 		continue
 	}
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -216,6 +216,9 @@
 	if reason == common.RetrySilent {
 		s.releaseHeld(ctx)
 	}
+	if !s.heldSince.IsZero() && s.router.crashes.MustWait(s.id) {
+		s.log.Info("attempt-held", zap.Int("attempt", t.number), zap.String("endpoint", t.name), zap.Time("last-activity", s.heldSince))
+	}
 }
 
 // releaseHeld schedules the attempt that waits for the checks of lost engines, unless it must wait on.
