--- a/core/raft/errors.go
+++ b/core/raft/errors.go
@@ -25,6 +25,8 @@
 	ErrTooManyUncommitted = eris.New("too many uncommitted proposals")
 	// ErrNoSpace means that the leader has no room on its disk for the proposal; it was not appended.
 	ErrNoSpace = eris.New("no room on the disk for the proposal")
+	// ErrLogFull means that the log must not grow until a snapshot is written; the proposal was not appended.
+	ErrLogFull = eris.New("the log is full until a snapshot is written")
 	// ErrTransferInProgress means that a leadership transfer is in progress; the proposal was not appended.
 	ErrTransferInProgress = eris.New("the leadership is being transferred")
 	// ErrInvalidConfig means that a field of the node, its saved state or a snapshot to compact to is invalid.
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// Propose appends data for the state machine to the log if this member is the leader; it returns ErrTooManyUncommitted
-// or ErrTransferInProgress if it cannot append at the moment. A follower forwards data if Forward is set and a leader
+// Propose appends data for the state machine to the log if this member is the leader; it returns ErrTooManyUncommitted,
+// ErrLogFull or ErrTransferInProgress if it cannot append at the moment. A follower forwards data if Forward is set and a leader
 // is known, and otherwise returns NotLeaderError. If the leader refuses forwarded data, it appears in
 // Ready.RefusedProposals. Data for which Propose returned nil can still be lost when the leader changes.
 func (n *Node) Propose(data []byte) error {
@@ -147,8 +147,8 @@
 }
 
 // appendProposal appends data to the leader's log. It returns NotLeaderError if the leader is no longer a voter,
-// ErrTransferInProgress during a leadership transfer, ErrNoSpace if the disk has no room for it and
-// ErrTooManyUncommitted if too many bytes are uncommitted.
+// ErrTransferInProgress during a leadership transfer, ErrNoSpace if the disk has no room for it, ErrLogFull while
+// proposals are held and ErrTooManyUncommitted if too many bytes are uncommitted.
 func (n *Node) appendProposal(data []byte) error {
 	if !n.log.members().IsVoter(n.ID) {
 		return &NotLeaderError{}
@@ -159,6 +159,9 @@
 	if len(data) > n.proposalRoom {
 		return fmt.Errorf("%d bytes: %w", len(data), ErrNoSpace)
 	}
+	if n.proposalsHeld {
+		return ErrLogFull
+	}
 	if n.leaderState.uncommittedBytes > 0 && n.leaderState.uncommittedBytes+len(data) > n.UncommittedBytes {
 		return fmt.Errorf("%d bytes: %w", n.leaderState.uncommittedBytes, ErrTooManyUncommitted)
 	}
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -77,7 +77,8 @@
 	// Forward makes a follower forward proposals to the leader; otherwise Propose returns NotLeaderError.
 	Forward bool
 
-	proposalRoom int // largest proposal that the leader appends, in bytes
+	proposalRoom  int  // largest proposal that the leader appends, in bytes
+	proposalsHeld bool // the leader appends no proposals
 
 	rng       *rand.Rand // source of random election timeouts
 	processID uint64     // random number that identifies this process in forwarded proposals
@@ -116,6 +117,10 @@
 // its disk has little room. Other entries are still appended.
 func (n *Node) LimitProposals(bytes int) { n.proposalRoom = bytes }
 
+// HoldProposals sets whether this member appends no proposals to its log as the leader, because a snapshot must be
+// written before the log may grow. Other entries are still appended.
+func (n *Node) HoldProposals(hold bool) { n.proposalsHeld = hold }
+
 // Start validates the fields of the node and loads the state that the member saved on its disk; it returns
 // ErrInvalidConfig if a field is invalid or the saved entries do not follow the snapshot.
 func (n *Node) Start(saved PersistentState) error {
--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -143,7 +143,7 @@
 			return true
 		}
 		leader, notLeader := raft.IsNotLeader(err)
-		later := errors.Is(err, raft.ErrTransferInProgress) || errors.Is(err, raft.ErrTooManyUncommitted)
+		later := errors.Is(err, raft.ErrTransferInProgress) || errors.Is(err, raft.ErrTooManyUncommitted) || errors.Is(err, raft.ErrLogFull)
 		if notLeader && leader.IsZero() || later {
 			return !p.state.CompareAndSwap(stateSubmitted, stateQueued)
 		}
--- a/io/repl/saver.go
+++ b/io/repl/saver.go
@@ -63,6 +63,12 @@
 	return count > 0 && enough && r.appliedBytes >= r.snapshotBytes && time.Since(r.snapshotFailedAt) >= spaceCheckInterval
 }
 
+// isLogFull reports whether a snapshot is being written and the next one would be due. Without this bound, a slow disk
+// lets the log grow until it fills the memory or the disk.
+func (r *Replica) isLogFull() bool {
+	return r.snapshotWriter != nil && r.appliedBytes >= max(r.quarterBytes(), r.snapshotBytes)
+}
+
 // advanceSnapshot starts a snapshot of the state machine once enough log entries are applied. While one is being
 // written, it checks for its completion and then drops the log entries that the snapshot covers.
 func (r *Replica) advanceSnapshot() error {
@@ -109,6 +115,10 @@
 	default:
 		return nil
 	}
+	if r.isLogFull() {
+		r.Log.Warn("log-was-full", zap.Uint64("snapshot-index", r.snapshotWriter.snapshot.Index), zap.Int("applied-bytes", r.appliedBytes))
+		r.wakeLoop()
+	}
 	s := r.snapshotWriter.snapshot
 	r.snapshotWriter = nil
 	if s.Index <= r.snapshotIndex {
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -19,6 +21,8 @@
 	folder string
 	limit  int64
 	others atomic.Int64
+	// snapshots, if set, delays the writes of large snapshots until it is closed.
+	snapshots chan struct{}
 }
 
 func (d *limitedDisk) FreeBytes(string) int64 {
@@ -26,6 +30,9 @@
 }
 
 func (d *limitedDisk) Write(f *os.File, data []byte) (int, error) {
+	if d.snapshots != nil && len(data) > 4<<10 && strings.Contains(f.Name(), ".snap") {
+		<-d.snapshots
+	}
 	if free := d.FreeBytes(""); int64(len(data)) > free {
 		n, err := f.Write(data[:free])
 		return n, errors.Join(err, syscall.ENOSPC)
@@ -47,8 +54,12 @@
 
 // newLimitedMember starts a member in the folder on a disk with the limit.
 func newLimitedMember(t *testing.T, dir string, limit int64, logBytes int) *limitedMember {
-	disk := &limitedDisk{folder: dir, limit: limit}
-	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: dir, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1)}
+	return newMemberOnDisk(t, &limitedDisk{folder: dir, limit: limit}, logBytes)
+}
+
+// newMemberOnDisk starts a member on the disk.
+func newMemberOnDisk(t *testing.T, disk *limitedDisk, logBytes int) *limitedMember {
+	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: disk.folder, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1)}
 	requireNoError(t, m.folder.Open())
 	m.ctx, m.cancel = context.WithTimeout(context.Background(), time.Minute)
 	go m.loop(logBytes)
@@ -130,6 +141,31 @@
 	m.awaitProposal(size)
 }
 
+// Guards against a log that grows without a bound, on the disk and in memory, while a snapshot is written slowly; and
+// against a proposal that is dropped instead of delayed until the snapshot is written.
+func TestLogIsBoundedWhileSnapshotIsWritten(t *testing.T) {
+	const logBytes, size = 4 << 20, 400 << 10
+	dir := t.TempDir()
+	disk := &limitedDisk{folder: dir, limit: 64 << 20, snapshots: make(chan struct{})}
+	m := newMemberOnDisk(t, disk, logBytes)
+	release := sync.OnceFunc(func() { close(disk.snapshots) })
+	defer release()
+	var err error
+	for range 60 {
+		if err = m.propose(size, 500*time.Millisecond); err != nil {
+			break
+		}
+	}
+	if used := store.UsedBytes(dir); used > logBytes {
+		t.Errorf("the log has %d bytes, want at most %d", used, logBytes)
+	}
+	if !errors.Is(err, ErrNotRun) || errors.Is(err, ErrNoSpace) {
+		t.Errorf("the last proposal: %v, want ErrNotRun at its deadline", err)
+	}
+	release()
+	requireNoError(t, m.propose(size, 10*time.Second))
+}
+
 // Guards against a member that stays out of service once its disk was full, at runtime or at a start: the log is not
 // trimmed, because nothing can be written before.
 func TestMemberRecoversFromFullDisk(t *testing.T) {
