Tell a follower's caller at once that the leader has no room

Seen (in a test): a proposal at a follower for which the leader has no room ended at its deadline of 3 s, once with ErrNotRun and once with ErrUnknown, although it was never appended. Its caller can't tell a full disk from a lost leader, and ErrUnknown forbids a repetition.

Cause: the leader sends back what it refuses without the reason, and the follower submits it again at the next tick, until the deadline. Ruled out: the follower's own look at its disk, which has room.

Fix: the reply says that the leader has no room, with the field Reject, which a reply to proposals did not use; the follower then fails the proposal with ErrNoSpace and ErrNotRun. Later proposals of the same message are no longer refused with a large one.

--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -1,6 +1,9 @@
 package raft
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // leaderState is the part of a node's state that exists only while the member is the leader.
 type leaderState struct {
@@ -117,7 +120,7 @@
 // Propose appends data for the state machine to the log if this member is the leader; it returns ErrTooManyUncommitted,
 // ErrLogFull or ErrTransferInProgress if it cannot append at the moment. A follower forwards data if Forward is set and a leader
 // is known, and otherwise returns NotLeaderError. If the leader refuses forwarded data, it appears in
-// Ready.RefusedProposals. Data for which Propose returned nil can still be lost when the leader changes.
+// Ready.RefusedProposals or Ready.ProposalsWithoutRoom. Data for which Propose returned nil can still be lost when the leader changes.
 func (n *Node) Propose(data []byte) error {
 	if n.role == Leader {
 		return n.appendProposal(data)
@@ -183,12 +186,21 @@
 		return
 	}
 	n.leaderState.lastForwardSeq[from] = m.Seq
+	var withoutRoom []Entry
 	for i, e := range m.Entries {
-		if n.appendProposal(e.Data) != nil {
+		err := n.appendProposal(e.Data)
+		if errors.Is(err, ErrNoSpace) {
+			withoutRoom = append(withoutRoom, e)
+			continue
+		}
+		if err != nil {
 			n.sendBeforeSync(Message{Type: MsgProposeReply, To: m.From, Entries: m.Entries[i:]})
-			return
+			break
 		}
 	}
+	if len(withoutRoom) > 0 {
+		n.sendBeforeSync(Message{Type: MsgProposeReply, To: m.From, Entries: withoutRoom, Reject: true})
+	}
 }
 
 // ProposeConfChange appends a membership change, which takes effect at once. It returns NotLeaderError on other
--- a/core/raft/message.go
+++ b/core/raft/message.go
@@ -147,7 +147,7 @@
 	LogTerm uint64 `cbor:"6,keyasint,omitempty"`
 	// Commit is a log index up to which the receiver may commit.
 	Commit uint64 `cbor:"7,keyasint,omitempty"`
-	// Reject is set in a reply that refuses the request. In the rejection of an append, Hint and HintTerm are the index
+	// Reject is set in a reply that refuses the request; in a MsgProposeReply, it is set if the leader has no room. In the rejection of an append, Hint and HintTerm are the index
 	// and term of the entry from which the leader retries.
 	Reject   bool   `cbor:"8,keyasint,omitempty"`
 	Hint     uint64 `cbor:"9,keyasint,omitempty"`
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -109,6 +109,8 @@
 	confirmedReads     []Read    // reads to return in the next Ready
 	refusedProposals   [][]byte  // data of forwarded proposals that the leader refused
 
+	proposalsWithoutRoom [][]byte // as refusedProposals, for those that the leader refused because its disk has no room
+
 	forwardSeq       uint64 // number of proposal messages sent to leaders
 	lastForwardBytes int    // size of the proposals in the last such message
 }
@@ -225,8 +227,12 @@
 	case MsgSnapshotReply:
 		n.handleSnapshotReply(m)
 	case MsgProposeReply:
+		list := &n.refusedProposals
+		if m.Reject {
+			list = &n.proposalsWithoutRoom
+		}
 		for _, e := range m.Entries {
-			n.refusedProposals = append(n.refusedProposals, e.Data)
+			*list = append(*list, e.Data)
 		}
 	case MsgTransfer:
 		n.handleTransferRequest(m)
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -26,12 +26,15 @@
 	SnapshotNeeded bool
 	// RefusedProposals holds the data of forwarded proposals that the leader has not appended and will not append.
 	RefusedProposals [][]byte
+	// ProposalsWithoutRoom holds the data of those that the leader refused with ErrNoSpace; it would refuse them again.
+	ProposalsWithoutRoom [][]byte
 }
 
 // Empty reports whether r contains no work for the caller of Node.Ready.
 func (r *Ready) Empty() bool {
 	return !r.SnapshotNeeded && r.Snapshot == nil && r.HardState == nil && len(r.Entries) == 0 && len(r.Committed) == 0 &&
-		len(r.MessagesBeforeSync) == 0 && len(r.MessagesAfterSync) == 0 && len(r.Reads) == 0 && len(r.RefusedProposals) == 0
+		len(r.MessagesBeforeSync) == 0 && len(r.MessagesAfterSync) == 0 && len(r.Reads) == 0 && len(r.RefusedProposals) == 0 &&
+		len(r.ProposalsWithoutRoom) == 0
 }
 
 // Ready returns the messages, disk writes and committed entries that wait for the caller. If there are any, the caller
@@ -48,11 +51,14 @@
 		MessagesAfterSync:  n.messagesAfterSync,
 		Committed:          n.log.entriesBetween(n.log.appliedIndex+1, n.log.commitIndex),
 		Reads:              n.confirmedReads,
-		RefusedProposals:   n.refusedProposals,
 		SnapshotNeeded:     n.snapshotNeeded,
+		RefusedProposals:   n.refusedProposals,
+
+		ProposalsWithoutRoom: n.proposalsWithoutRoom,
 	}
 	n.snapshotNeeded = false
-	n.messagesBeforeSync, n.messagesAfterSync, n.confirmedReads, n.refusedProposals = nil, nil, nil, nil
+	n.messagesBeforeSync, n.messagesAfterSync, n.confirmedReads = nil, nil, nil
+	n.refusedProposals, n.proposalsWithoutRoom = nil, nil
 	hardState := HardState{Term: n.term, Vote: n.vote, Commit: n.log.commitIndex}
 	changed := hardState.Term != n.lastHardState.Term || hardState.Vote != n.lastHardState.Vote
 	if changed || hardState != n.lastHardState && len(r.Entries) > 0 {
--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -138,8 +138,7 @@
 			err = r.node.Propose(append(key, p.data...))
 		}
 		if errors.Is(err, raft.ErrNoSpace) {
-			// The caller may send it to another member, or again.
-			p.deliverOutcome(requestOutcome{err: fmt.Errorf("%d bytes: %w", len(p.data), errors.Join(ErrNotRun, ErrNoSpace))})
+			p.deliverOutcome(requestOutcome{err: noSpaceError(len(p.data))})
 			return true
 		}
 		leader, notLeader := raft.IsNotLeader(err)
@@ -172,12 +171,7 @@
 	if e.Type == raft.EntryData {
 		o.result = r.Machine.Apply(e.Index, e.Data[requestKeyBytes:])
 	}
-	if binary.LittleEndian.Uint64(e.Data) != r.processID {
-		return
-	}
-	key := binary.LittleEndian.Uint64(e.Data[8:])
-	if p := r.pendingProposals[key]; p != nil {
-		delete(r.pendingProposals, key)
+	if p := r.takePending(e.Data); p != nil {
 		p.deliverOutcome(o)
 	}
 }
@@ -213,13 +207,7 @@
 func (r *Replica) requeueRefusedProposals(refused [][]byte) {
 	var requeued []*proposal
 	for _, data := range refused {
-		if len(data) < requestKeyBytes || binary.LittleEndian.Uint64(data) != r.processID {
-			continue
-		}
-		key := binary.LittleEndian.Uint64(data[8:])
-		p := r.pendingProposals[key]
-		delete(r.pendingProposals, key)
-		if p != nil && p.state.CompareAndSwap(stateSubmitted, stateQueued) {
+		if p := r.takePending(data); p != nil && p.state.CompareAndSwap(stateSubmitted, stateQueued) {
 			requeued = append(requeued, p)
 		}
 	}
@@ -227,6 +215,32 @@
 	r.requeueProposals(requeued)
 }
 
+// failProposalsWithoutRoom fails the forwarded proposals for which the leader has no room.
+func (r *Replica) failProposalsWithoutRoom(refused [][]byte) {
+	for _, data := range refused {
+		if p := r.takePending(data); p != nil {
+			p.deliverOutcome(requestOutcome{err: noSpaceError(len(p.data))})
+		}
+	}
+}
+
+// takePending removes and returns the pending proposal of this process that was submitted as the data, or nil.
+func (r *Replica) takePending(data []byte) *proposal {
+	if len(data) < requestKeyBytes || binary.LittleEndian.Uint64(data) != r.processID {
+		return nil
+	}
+	key := binary.LittleEndian.Uint64(data[8:])
+	p := r.pendingProposals[key]
+	delete(r.pendingProposals, key)
+	return p
+}
+
+// noSpaceError returns the error of a proposal for which a disk has no room; its caller may send it to another member,
+// or again.
+func noSpaceError(bytes int) error {
+	return fmt.Errorf("%d bytes: %w", bytes, errors.Join(ErrNotRun, ErrNoSpace))
+}
+
 // removeAbandonedProposals removes the submitted proposals whose callers no longer wait; they may still be applied.
 func (r *Replica) removeAbandonedProposals() {
 	for key, p := range r.pendingProposals {
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -341,6 +341,7 @@
 	r.node.Advance()
 	r.answerReads(ready.Reads)
 	r.requeueRefusedProposals(ready.RefusedProposals)
+	r.failProposalsWithoutRoom(ready.ProposalsWithoutRoom)
 	if !ready.SnapshotNeeded {
 		return nil
 	}
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -220,24 +220,56 @@
 	}
 }
 
-// Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
-// entry is dropped like a proposal, and no read is answered before it is committed.
-func TestReadsWhileAllDisksAreShort(t *testing.T) {
+// newLimitedGroup starts a group of three members, each on a disk of its own, which the map has by the member's name.
+func newLimitedGroup(t *testing.T) (*group, []*member, map[string]*limitedDisk) {
 	g := newGroup(t, 5*time.Millisecond)
 	var members []*member
-	var disks []*limitedDisk
+	disks := map[string]*limitedDisk{}
 	var voters raft.Members
 	for _, name := range []string{"a", "b", "c"} {
 		m := g.newMember(name)
-		d := &limitedDisk{folder: m.folder.Path, limit: 16 << 20}
-		m.folder.Disk = d
-		members, disks = append(members, m), append(disks, d)
+		disks[name] = &limitedDisk{folder: m.folder.Path, limit: 16 << 20}
+		m.folder.Disk = disks[name]
+		members = append(members, m)
 		voters.Voters = append(voters.Voters, m.Store.MemberID(name))
 	}
 	for _, m := range members {
 		m.Bootstrap = voters
 		g.startMember(m)
 	}
+	return g, members, disks
+}
+
+// Guards against a proposal that a follower and the leader send to and fro until its deadline, because the leader has no
+// room for it: the caller gets the reason at once, and a smaller proposal goes through.
+func TestForwardedProposalWithoutRoomIsRefused(t *testing.T) {
+	g, members, disks := newLimitedGroup(t)
+	leader := g.leader()
+	g.propose(leader, "0")
+	d := disks[leader.Name]
+	d.others.Store(d.limit - store.UsedBytes(d.folder) - spaceReserve - 300<<10)
+	time.Sleep(spaceCheckInterval + 100*time.Millisecond)
+	follower := members[0]
+	if follower == leader {
+		follower = members[1]
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	start := time.Now()
+	_, _, err := follower.Propose(ctx, make([]byte, 200<<10))
+	if took := time.Since(start); !errors.Is(err, ErrNoSpace) || !errors.Is(err, ErrNotRun) || took > time.Second {
+		t.Errorf("a proposal without room: %v after %v, want ErrNoSpace and ErrNotRun at once", err, took)
+	}
+	if s := leader.Status(); s.Role != raft.Leader || s.SpaceShort {
+		t.Errorf("status is %+v, want a leader with room for a snapshot", s)
+	}
+	g.propose(follower, "1")
+}
+
+// Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
+// entry is dropped like a proposal, and no read is answered before it is committed.
+func TestReadsWhileAllDisksAreShort(t *testing.T) {
+	g, members, disks := newLimitedGroup(t)
 	g.propose(g.leader(), "0")
 	for _, d := range disks {
 		d.others.Store(d.limit - store.UsedBytes(d.folder) - 300<<10)
