Look at the room on the disk outside the replica's loop

Seen (in a test): with disks that answer after 2 s how much room they have, a group has no leader and takes no proposal for 20 s.

Cause: each 0.5 s, and at each request to take over the leadership, the loop called FreeBytes, which reads the file system and walks the data folder. Heartbeats, ticks and votes wait meanwhile. Ruled out: writes, which the test's disk does not delay.

Fix: a goroutine looks at the disk; the loop takes over the result when it comes, less what was saved since the request, and goes on with the older one until then. A request to take over the leadership waits for a look that began after it came, as before, and is dropped after an election timeout, when the leader has given the transfer up.

--- a/io/repl/inbox.go
+++ b/io/repl/inbox.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"wasabiweir/core/raft"
 
@@ -28,26 +29,30 @@
 }
 
 // drainInbox passes all queued Raft messages, proposals and reads to the raft node.
-func (r *Replica) drainInbox() error {
+func (r *Replica) drainInbox(now time.Time) error {
 	r.inbox.mu.Lock()
 	messages, proposals, reads := r.inbox.messages, r.inbox.proposals, r.inbox.reads
 	r.inbox.messages, r.inbox.proposals, r.inbox.reads = nil, nil, nil
 	r.inbox.messageBytes, r.inbox.proposalBytes = 0, 0
 	r.inbox.mu.Unlock()
 	r.node.HoldProposals(r.isLogFull())
-	for _, m := range messages {
-		if !r.hasRoomFor(&m) {
-			r.meter.ignored[ignoreReasonNoSpace].Inc(1)
-			continue
+	if m := r.takeTransfer(now); m != nil {
+		if err := r.stepMessage(m); err != nil {
+			return err
 		}
-		err := r.node.Step(m)
-		if errors.Is(err, raft.ErrWrongIdentity) {
-			r.meter.ignored[ignoreReasonIdentity].Inc(1)
-			r.Log.Debug("message-ignored", zap.String("from", m.From.String()), zap.Error(err))
+	}
+	for i := range messages {
+		m := &messages[i]
+		switch {
+		case m.Type == raft.MsgTransfer:
+			r.holdTransfer(m, now)
+			continue
+		case !r.hasRoomFor(m):
+			r.meter.ignored[ignoreReasonNoSpace].Inc(1)
 			continue
 		}
-		if err != nil {
-			return fmt.Errorf("process a raft message: %w", err)
+		if err := r.stepMessage(m); err != nil {
+			return err
 		}
 	}
 	var requeued []*proposal
@@ -66,6 +71,20 @@
 	return nil
 }
 
+// stepMessage passes a Raft message to the raft node. It ignores a message to another identity.
+func (r *Replica) stepMessage(m *raft.Message) error {
+	err := r.node.Step(*m)
+	if errors.Is(err, raft.ErrWrongIdentity) {
+		r.meter.ignored[ignoreReasonIdentity].Inc(1)
+		r.Log.Debug("message-ignored", zap.String("from", m.From.String()), zap.Error(err))
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("process a raft message: %w", err)
+	}
+	return nil
+}
+
 // shutDown fails all pending proposals and reads of the replica with ErrStopped and publishes that this member is no
 // longer the leader.
 func (r *Replica) shutDown() {
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -185,6 +185,8 @@
 	if err := r.openState(ctx); err != nil {
 		return errors.Join(fmt.Errorf("start the replica: %w", err), r.Store.Close())
 	}
+	r.startSpaceProbe()
+	defer close(r.space.probe.requests)
 	ticker := time.NewTicker(r.Interval)
 	defer ticker.Stop()
 	err := r.loop(ctx, ticker.C)
@@ -282,7 +284,7 @@
 	now := time.Now()
 	r.updateSpace(now)
 	r.advanceTicks(now)
-	if err := r.drainInbox(); err != nil {
+	if err := r.drainInbox(now); err != nil {
 		return err
 	}
 	for {
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -23,9 +23,12 @@
 	others atomic.Int64
 	// snapshots, if set, delays the writes of large snapshots until it is closed.
 	snapshots chan struct{}
+	// stall is for how long a look at the free bytes blocks.
+	stall atomic.Int64
 }
 
 func (d *limitedDisk) FreeBytes(string) int64 {
+	time.Sleep(time.Duration(d.stall.Load()))
 	return max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder))
 }
 
@@ -33,7 +36,7 @@
 	if d.snapshots != nil && len(data) > 4<<10 && strings.Contains(f.Name(), ".snap") {
 		<-d.snapshots
 	}
-	if free := d.FreeBytes(""); int64(len(data)) > free {
+	if free := max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder)); int64(len(data)) > free {
 		n, err := f.Write(data[:free])
 		return n, errors.Join(err, syscall.ENOSPC)
 	}
@@ -266,6 +269,28 @@
 	g.propose(follower, "1")
 }
 
+// Guards against a leader that sends no heartbeats while its disk does not say how much room it has.
+func TestStalledDiskKeepsLeader(t *testing.T) {
+	g, members, disks := newLimitedGroup(t)
+	leader := g.leader()
+	g.propose(leader, "0")
+	before := leader.Status()
+	for _, d := range disks {
+		d.stall.Store(int64(2 * time.Second))
+	}
+	time.Sleep(spaceCheckInterval)
+	var longest time.Duration
+	for start := time.Now(); time.Since(start) < 3*time.Second; {
+		at := time.Now()
+		g.propose(members[0], "1")
+		longest = max(longest, time.Since(at))
+	}
+	after := leader.Status()
+	if after.Role != raft.Leader || after.Term != before.Term || longest > time.Second {
+		t.Errorf("role %v in term %d after %d, %d ticks, a proposal took %v", after.Role, after.Term, before.Term, after.Now-before.Now, longest)
+	}
+}
+
 // Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
 // entry is dropped like a proposal, and no read is answered before it is committed.
 func TestReadsWhileAllDisksAreShort(t *testing.T) {
