Report a proposal that is held back as not run

It was never appended, so its caller may repeat it.

Cause: at each tick it was marked as submitted, its data copied and then refused by the raft node. A deadline in this time makes the outcome look unknown; with 400 kB of data it is long. Ruled out: a proposal that the log has, as the leader is the only member.

The same can happen with a proposal that the raft node refuses for its bound of uncommitted bytes; that is not changed.

--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -116,6 +116,10 @@
 // submitProposal passes a queued proposal to the raft node. It returns false if the proposal must be queued again
 // because no leader accepts it at present.
 func (r *Replica) submitProposal(p *proposal) bool {
+	if p.change == nil && p.transfer == nil && r.node.IsLeader() && r.isLogFull() {
+		// Its data need not be copied at each tick, and its caller learns at the deadline that it was not submitted.
+		return p.state.Load() == stateAbandoned
+	}
 	if !p.state.CompareAndSwap(stateQueued, stateSubmitted) {
 		return true
 	}
