Let membership changes wait for the end of a transfer

Cause: a leader without room offers the leadership each 2 s, and the voter that is short of room too does not answer. The offer lasts an election timeout, 1 s, and the raft node refuses changes meanwhile. Data is queued again then, changes were not; only Replace tried again, while Admit and RemoveUnreachable failed. Ruled out: reads and terms, which the offers don't touch at this tick.

Fix: a change waits in the queue until the transfer has ended, at most for an election timeout.

--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -68,7 +68,8 @@
 }
 
 // ConfChange proposes a membership change of the Raft group on the leader and returns once it is committed. It returns
-// the errors of raft.Node.ProposeConfChange, and ErrDropped if the change was lost in a change of leader.
+// the errors of raft.Node.ProposeConfChange, and ErrDropped if the change was lost in a change of leader. It waits for
+// the end of a leadership transfer.
 func (r *Replica) ConfChange(ctx context.Context, c raft.ConfChange) error {
 	return r.queueAndWait(ctx, &proposal{change: &c, done: make(chan requestOutcome, 1)}).err
 }
@@ -135,6 +136,9 @@
 		c := *p.change
 		c.Context = key
 		err = r.node.ProposeConfChange(c)
+		if errors.Is(err, raft.ErrTransferInProgress) {
+			return !p.state.CompareAndSwap(stateSubmitted, stateQueued)
+		}
 	} else {
 		if len(p.data) > r.proposalRoom() {
 			err = raft.ErrNoSpace
--- a/io/repl/replica_test.go
+++ b/io/repl/replica_test.go
@@ -322,3 +322,20 @@
 	}
 	g.requireAppliedOnce(members, 900)
 }
+
+// Guards against membership changes that fail while the leadership is offered to a voter that does not take it over,
+// which a leader without room on its disk repeats every 2 s: members could not be admitted or removed meanwhile.
+func TestChangeWaitsForTransfer(t *testing.T) {
+	g := newGroup(t, testInterval)
+	members := g.start("a", "b", "c")
+	leader := g.leader()
+	g.propose(leader, "0")
+	target := members[0]
+	if target == leader {
+		target = members[1]
+	}
+	g.partitioned.Store(target.Name, true)
+	id := target.Store.MemberID(target.Name)
+	requireNoError(t, leader.queueAndWait(t.Context(), &proposal{transfer: &id, done: make(chan requestOutcome, 1)}).err)
+	requireNoError(t, leader.ConfChange(t.Context(), raft.ConfChange{Type: raft.AddLearner, ID: raft.ID{Name: "d", Disk: "1"}}))
+}
