Use longer ticks in the test of a stalled disk

Seen: TestStalledDiskKeepsLeader failed once (go test ./io/repl, load 43 on 8 cores): "role follower in term 4 after 1, 674 ticks, a proposal took 190 ms". The ticks of 5 ms make an election timeout of 50 ms, which pauses of the processes exceed at such a load.

The test now has ticks of 50 ms and the same bounds. The timeout of 0.5 s is still well below the stall of 2 s: on a copy of the tree before the fix it fails ("the outcome of the proposal is unknown" after 20 s).

--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -224,8 +224,8 @@
 }
 
 // newLimitedGroup starts a group of three members, each on a disk of its own, which the map has by the member's name.
-func newLimitedGroup(t *testing.T) (*group, []*member, map[string]*limitedDisk) {
-	g := newGroup(t, 5*time.Millisecond)
+func newLimitedGroup(t *testing.T, interval time.Duration) (*group, []*member, map[string]*limitedDisk) {
+	g := newGroup(t, interval)
 	var members []*member
 	disks := map[string]*limitedDisk{}
 	var voters raft.Members
@@ -246,7 +246,7 @@
 // Guards against a proposal that a follower and the leader send to and fro until its deadline, because the leader has no
 // room for it: the caller gets the reason at once, and a smaller proposal goes through.
 func TestForwardedProposalWithoutRoomIsRefused(t *testing.T) {
-	g, members, disks := newLimitedGroup(t)
+	g, members, disks := newLimitedGroup(t, 5*time.Millisecond)
 	leader := g.leader()
 	g.propose(leader, "0")
 	d := disks[leader.Name]
@@ -271,7 +271,7 @@
 
 // Guards against a leader that sends no heartbeats while its disk does not say how much room it has.
 func TestStalledDiskKeepsLeader(t *testing.T) {
-	g, members, disks := newLimitedGroup(t)
+	g, members, disks := newLimitedGroup(t, 50*time.Millisecond)
 	leader := g.leader()
 	g.propose(leader, "0")
 	before := leader.Status()
@@ -294,7 +294,7 @@
 // Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
 // entry is dropped like a proposal, and no read is answered before it is committed.
 func TestReadsWhileAllDisksAreShort(t *testing.T) {
-	g, members, disks := newLimitedGroup(t)
+	g, members, disks := newLimitedGroup(t, 5*time.Millisecond)
 	g.propose(g.leader(), "0")
 	for _, d := range disks {
 		d.others.Store(d.limit - store.UsedBytes(d.folder) - 300<<10)
