--- a/io/repl/saver.go
+++ b/io/repl/saver.go
@@ -92,12 +92,17 @@
 	if !ok {
 		return nil
 	}
-	r.snapshotCoversBytes, r.appliedBytes = r.appliedBytes, 0
-	r.snapshotWriter = &snapshotWriter{store: r.Store, snapshot: s, stateCopy: stateCopy, done: make(chan error, 1), wake: r.wakeLoop}
+	r.beginSnapshot(s, stateCopy)
 	go r.snapshotWriter.run()
 	return nil
 }
 
+// beginSnapshot creates the writer of a snapshot, which covers the entries applied so far.
+func (r *Replica) beginSnapshot(s raft.Snapshot, stateCopy StateCopy) {
+	r.snapshotCoversBytes, r.appliedBytes = r.appliedBytes, 0
+	r.snapshotWriter = &snapshotWriter{store: r.Store, snapshot: s, stateCopy: stateCopy, done: make(chan error, 1), wake: r.wakeLoop}
+}
+
 // finishSnapshot trims the store and the raft node's log if the snapshot writer is done; otherwise it returns at once.
 func (r *Replica) finishSnapshot() error {
 	select {
--- a/io/repl/space.go
+++ b/io/repl/space.go
@@ -73,9 +73,13 @@
 }
 
 // snapshotRoom returns the bytes that the next snapshot may need beside the files that it replaces. The state machine's
-// state may have grown by the entries applied since the latest one.
+// state may have grown by the entries applied since the latest one, among them those that one being written covers.
 func (r *Replica) snapshotRoom() int64 {
-	return spaceReserve + int64(r.snapshotBytes) + int64(min(r.appliedBytes, r.quarterBytes()))
+	growth := min(r.appliedBytes, r.quarterBytes())
+	if r.snapshotWriter != nil {
+		growth += min(r.snapshotCoversBytes, r.quarterBytes())
+	}
+	return spaceReserve + int64(r.snapshotBytes) + int64(growth)
 }
 
 // proposalRoom returns the size of the largest proposal for which the disk has room. An entry is written to the log and
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -325,3 +325,18 @@
 		}
 	}
 }
+
+// Guards against proposals that take the room of a snapshot that is being written: the state grows by the entries that it
+// covers and by those that are applied meanwhile, and the next snapshot needs room for both.
+func TestRoomIsKeptForSnapshotInProgress(t *testing.T) {
+	r := &Replica{LogBytes: 4 << 20, snapshotBytes: 300 << 10, appliedBytes: 800 << 10}
+	before := r.snapshotRoom()
+	r.beginSnapshot(raft.Snapshot{}, nil)
+	if during := r.snapshotRoom(); during != before {
+		t.Errorf("%d bytes are kept free, want %d as before the snapshot", during, before)
+	}
+	r.appliedBytes = 500 << 10
+	if during := r.snapshotRoom(); during != before+500<<10 {
+		t.Errorf("%d bytes are kept free, want %d with the entries applied since", during, before+500<<10)
+	}
+}
