--- a/io/repl/inbox.go
+++ b/io/repl/inbox.go
@@ -47,6 +47,9 @@
 		case m.Type == raft.MsgTransfer:
 			r.holdTransfer(m, now)
 			continue
+		case m.Type == raft.MsgAppend && m.DataBytes() > smallEntries && r.isLogFull():
+			r.meter.ignored[ignoreReasonLogFull].Inc(1)
+			continue
 		case !r.hasRoomFor(m):
 			r.meter.ignored[ignoreReasonNoSpace].Inc(1)
 			continue
--- a/io/repl/meter.go
+++ b/io/repl/meter.go
@@ -18,6 +18,7 @@
 	ignoreReasonIdentity  = "other-identity"
 	ignoreReasonInboxFull = "inbox-full"
 	ignoreReasonNoSpace   = "no-space"
+	ignoreReasonLogFull   = "log-full"
 )
 
 // syncBuckets are the histogram buckets for the durations of syncs to disk, from 125 µs on flash storage to 4 s on a
@@ -47,7 +48,7 @@
 		snapshots: scope.Counter("snapshots"),
 		elections: scope.Counter("elections"),
 		retries:   countersByReason(scope, "retries", retryReasonNoLeader, retryReasonDropped, retryReasonRefused),
-		ignored:   countersByReason(scope, "ignored", ignoreReasonIdentity, ignoreReasonInboxFull, ignoreReasonNoSpace),
+		ignored:   countersByReason(scope, "ignored", ignoreReasonIdentity, ignoreReasonInboxFull, ignoreReasonNoSpace, ignoreReasonLogFull),
 		sync:      scope.Histogram("sync", syncBuckets),
 		freeBytes: scope.Gauge("disk-free-bytes"),
 		short:     scope.Gauge("disk-space-short"),
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -108,7 +108,7 @@
 	// is each the size of the applied entries after which a snapshot is due, the size of those that stay in memory after
 	// one, and the size of proposals that are queued, are uncommitted or are sent to a member without an
 	// acknowledgement; an eighth is the size of a segment of the log on disk. While a snapshot is written, a leader delays
-	// proposals once the next one would be due.
+	// proposals, and a follower ignores large entries, once the next one would be due.
 	LogBytes int
 	// MaxQueued is the number of proposals that may wait to be submitted; DefaultMaxQueued if it is zero.
 	MaxQueued int
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -21,8 +21,8 @@
 	folder string
 	limit  int64
 	others atomic.Int64
-	// snapshots, if set, delays the writes of large snapshots until it is closed.
-	snapshots chan struct{}
+	// snapshots delays the writes of large snapshots while it is locked.
+	snapshots sync.RWMutex
 	// stall is for how long a look at the free bytes blocks.
 	stall atomic.Int64
 }
@@ -33,8 +33,9 @@
 }
 
 func (d *limitedDisk) Write(f *os.File, data []byte) (int, error) {
-	if d.snapshots != nil && len(data) > 4<<10 && strings.Contains(f.Name(), ".snap") {
-		<-d.snapshots
+	if len(data) > 4<<10 && strings.Contains(f.Name(), ".snap") {
+		d.snapshots.RLock()
+		defer d.snapshots.RUnlock()
 	}
 	if free := max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder)); int64(len(data)) > free {
 		n, err := f.Write(data[:free])
@@ -149,9 +150,10 @@
 func TestLogIsBoundedWhileSnapshotIsWritten(t *testing.T) {
 	const logBytes, size = 4 << 20, 400 << 10
 	dir := t.TempDir()
-	disk := &limitedDisk{folder: dir, limit: 64 << 20, snapshots: make(chan struct{})}
+	disk := &limitedDisk{folder: dir, limit: 64 << 20}
+	disk.snapshots.Lock()
 	m := newMemberOnDisk(t, disk, logBytes)
-	release := sync.OnceFunc(func() { close(disk.snapshots) })
+	release := sync.OnceFunc(disk.snapshots.Unlock)
 	defer release()
 	var err error
 	for range 60 {
@@ -231,8 +233,8 @@
 	var voters raft.Members
 	for _, name := range []string{"a", "b", "c"} {
 		m := g.newMember(name)
-		disks[name] = &limitedDisk{folder: m.folder.Path, limit: 16 << 20}
-		m.folder.Disk = disks[name]
+		disks[name] = &limitedDisk{folder: m.folder.Path, limit: 64 << 20}
+		m.folder.Disk, m.LogBytes = disks[name], 4<<20
 		members = append(members, m)
 		voters.Voters = append(voters.Voters, m.Store.MemberID(name))
 	}
@@ -340,3 +342,35 @@
 		t.Errorf("%d bytes are kept free, want %d with the entries applied since", during, before+500<<10)
 	}
 }
+
+// Guards against a follower whose log grows without a bound while its own snapshot is written slowly, and against one that
+// gets no entries afterwards.
+func TestFollowerLogIsBoundedWhileSnapshotIsWritten(t *testing.T) {
+	g, members, disks := newLimitedGroup(t, 50*time.Millisecond)
+	leader := g.leader()
+	slow := members[0]
+	if slow == leader {
+		slow = members[1]
+	}
+	d := disks[slow.Name]
+	d.snapshots.Lock()
+	release := sync.OnceFunc(d.snapshots.Unlock)
+	defer release()
+	data := make([]byte, 200<<10)
+	for i := range 30 {
+		data[0] = 'a' + byte(i)
+		g.propose(leader, string(data))
+	}
+	time.Sleep(500 * time.Millisecond)
+	if used := store.UsedBytes(d.folder); used > int64(slow.LogBytes) {
+		t.Errorf("the follower's log has %d bytes, want at most %d", used, slow.LogBytes)
+	}
+	release()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := slow.ReadIndex(ctx)
+	requireNoError(t, err)
+	if n := slow.machine.count(string(data)); n != 1 {
+		t.Errorf("the follower applied the last proposal %d times", n)
+	}
+}
