Use longer ticks and deadlines in two tests of the short disk

Seen: TestForwardedProposalWithoutRoomIsRefused failed once (go test ./io/repl ./io/keeper ./core/raft, load 49 on 8 cores): the leadership had moved to a member with room, because an election timeout of 50 ms passed at that load. The proposal was then applied.

The deadline of a proposal in TestLogIsBoundedWhileSnapshotIsWritten is 2 s instead of 0.5 s, so that a slow sync isn't taken for the delay that the test awaits; what it checks is unchanged.

--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -157,7 +157,7 @@
 	defer release()
 	var err error
 	for range 60 {
-		if err = m.propose(size, 500*time.Millisecond); err != nil {
+		if err = m.propose(size, 2*time.Second); err != nil {
 			break
 		}
 	}
@@ -248,7 +248,7 @@
 // Guards against a proposal that a follower and the leader send to and fro until its deadline, because the leader has no
 // room for it: the caller gets the reason at once, and a smaller proposal goes through.
 func TestForwardedProposalWithoutRoomIsRefused(t *testing.T) {
-	g, members, disks := newLimitedGroup(t, 5*time.Millisecond)
+	g, members, disks := newLimitedGroup(t, 50*time.Millisecond)
 	leader := g.leader()
 	g.propose(leader, "0")
 	d := disks[leader.Name]
