--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -1,6 +1,9 @@
 package raft
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // leaderState is the part of a node's state that exists only while the member is the leader.
 type leaderState struct {
@@ -114,10 +117,10 @@
 	}
 }
 
-// Propose appends data for the state machine to the log if this member is the leader; it returns ErrTooManyUncommitted
-// or ErrTransferInProgress if it cannot append at the moment. A follower forwards data if Forward is set and a leader
+// Propose appends data for the state machine to the log if this member is the leader; it returns ErrTooManyUncommitted,
+// ErrLogFull or ErrTransferInProgress if it cannot append at the moment. A follower forwards data if Forward is set and a leader
 // is known, and otherwise returns NotLeaderError. If the leader refuses forwarded data, it appears in
-// Ready.RefusedProposals. Data for which Propose returned nil can still be lost when the leader changes.
+// Ready.RefusedProposals or Ready.ProposalsWithoutRoom. Data for which Propose returned nil can still be lost when the leader changes.
 func (n *Node) Propose(data []byte) error {
 	if n.role == Leader {
 		return n.appendProposal(data)
@@ -147,8 +150,8 @@
 }
 
 // appendProposal appends data to the leader's log. It returns NotLeaderError if the leader is no longer a voter,
-// ErrTransferInProgress during a leadership transfer, ErrNoSpace if the disk has no room for it and
-// ErrTooManyUncommitted if too many bytes are uncommitted.
+// ErrTransferInProgress during a leadership transfer, ErrNoSpace if the disk has no room for it, ErrLogFull while
+// proposals are held and ErrTooManyUncommitted if too many bytes are uncommitted.
 func (n *Node) appendProposal(data []byte) error {
 	if !n.log.members().IsVoter(n.ID) {
 		return &NotLeaderError{}
@@ -159,6 +162,9 @@
 	if len(data) > n.proposalRoom {
 		return fmt.Errorf("%d bytes: %w", len(data), ErrNoSpace)
 	}
+	if n.proposalsHeld {
+		return ErrLogFull
+	}
 	if n.leaderState.uncommittedBytes > 0 && n.leaderState.uncommittedBytes+len(data) > n.UncommittedBytes {
 		return fmt.Errorf("%d bytes: %w", n.leaderState.uncommittedBytes, ErrTooManyUncommitted)
 	}
@@ -180,12 +186,21 @@
 		return
 	}
 	n.leaderState.lastForwardSeq[from] = m.Seq
+	var withoutRoom []Entry
 	for i, e := range m.Entries {
-		if n.appendProposal(e.Data) != nil {
+		err := n.appendProposal(e.Data)
+		if errors.Is(err, ErrNoSpace) {
+			withoutRoom = append(withoutRoom, e)
+			continue
+		}
+		if err != nil {
 			n.sendBeforeSync(Message{Type: MsgProposeReply, To: m.From, Entries: m.Entries[i:]})
-			return
+			break
 		}
 	}
+	if len(withoutRoom) > 0 {
+		n.sendBeforeSync(Message{Type: MsgProposeReply, To: m.From, Entries: withoutRoom, Reject: true})
+	}
 }
 
 // ProposeConfChange appends a membership change, which takes effect at once. It returns NotLeaderError on other
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -77,7 +77,8 @@
 	// Forward makes a follower forward proposals to the leader; otherwise Propose returns NotLeaderError.
 	Forward bool
 
-	proposalRoom int // largest proposal that the leader appends, in bytes
+	proposalRoom  int  // largest proposal that the leader appends, in bytes
+	proposalsHeld bool // the leader appends no proposals
 
 	rng       *rand.Rand // source of random election timeouts
 	processID uint64     // random number that identifies this process in forwarded proposals
@@ -108,6 +109,8 @@
 	confirmedReads     []Read    // reads to return in the next Ready
 	refusedProposals   [][]byte  // data of forwarded proposals that the leader refused
 
+	proposalsWithoutRoom [][]byte // as refusedProposals, for those that the leader refused because its disk has no room
+
 	forwardSeq       uint64 // number of proposal messages sent to leaders
 	lastForwardBytes int    // size of the proposals in the last such message
 }
@@ -116,6 +119,10 @@
 // its disk has little room. Other entries are still appended.
 func (n *Node) LimitProposals(bytes int) { n.proposalRoom = bytes }
 
+// HoldProposals sets whether this member appends no proposals to its log as the leader, because a snapshot must be
+// written before the log may grow. Other entries are still appended.
+func (n *Node) HoldProposals(hold bool) { n.proposalsHeld = hold }
+
 // Start validates the fields of the node and loads the state that the member saved on its disk; it returns
 // ErrInvalidConfig if a field is invalid or the saved entries do not follow the snapshot.
 func (n *Node) Start(saved PersistentState) error {
@@ -220,8 +227,12 @@
 	case MsgSnapshotReply:
 		n.handleSnapshotReply(m)
 	case MsgProposeReply:
+		list := &n.refusedProposals
+		if m.Reject {
+			list = &n.proposalsWithoutRoom
+		}
 		for _, e := range m.Entries {
-			n.refusedProposals = append(n.refusedProposals, e.Data)
+			*list = append(*list, e.Data)
 		}
 	case MsgTransfer:
 		n.handleTransferRequest(m)
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -107,7 +107,8 @@
 	// LogBytes bounds the log in bytes, whatever the size of its entries; DefaultLogBytes if it is zero. A quarter of it
 	// is each the size of the applied entries after which a snapshot is due, the size of those that stay in memory after
 	// one, and the size of proposals that are queued, are uncommitted or are sent to a member without an
-	// acknowledgement; an eighth is the size of a segment of the log on disk.
+	// acknowledgement; an eighth is the size of a segment of the log on disk. While a snapshot is written, a leader delays
+	// proposals, and a follower ignores large entries, once the next one would be due.
 	LogBytes int
 	// MaxQueued is the number of proposals that may wait to be submitted; DefaultMaxQueued if it is zero.
 	MaxQueued int
@@ -132,6 +133,7 @@
 	// snapshotFailedAt when one could last not be written for lack of room.
 	snapshotCoversBytes int
 	snapshotFailedAt    time.Time
+	logFullSince        time.Time             // since when isLogFull holds; zero if it doesn't
 	snapshotIndex       uint64                // index of the last log entry in the latest snapshot
 	snapshotBytes       int                   // size of the latest snapshot in bytes
 	appliedBytes        int                   // size in bytes of the log entries applied since the latest snapshot
@@ -184,6 +186,8 @@
 	if err := r.openState(ctx); err != nil {
 		return errors.Join(fmt.Errorf("start the replica: %w", err), r.Store.Close())
 	}
+	r.startSpaceProbe()
+	defer close(r.space.probe.requests)
 	ticker := time.NewTicker(r.Interval)
 	defer ticker.Stop()
 	err := r.loop(ctx, ticker.C)
@@ -281,7 +285,7 @@
 	now := time.Now()
 	r.updateSpace(now)
 	r.advanceTicks(now)
-	if err := r.drainInbox(); err != nil {
+	if err := r.drainInbox(now); err != nil {
 		return err
 	}
 	for {
@@ -340,6 +344,7 @@
 	r.node.Advance()
 	r.answerReads(ready.Reads)
 	r.requeueRefusedProposals(ready.RefusedProposals)
+	r.failProposalsWithoutRoom(ready.ProposalsWithoutRoom)
 	if !ready.SnapshotNeeded {
 		return nil
 	}
--- a/io/repl/saver.go
+++ b/io/repl/saver.go
@@ -63,6 +63,12 @@
 	return count > 0 && enough && r.appliedBytes >= r.snapshotBytes && time.Since(r.snapshotFailedAt) >= spaceCheckInterval
 }
 
+// isLogFull reports whether a snapshot is being written and the next one would be due. Without this bound, a slow disk
+// lets the log grow until it fills the memory or the disk.
+func (r *Replica) isLogFull() bool {
+	return r.snapshotWriter != nil && r.appliedBytes >= max(r.quarterBytes(), r.snapshotBytes)
+}
+
 // advanceSnapshot starts a snapshot of the state machine once enough log entries are applied. While one is being
 // written, it checks for its completion and then drops the log entries that the snapshot covers.
 func (r *Replica) advanceSnapshot() error {
@@ -86,12 +92,17 @@
 	if !ok {
 		return nil
 	}
-	r.snapshotCoversBytes, r.appliedBytes = r.appliedBytes, 0
-	r.snapshotWriter = &snapshotWriter{store: r.Store, snapshot: s, stateCopy: stateCopy, done: make(chan error, 1), wake: r.wakeLoop}
+	r.beginSnapshot(s, stateCopy)
 	go r.snapshotWriter.run()
 	return nil
 }
 
+// beginSnapshot creates the writer of a snapshot, which covers the entries applied so far.
+func (r *Replica) beginSnapshot(s raft.Snapshot, stateCopy StateCopy) {
+	r.snapshotCoversBytes, r.appliedBytes = r.appliedBytes, 0
+	r.snapshotWriter = &snapshotWriter{store: r.Store, snapshot: s, stateCopy: stateCopy, done: make(chan error, 1), wake: r.wakeLoop}
+}
+
 // finishSnapshot trims the store and the raft node's log if the snapshot writer is done; otherwise it returns at once.
 func (r *Replica) finishSnapshot() error {
 	select {
@@ -109,6 +120,10 @@
 	default:
 		return nil
 	}
+	if r.isLogFull() {
+		r.Log.Warn("log-was-full", zap.Uint64("snapshot-index", r.snapshotWriter.snapshot.Index), zap.Int("applied-bytes", r.appliedBytes))
+		r.wakeLoop()
+	}
 	s := r.snapshotWriter.snapshot
 	r.snapshotWriter = nil
 	if s.Index <= r.snapshotIndex {
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -5,6 +5,9 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -19,14 +22,23 @@
 	folder string
 	limit  int64
 	others atomic.Int64
+	// snapshots delays the writes of large snapshots while it is locked.
+	snapshots sync.RWMutex
+	// stall is for how long a look at the free bytes blocks.
+	stall atomic.Int64
 }
 
 func (d *limitedDisk) FreeBytes(string) int64 {
+	time.Sleep(time.Duration(d.stall.Load()))
 	return max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder))
 }
 
 func (d *limitedDisk) Write(f *os.File, data []byte) (int, error) {
-	if free := d.FreeBytes(""); int64(len(data)) > free {
+	if len(data) > 4<<10 && strings.Contains(f.Name(), ".snap") {
+		d.snapshots.RLock()
+		defer d.snapshots.RUnlock()
+	}
+	if free := max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder)); int64(len(data)) > free {
 		n, err := f.Write(data[:free])
 		return n, errors.Join(err, syscall.ENOSPC)
 	}
@@ -47,8 +59,12 @@
 
 // newLimitedMember starts a member in the folder on a disk with the limit.
 func newLimitedMember(t *testing.T, dir string, limit int64, logBytes int) *limitedMember {
-	disk := &limitedDisk{folder: dir, limit: limit}
-	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: dir, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1)}
+	return newMemberOnDisk(t, &limitedDisk{folder: dir, limit: limit}, logBytes)
+}
+
+// newMemberOnDisk starts a member on the disk.
+func newMemberOnDisk(t *testing.T, disk *limitedDisk, logBytes int) *limitedMember {
+	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: disk.folder, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1)}
 	requireNoError(t, m.folder.Open())
 	m.ctx, m.cancel = context.WithTimeout(context.Background(), time.Minute)
 	go m.loop(logBytes)
@@ -130,6 +146,32 @@
 	m.awaitProposal(size)
 }
 
+// Guards against a log that grows without a bound, on the disk and in memory, while a snapshot is written slowly; and
+// against a proposal that is dropped instead of delayed until the snapshot is written.
+func TestLogIsBoundedWhileSnapshotIsWritten(t *testing.T) {
+	const logBytes, size = 4 << 20, 400 << 10
+	dir := t.TempDir()
+	disk := &limitedDisk{folder: dir, limit: 64 << 20}
+	disk.snapshots.Lock()
+	m := newMemberOnDisk(t, disk, logBytes)
+	release := sync.OnceFunc(disk.snapshots.Unlock)
+	defer release()
+	var err error
+	for range 60 {
+		if err = m.propose(size, 2*time.Second); err != nil {
+			break
+		}
+	}
+	if used := store.UsedBytes(dir); used > logBytes {
+		t.Errorf("the log has %d bytes, want at most %d", used, logBytes)
+	}
+	if !errors.Is(err, ErrNotRun) || errors.Is(err, ErrNoSpace) {
+		t.Errorf("the last proposal: %v, want ErrNotRun at its deadline", err)
+	}
+	release()
+	requireNoError(t, m.propose(size, 10*time.Second))
+}
+
 // Guards against a member that stays out of service once its disk was full, at runtime or at a start: the log is not
 // trimmed, because nothing can be written before.
 func TestMemberRecoversFromFullDisk(t *testing.T) {
@@ -184,24 +226,78 @@
 	}
 }
 
-// Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
-// entry is dropped like a proposal, and no read is answered before it is committed.
-func TestReadsWhileAllDisksAreShort(t *testing.T) {
-	g := newGroup(t, 5*time.Millisecond)
+// newLimitedGroup starts a group of three members, each on a disk of its own, which the map has by the member's name.
+func newLimitedGroup(t *testing.T, interval time.Duration) (*group, []*member, map[string]*limitedDisk) {
+	g := newGroup(t, interval)
 	var members []*member
-	var disks []*limitedDisk
+	disks := map[string]*limitedDisk{}
 	var voters raft.Members
 	for _, name := range []string{"a", "b", "c"} {
 		m := g.newMember(name)
-		d := &limitedDisk{folder: m.folder.Path, limit: 16 << 20}
-		m.folder.Disk = d
-		members, disks = append(members, m), append(disks, d)
+		disks[name] = &limitedDisk{folder: m.folder.Path, limit: 64 << 20}
+		m.folder.Disk, m.LogBytes = disks[name], 4<<20
+		members = append(members, m)
 		voters.Voters = append(voters.Voters, m.Store.MemberID(name))
 	}
 	for _, m := range members {
 		m.Bootstrap = voters
 		g.startMember(m)
 	}
+	return g, members, disks
+}
+
+// Guards against a proposal that a follower and the leader send to and fro until its deadline, because the leader has no
+// room for it: the caller gets the reason at once, and a smaller proposal goes through.
+func TestForwardedProposalWithoutRoomIsRefused(t *testing.T) {
+	g, members, disks := newLimitedGroup(t, 50*time.Millisecond)
+	leader := g.leader()
+	g.propose(leader, "0")
+	d := disks[leader.Name]
+	d.others.Store(d.limit - store.UsedBytes(d.folder) - spaceReserve - 300<<10)
+	time.Sleep(spaceCheckInterval + 100*time.Millisecond)
+	follower := members[0]
+	if follower == leader {
+		follower = members[1]
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	start := time.Now()
+	_, _, err := follower.Propose(ctx, make([]byte, 200<<10))
+	if took := time.Since(start); !errors.Is(err, ErrNoSpace) || !errors.Is(err, ErrNotRun) || took > time.Second {
+		t.Errorf("a proposal without room: %v after %v, want ErrNoSpace and ErrNotRun at once", err, took)
+	}
+	if s := leader.Status(); s.Role != raft.Leader || s.SpaceShort {
+		t.Errorf("status is %+v, want a leader with room for a snapshot", s)
+	}
+	g.propose(follower, "1")
+}
+
+// Guards against a leader that sends no heartbeats while its disk does not say how much room it has.
+func TestStalledDiskKeepsLeader(t *testing.T) {
+	g, members, disks := newLimitedGroup(t, 50*time.Millisecond)
+	leader := g.leader()
+	g.propose(leader, "0")
+	before := leader.Status()
+	for _, d := range disks {
+		d.stall.Store(int64(2 * time.Second))
+	}
+	time.Sleep(spaceCheckInterval)
+	var longest time.Duration
+	for start := time.Now(); time.Since(start) < 3*time.Second; {
+		at := time.Now()
+		g.propose(members[0], "1")
+		longest = max(longest, time.Since(at))
+	}
+	after := leader.Status()
+	if after.Role != raft.Leader || after.Term != before.Term || longest > time.Second {
+		t.Errorf("role %v in term %d after %d, %d ticks, a proposal took %v", after.Role, after.Term, before.Term, after.Now-before.Now, longest)
+	}
+}
+
+// Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
+// entry is dropped like a proposal, and no read is answered before it is committed.
+func TestReadsWhileAllDisksAreShort(t *testing.T) {
+	g, members, disks := newLimitedGroup(t, 5*time.Millisecond)
 	g.propose(g.leader(), "0")
 	for _, d := range disks {
 		d.others.Store(d.limit - store.UsedBytes(d.folder) - 300<<10)
@@ -232,3 +328,54 @@
 		}
 	}
 }
+
+// Guards against proposals that take the room of a snapshot that is being written: the state grows by the entries that it
+// covers and by those that are applied meanwhile, and the next snapshot needs room for both.
+func TestRoomIsKeptForSnapshotInProgress(t *testing.T) {
+	r := &Replica{LogBytes: 4 << 20, snapshotBytes: 300 << 10, appliedBytes: 800 << 10}
+	before := r.snapshotRoom()
+	r.beginSnapshot(raft.Snapshot{}, nil)
+	if during := r.snapshotRoom(); during != before {
+		t.Errorf("%d bytes are kept free, want %d as before the snapshot", during, before)
+	}
+	r.appliedBytes = 500 << 10
+	if during := r.snapshotRoom(); during != before+500<<10 {
+		t.Errorf("%d bytes are kept free, want %d with the entries applied since", during, before+500<<10)
+	}
+}
+
+// Guards against a member whose log grows without a bound while its own snapshot is written slowly, against one that
+// gets no entries afterwards, and against a leader that keeps the leadership and takes no proposals meanwhile.
+func TestMemberWithSlowSnapshot(t *testing.T) {
+	for _, role := range []raft.Role{raft.Follower, raft.Leader} {
+		t.Run(role.String(), func(t *testing.T) {
+			g, members, disks := newLimitedGroup(t, 50*time.Millisecond)
+			slow := g.leader()
+			if role == raft.Follower {
+				slow = members[(slices.Index(members, slow)+1)%len(members)]
+			}
+			other := members[(slices.Index(members, slow)+1)%len(members)]
+			d := disks[slow.Name]
+			d.snapshots.Lock()
+			release := sync.OnceFunc(d.snapshots.Unlock)
+			defer release()
+			data := make([]byte, 200<<10)
+			for i := range 30 {
+				data[0] = 'a' + byte(i)
+				g.propose(other, string(data))
+			}
+			time.Sleep(500 * time.Millisecond)
+			if used := store.UsedBytes(d.folder); used > int64(slow.LogBytes) {
+				t.Errorf("the log has %d bytes, want at most %d", used, slow.LogBytes)
+			}
+			release()
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			_, err := slow.ReadIndex(ctx)
+			requireNoError(t, err)
+			if n := slow.machine.count(string(data)); n != 1 {
+				t.Errorf("the member applied the last proposal %d times", n)
+			}
+		})
+	}
+}
