Pause before refused proposals are forwarded again

Cause: a refusal wakes the follower, which forwards all its proposals again at once, not at the next tick. The same holds for refusals because of uncommitted bytes, of a leadership transfer, or by a member that no longer leads.

Fix: after a refusal a follower keeps its proposals queued for a tick and then sends one of them as a probe. Each refused probe doubles the pause, up to 8 ticks; an applied probe, or a change of leader, role or term, lets all go on. Proposals that wait out a pause are no longer counted as retries, and those that the own node refuses are counted with their reason.

TestRefusalReturnsOnlyKeys fails when whole data is returned. Open: a leader that takes the probe and refuses the rest gets the rest of the queue again once a tick.

--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -178,7 +178,7 @@
 // records the sequence number of the last message from each sender.
 func (n *Node) handleForwardedProposals(m Message) {
 	if n.role != Leader {
-		n.sendBeforeSync(Message{Type: MsgProposeReply, To: m.From, Entries: m.Entries})
+		n.refuseForwarded(m.From, m.Entries, false)
 		return
 	}
 	from := proposalSource{id: m.From, processID: m.Sent}
@@ -194,15 +194,28 @@
 			continue
 		}
 		if err != nil {
-			n.sendBeforeSync(Message{Type: MsgProposeReply, To: m.From, Entries: m.Entries[i:]})
+			n.refuseForwarded(m.From, m.Entries[i:], false)
 			break
 		}
 	}
 	if len(withoutRoom) > 0 {
-		n.sendBeforeSync(Message{Type: MsgProposeReply, To: m.From, Entries: withoutRoom, Reject: true})
+		n.refuseForwarded(m.From, withoutRoom, true)
 	}
 }
 
+// refuseForwarded sends the keys of refused proposals back to the member that forwarded them.
+func (n *Node) refuseForwarded(to ID, entries []Entry, noSpace bool) {
+	keys := make([]Entry, len(entries))
+	for i := range entries {
+		data := entries[i].Data
+		if n.ProposalKeyBytes > 0 {
+			data = data[:min(len(data), n.ProposalKeyBytes)]
+		}
+		keys[i].Data = data
+	}
+	n.sendBeforeSync(Message{Type: MsgProposeReply, To: to, Entries: keys, Reject: noSpace})
+}
+
 // ProposeConfChange appends a membership change, which takes effect at once. It returns NotLeaderError on other
 // members, ErrChangePending while an earlier change is not committed, ErrTransferInProgress during a leadership
 // transfer, ErrNotReady until the leader has committed an entry of its term, ErrLearnerLagging for the promotion of a
--- a/core/raft/node.go
+++ b/core/raft/node.go
@@ -76,6 +76,9 @@
 	UncommittedBytes int
 	// Forward makes a follower forward proposals to the leader; otherwise Propose returns NotLeaderError.
 	Forward bool
+	// ProposalKeyBytes is the length of the prefix that identifies a proposal to its sender. A member that refuses a
+	// forwarded proposal returns only this prefix, or all of the data if it is zero.
+	ProposalKeyBytes int
 
 	proposalRoom  int  // largest proposal that the leader appends, in bytes
 	proposalsHeld bool // the leader appends no proposals
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -186,3 +186,19 @@
 		t.Errorf("%d entries before the snapshot are held, want %d", len(held), keepBytes/(size+entryOverhead))
 	}
 }
+
+// Guards against a refusal that carries the data of the proposals back through the network.
+func TestRefusalReturnsOnlyKeys(t *testing.T) {
+	n := startNode(t, threeVoters, HardState{})
+	n.ProposalKeyBytes = 2
+	campaignUntilLeader(t, n)
+	drainReady(n)
+	n.HoldProposals(true)
+	requireNoError(t, n.Step(Message{
+		Type: MsgPropose, From: threeVoters.Voters[1], To: n.ID, Term: n.term, Seq: 1, Entries: []Entry{{Data: []byte("abcd")}, {Data: []byte("e")}},
+	}))
+	out := drainReady(n)
+	if len(out) != 1 || len(out[0].Entries) != 2 || string(out[0].Entries[0].Data) != "ab" || string(out[0].Entries[1].Data) != "e" {
+		t.Fatalf("the leader answered %+v, want the keys of both proposals", out)
+	}
+}
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -24,9 +24,10 @@
 	// SnapshotNeeded is set if another member needs the latest snapshot; the caller reads it from disk and passes it to
 	// ProvideSnapshot after Advance.
 	SnapshotNeeded bool
-	// RefusedProposals holds the data of forwarded proposals that the leader has not appended and will not append.
+	// RefusedProposals holds the data of forwarded proposals that the leader has not appended and will not append, or
+	// their first Node.ProposalKeyBytes bytes.
 	RefusedProposals [][]byte
-	// ProposalsWithoutRoom holds the data of those that the leader refused with ErrNoSpace; it would refuse them again.
+	// ProposalsWithoutRoom holds the same of those that the leader refused with ErrNoSpace; it would refuse them again.
 	ProposalsWithoutRoom [][]byte
 }
 
--- a/io/repl/inbox.go
+++ b/io/repl/inbox.go
@@ -56,7 +56,6 @@
 			requeued = append(requeued, p)
 		}
 	}
-	r.meter.retries[retryReasonNoLeader].Inc(int64(len(requeued)))
 	r.requeueProposals(requeued)
 	if len(reads) > 0 {
 		r.lastKey++
--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"wasabiweir/core/raft"
+
+	"go.uber.org/zap"
 )
 
 // proposal is a request to the raft node that a caller waits for: data to replicate, a membership change, or a transfer
@@ -116,6 +118,10 @@
 // submitProposal passes a queued proposal to the raft node. It returns false if the proposal must be queued again
 // because no leader accepts it at present.
 func (r *Replica) submitProposal(p *proposal) bool {
+	isData := p.change == nil && p.transfer == nil
+	if isData && p.state.Load() == stateQueued && !r.node.IsLeader() && !r.forwardPause.admit(p) {
+		return false
+	}
 	if !p.state.CompareAndSwap(stateQueued, stateSubmitted) {
 		return true
 	}
@@ -144,6 +150,11 @@
 		leader, notLeader := raft.IsNotLeader(err)
 		later := errors.Is(err, raft.ErrTransferInProgress) || errors.Is(err, raft.ErrTooManyUncommitted) || errors.Is(err, raft.ErrLogFull)
 		if notLeader && leader.IsZero() || later {
+			reason := retryReasonRefused
+			if notLeader {
+				reason = retryReasonNoLeader
+			}
+			r.meter.retries[reason].Inc(1)
 			return !p.state.CompareAndSwap(stateSubmitted, stateQueued)
 		}
 	}
@@ -173,6 +184,17 @@
 	}
 	if p := r.takePending(e.Data); p != nil {
 		p.deliverOutcome(o)
+		if p == r.forwardPause.probe {
+			r.endForwardPause()
+		}
+	}
+}
+
+// endForwardPause lets the proposals go on that wait for a leader that refused some.
+func (r *Replica) endForwardPause() {
+	if r.forwardPause.length > 0 {
+		r.forwardPause = forwardPause{}
+		r.wakeLoop()
 	}
 }
 
@@ -202,15 +224,23 @@
 	}
 }
 
-// requeueRefusedProposals queues again the forwarded proposals that the leader refused to append to its log; the next
-// tick or message wakes the replica's loop.
+// requeueRefusedProposals queues again the forwarded proposals that the leader refused to append to its log, and pauses
+// before they are sent again.
 func (r *Replica) requeueRefusedProposals(refused [][]byte) {
-	var requeued []*proposal
+	var taken, requeued []*proposal
 	for _, data := range refused {
-		if p := r.takePending(data); p != nil && p.state.CompareAndSwap(stateSubmitted, stateQueued) {
+		p := r.takePending(data)
+		if p == nil {
+			continue
+		}
+		taken = append(taken, p)
+		if p.state.CompareAndSwap(stateSubmitted, stateQueued) {
 			requeued = append(requeued, p)
 		}
 	}
+	if len(taken) > 0 && r.forwardPause.refuse(taken) {
+		r.Log.Info("forwarding-paused", zap.Int("refused", len(taken)), zap.Int("pause-ticks", r.forwardPause.length))
+	}
 	r.meter.retries[retryReasonRefused].Inc(int64(len(requeued)))
 	r.requeueProposals(requeued)
 }
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -140,6 +140,7 @@
 	pendingProposals    map[uint64]*proposal  // submitted proposals by the counter part of their key
 	lastKey             uint64                // counter part of the latest key of a proposal or read
 	pendingReads        map[uint64]*readGroup // unanswered reads by the counter part of their key
+	forwardPause        forwardPause          // delays proposals to a leader that refuses them
 }
 
 // publishedStatus is the replica's status after an iteration of its loop.
@@ -219,7 +220,7 @@
 	r.snapshotIndex, r.snapshotBytes = saved.Snapshot.Index, len(saved.Snapshot.Data)
 	r.appliedTerm = saved.Snapshot.Term
 	r.node = &raft.Node{
-		ID: r.Store.MemberID(r.Name), Seed: rand.Uint64(), Forward: true,
+		ID: r.Store.MemberID(r.Name), Seed: rand.Uint64(), Forward: true, ProposalKeyBytes: requestKeyBytes,
 		ElectionTicks: r.ElectionTicks, HeartbeatTicks: r.HeartbeatTicks,
 		InFlightBytes: min(raft.DefaultInFlightBytes, r.quarterBytes()), UncommittedBytes: min(raft.DefaultUncommittedBytes, r.quarterBytes()),
 	}
@@ -312,6 +313,7 @@
 	for range min(due, r.ElectionTicks) {
 		r.node.Tick()
 	}
+	r.forwardPause.advance(due)
 	r.retryReads()
 	r.removeAbandonedProposals()
 }
@@ -387,6 +389,7 @@
 	}
 	r.status.Store(s)
 	if old.Role != s.Role || old.Leader != s.Leader || old.Term != s.Term {
+		r.endForwardPause()
 		r.Log.Info("role-changed", zap.Stringer("role", s.Role), zap.Uint64("term", s.Term),
 			zap.String("leader", s.Leader.Name), zap.Uint64("commit", s.Commit))
 	}
--- a/io/repl/replica_test.go
+++ b/io/repl/replica_test.go
@@ -75,8 +75,9 @@
 	interval time.Duration
 	// snapshotEvery and keepEntries are small by default, so that members restart and catch up from snapshots.
 	snapshotEvery, keepEntries uint64
-	members                    sync.Map // running members: name to *member
-	partitioned                sync.Map // members without a network: name to true
+	members                    sync.Map     // running members: name to *member
+	partitioned                sync.Map     // members without a network: name to true
+	forwardedBytes             atomic.Int64 // data of forwarded proposals and of their refusals
 }
 
 // newGroup returns a group without members that stores its data in a temporary folder.
@@ -92,6 +93,9 @@
 
 func (l *groupTransport) Send(messages []raft.Message) {
 	for _, m := range messages {
+		if m.Type == raft.MsgPropose || m.Type == raft.MsgProposeReply {
+			l.group.forwardedBytes.Add(int64(m.DataBytes()))
+		}
 		_, cutFrom := l.group.partitioned.Load(l.name)
 		_, cutTo := l.group.partitioned.Load(m.To.Name)
 		to, ok := l.group.members.Load(m.To.Name)
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -221,15 +221,16 @@
 }
 
 // newLimitedGroup starts a group of three members, each on a disk of its own, which the map has by the member's name.
-func newLimitedGroup(t *testing.T) (*group, []*member, map[string]*limitedDisk) {
+// The channel, if set, delays the writes of large snapshots until it is closed.
+func newLimitedGroup(t *testing.T, logBytes int, snapshots chan struct{}) (*group, []*member, map[string]*limitedDisk) {
 	g := newGroup(t, 5*time.Millisecond)
 	var members []*member
 	disks := map[string]*limitedDisk{}
 	var voters raft.Members
 	for _, name := range []string{"a", "b", "c"} {
 		m := g.newMember(name)
-		disks[name] = &limitedDisk{folder: m.folder.Path, limit: 16 << 20}
-		m.folder.Disk = disks[name]
+		disks[name] = &limitedDisk{folder: m.folder.Path, limit: 16 << 20, snapshots: snapshots}
+		m.folder.Disk, m.LogBytes = disks[name], logBytes
 		members = append(members, m)
 		voters.Voters = append(voters.Voters, m.Store.MemberID(name))
 	}
@@ -243,7 +244,7 @@
 // Guards against a proposal that a follower and the leader send to and fro until its deadline, because the leader has no
 // room for it: the caller gets the reason at once, and a smaller proposal goes through.
 func TestForwardedProposalWithoutRoomIsRefused(t *testing.T) {
-	g, members, disks := newLimitedGroup(t)
+	g, members, disks := newLimitedGroup(t, 0, nil)
 	leader := g.leader()
 	g.propose(leader, "0")
 	d := disks[leader.Name]
@@ -266,10 +267,54 @@
 	g.propose(follower, "1")
 }
 
+// Guards against a follower that sends all its proposals again with each refusal of a leader whose log is full, which
+// filled the network; and against proposals that don't go on when the leader takes them again.
+func TestRefusedProposalsAreForwardedWithPauses(t *testing.T) {
+	const size, callers = 100 << 10, 8
+	snapshots := make(chan struct{})
+	g, members, _ := newLimitedGroup(t, 4<<20, snapshots)
+	release := sync.OnceFunc(func() { close(snapshots) })
+	defer release()
+	propose := func(m *member, wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		defer cancel()
+		_, _, err := m.Propose(ctx, make([]byte, size))
+		return err
+	}
+	leader := g.leader()
+	g.propose(leader, "0")
+	var err error
+	for i := 0; i < 100 && err == nil; i++ {
+		err = propose(leader, 500*time.Millisecond)
+	}
+	if !errors.Is(err, ErrNotRun) {
+		t.Fatalf("proposals are not held: %v", err)
+	}
+	follower := members[0]
+	if follower == leader {
+		follower = members[1]
+	}
+	before := g.forwardedBytes.Load()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			if err := propose(follower, time.Second); err == nil {
+				t.Error("a proposal was applied while proposals are held")
+			}
+		})
+	}
+	wg.Wait()
+	if sent := g.forwardedBytes.Load() - before; sent > 10*callers*size {
+		t.Errorf("%d bytes were sent for %d proposals of %d bytes", sent, callers, size)
+	}
+	release()
+	requireNoError(t, propose(follower, 10*time.Second))
+}
+
 // Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
 // entry is dropped like a proposal, and no read is answered before it is committed.
 func TestReadsWhileAllDisksAreShort(t *testing.T) {
-	g, members, disks := newLimitedGroup(t)
+	g, members, disks := newLimitedGroup(t, 0, nil)
 	g.propose(g.leader(), "0")
 	for _, d := range disks {
 		d.others.Store(d.limit - store.UsedBytes(d.folder) - 300<<10)
