End a proposal that was certainly not appended with ErrNotRun

ErrUnknown forbids the caller a repetition.

Cause: a proposal counts as submitted while its data is copied and the raft node refuses it, and each wake of the loop does that to each queued proposal; a deadline in between ends with ErrUnknown. Likewise, a deadline that coincides with a delivered outcome could hide it.

Fix: a leader with a full log looks before it passes a proposal on, and copies nothing. A caller at its deadline waits for the node's synchronous answer, by a mutex in the proposal, and prefers an outcome that is already there. One that is on its way to the leader at the deadline still ends with ErrUnknown, because nobody knows yet.

A leader that has neither room nor a free log still answers with ErrNoSpace at once.

--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 
 	"wasabiweir/core/raft"
@@ -19,7 +20,8 @@
 	change   *raft.ConfChange // membership change of the Raft group; nil if there is none
 	transfer *raft.ID         // target of a leadership transfer; nil if there is none
 	state    atomic.Int32
-	term     uint64 // Raft term in which it was submitted
+	mu       sync.Mutex // held while the raft node takes or refuses the proposal, so that its caller knows which
+	term     uint64     // Raft term in which it was submitted
 	done     chan requestOutcome
 }
 
@@ -87,9 +89,17 @@
 		return o
 	case <-ctx.Done():
 	}
-	if p.state.Swap(stateAbandoned) == stateQueued {
+	p.mu.Lock()
+	state := p.state.Swap(stateAbandoned)
+	p.mu.Unlock()
+	if state == stateQueued {
 		return requestOutcome{err: errors.Join(ErrNotRun, ctx.Err())}
 	}
+	select {
+	case o := <-p.done:
+		return o
+	default:
+	}
 	return requestOutcome{err: errors.Join(ErrUnknown, ctx.Err())}
 }
 
@@ -115,13 +125,25 @@
 	return binary.LittleEndian.AppendUint64(buf, k)
 }
 
+// mustWait reports whether a proposal must stay queued, because this leader's log is full or the leader refused others.
+func (r *Replica) mustWait(p *proposal) bool {
+	if p.change != nil || p.transfer != nil {
+		return false
+	}
+	if r.node.IsLeader() {
+		return r.isLogFull() && len(p.data) <= r.proposalRoom()
+	}
+	return !r.forwardPause.admit(p)
+}
+
 // submitProposal passes a queued proposal to the raft node. It returns false if the proposal must be queued again
 // because no leader accepts it at present.
 func (r *Replica) submitProposal(p *proposal) bool {
-	isData := p.change == nil && p.transfer == nil
-	if isData && p.state.Load() == stateQueued && !r.node.IsLeader() && !r.forwardPause.admit(p) {
+	if p.state.Load() == stateQueued && r.mustWait(p) {
 		return false
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if !p.state.CompareAndSwap(stateQueued, stateSubmitted) {
 		return true
 	}
--- a/io/repl/replica_test.go
+++ b/io/repl/replica_test.go
@@ -297,6 +297,32 @@
 	}
 }
 
+// Guards against ErrUnknown at the deadline of a proposal that the raft node is just refusing, or whose outcome is known.
+func TestOutcomeAtDeadlineIsCertain(t *testing.T) {
+	r := &Replica{Store: &store.Store{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 20 {
+		p := &proposal{done: make(chan requestOutcome, 1)}
+		p.state.Store(stateSubmitted)
+		p.deliverOutcome(requestOutcome{err: ErrNoSpace})
+		if o := r.queueAndWait(ctx, p); !errors.Is(o.err, ErrNoSpace) {
+			t.Fatalf("a failed proposal ended with %v, want ErrNoSpace", o.err)
+		}
+	}
+	p := &proposal{done: make(chan requestOutcome, 1)}
+	p.mu.Lock()
+	p.state.Store(stateSubmitted)
+	refuse := time.AfterFunc(50*time.Millisecond, func() {
+		p.state.Store(stateQueued)
+		p.mu.Unlock()
+	})
+	defer refuse.Stop()
+	if o := r.queueAndWait(ctx, p); !errors.Is(o.err, ErrNotRun) {
+		t.Fatalf("a refused proposal ended with %v, want ErrNotRun", o.err)
+	}
+}
+
 // Guards against proposals that fail or stall while the leadership is transferred, and against forwarded proposals that
 // the leader refuses during the transfer and that are never submitted again.
 func TestTransferUnderLoad(t *testing.T) {
