Report a full log when it begins, and on the leader only

Seen: TestLogIsBoundedWhileSnapshotIsWritten could pass without a full log, since its first proposal may reach its deadline before there is a leader. The comment on isLogFull said "the next one would be due" although the number of entries doesn't count.

Fix: `log-full-changed` and the counter `replica-log-full` when a leader begins to delay proposals, and the line again at the end. The comments say that only the size of the entries counts: many small entries take little room.

--- a/io/repl/inbox.go
+++ b/io/repl/inbox.go
@@ -34,7 +34,7 @@
 	r.inbox.messages, r.inbox.proposals, r.inbox.reads = nil, nil, nil
 	r.inbox.messageBytes, r.inbox.proposalBytes = 0, 0
 	r.inbox.mu.Unlock()
-	r.node.HoldProposals(r.isLogFull())
+	r.holdProposals()
 	for _, m := range messages {
 		if !r.hasRoomFor(&m) {
 			r.meter.ignored[ignoreReasonNoSpace].Inc(1)
--- a/io/repl/meter.go
+++ b/io/repl/meter.go
@@ -29,6 +29,7 @@
 	applied   tally.Counter
 	snapshots tally.Counter
 	elections tally.Counter
+	logFull   tally.Counter
 	retries   map[string]tally.Counter
 	ignored   map[string]tally.Counter
 	sync      tally.Histogram
@@ -46,6 +47,7 @@
 		applied:   scope.Counter("applied"),
 		snapshots: scope.Counter("snapshots"),
 		elections: scope.Counter("elections"),
+		logFull:   scope.Counter("log-full"),
 		retries:   countersByReason(scope, "retries", retryReasonNoLeader, retryReasonDropped, retryReasonRefused),
 		ignored:   countersByReason(scope, "ignored", ignoreReasonIdentity, ignoreReasonInboxFull, ignoreReasonNoSpace),
 		sync:      scope.Histogram("sync", syncBuckets),
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -108,7 +108,7 @@
 	// is each the size of the applied entries after which a snapshot is due, the size of those that stay in memory after
 	// one, and the size of proposals that are queued, are uncommitted or are sent to a member without an
 	// acknowledgement; an eighth is the size of a segment of the log on disk. While a snapshot is written, a leader delays
-	// proposals once the next one would be due.
+	// proposals once the next one would be due by the size of the entries.
 	LogBytes int
 	// MaxQueued is the number of proposals that may wait to be submitted; DefaultMaxQueued if it is zero.
 	MaxQueued int
@@ -133,6 +133,7 @@
 	// snapshotFailedAt when one could last not be written for lack of room.
 	snapshotCoversBytes int
 	snapshotFailedAt    time.Time
+	proposalsHeld       bool                  // this leader delays proposals, because its log is full
 	snapshotIndex       uint64                // index of the last log entry in the latest snapshot
 	snapshotBytes       int                   // size of the latest snapshot in bytes
 	appliedBytes        int                   // size in bytes of the log entries applied since the latest snapshot
--- a/io/repl/saver.go
+++ b/io/repl/saver.go
@@ -63,12 +63,29 @@
 	return count > 0 && enough && r.appliedBytes >= r.snapshotBytes && time.Since(r.snapshotFailedAt) >= spaceCheckInterval
 }
 
-// isLogFull reports whether a snapshot is being written and the next one would be due. Without this bound, a slow disk
-// lets the log grow until it fills the memory or the disk.
+// isLogFull reports whether a snapshot is being written and the next one would be due by the size of the entries applied
+// since. Without this bound, a slow disk lets the log grow until it fills the memory or the disk. The number of entries
+// doesn't count: many small ones take little room.
 func (r *Replica) isLogFull() bool {
 	return r.snapshotWriter != nil && r.appliedBytes >= max(r.quarterBytes(), r.snapshotBytes)
 }
 
+// holdProposals makes the raft node refuse proposals while the log is full, and reports on a leader when that begins and
+// ends.
+func (r *Replica) holdProposals() {
+	full := r.isLogFull()
+	r.node.HoldProposals(full)
+	held := full && r.node.IsLeader()
+	if held == r.proposalsHeld {
+		return
+	}
+	r.proposalsHeld = held
+	if held {
+		r.meter.logFull.Inc(1)
+	}
+	r.Log.Warn("log-full-changed", zap.Bool("full", held), zap.Uint64("applied", r.node.Applied()), zap.Int("applied-bytes", r.appliedBytes))
+}
+
 // advanceSnapshot starts a snapshot of the state machine once enough log entries are applied. While one is being
 // written, it checks for its completion and then drops the log entries that the snapshot covers.
 func (r *Replica) advanceSnapshot() error {
@@ -116,7 +133,7 @@
 		return nil
 	}
 	if r.isLogFull() {
-		r.Log.Warn("log-was-full", zap.Uint64("snapshot-index", r.snapshotWriter.snapshot.Index), zap.Int("applied-bytes", r.appliedBytes))
+		// Proposals that waited for the snapshot go on.
 		r.wakeLoop()
 	}
 	s := r.snapshotWriter.snapshot
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -14,6 +14,8 @@
 
 	"wasabiweir/core/raft"
 	"wasabiweir/io/store"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // limitedDisk is a file system of a limited size, which other writers can fill. A write beyond it is cut off.
@@ -47,6 +49,7 @@
 	folder  *store.Folder
 	machine *lastValue
 	replica atomic.Pointer[Replica]
+	scope   tally.TestScope
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    chan error
@@ -59,7 +62,7 @@
 
 // newMemberOnDisk starts a member on the disk.
 func newMemberOnDisk(t *testing.T, disk *limitedDisk, logBytes int) *limitedMember {
-	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: disk.folder, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1)}
+	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: disk.folder, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1), scope: tally.NewTestScope("", nil)}
 	requireNoError(t, m.folder.Open())
 	m.ctx, m.cancel = context.WithTimeout(context.Background(), time.Minute)
 	go m.loop(logBytes)
@@ -73,7 +76,7 @@
 // loop runs a replica again and again until the member is stopped.
 func (m *limitedMember) loop(logBytes int) {
 	for m.ctx.Err() == nil {
-		r := &Replica{Name: "a", Machine: m.machine, Transport: noTransport{}, Interval: 5 * time.Millisecond, LogBytes: logBytes}
+		r := &Replica{Name: "a", Machine: m.machine, Transport: noTransport{}, Interval: 5 * time.Millisecond, LogBytes: logBytes, Metrics: m.scope}
 		r.Store = &store.Store{Folder: m.folder, Group: "config"}
 		r.Bootstrap = raft.Members{Voters: []raft.ID{{Name: "a", Disk: m.folder.DiskID()}}}
 		m.replica.Store(r)
@@ -150,6 +153,7 @@
 	m := newMemberOnDisk(t, disk, logBytes)
 	release := sync.OnceFunc(func() { close(disk.snapshots) })
 	defer release()
+	m.awaitProposal(size)
 	var err error
 	for range 60 {
 		if err = m.propose(size, 500*time.Millisecond); err != nil {
@@ -162,6 +166,9 @@
 	if !errors.Is(err, ErrNotRun) || errors.Is(err, ErrNoSpace) {
 		t.Errorf("the last proposal: %v, want ErrNotRun at its deadline", err)
 	}
+	if c := m.scope.Snapshot().Counters()["replica.log-full+group=config"]; c == nil || c.Value() != 1 {
+		t.Errorf("the counter of full logs is %v, want 1 while the snapshot is written", c)
+	}
 	release()
 	requireNoError(t, m.propose(size, 10*time.Second))
 }
