--- a/io/repl/inbox.go
+++ b/io/repl/inbox.go
@@ -35,7 +35,7 @@
 	r.inbox.messages, r.inbox.proposals, r.inbox.reads = nil, nil, nil
 	r.inbox.messageBytes, r.inbox.proposalBytes = 0, 0
 	r.inbox.mu.Unlock()
-	r.node.HoldProposals(r.isLogFull())
+	r.holdProposals()
 	if m := r.takeTransfer(now); m != nil {
 		if err := r.stepMessage(m); err != nil {
 			return err
@@ -64,7 +64,6 @@
 			requeued = append(requeued, p)
 		}
 	}
-	r.meter.retries[retryReasonNoLeader].Inc(int64(len(requeued)))
 	r.requeueProposals(requeued)
 	if len(reads) > 0 {
 		r.lastKey++
--- a/io/repl/propose.go
+++ b/io/repl/propose.go
@@ -5,9 +5,12 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 
 	"wasabiweir/core/raft"
+
+	"go.uber.org/zap"
 )
 
 // proposal is a request to the raft node that a caller waits for: data to replicate, a membership change, or a transfer
@@ -17,7 +20,8 @@
 	change   *raft.ConfChange // membership change of the Raft group; nil if there is none
 	transfer *raft.ID         // target of a leadership transfer; nil if there is none
 	state    atomic.Int32
-	term     uint64 // Raft term in which it was submitted
+	mu       sync.Mutex // held while the raft node takes or refuses the proposal, so that its caller knows which
+	term     uint64     // Raft term in which it was submitted
 	done     chan requestOutcome
 }
 
@@ -86,9 +90,17 @@
 		return o
 	case <-ctx.Done():
 	}
-	if p.state.Swap(stateAbandoned) == stateQueued {
+	p.mu.Lock()
+	state := p.state.Swap(stateAbandoned)
+	p.mu.Unlock()
+	if state == stateQueued {
 		return requestOutcome{err: errors.Join(ErrNotRun, ctx.Err())}
 	}
+	select {
+	case o := <-p.done:
+		return o
+	default:
+	}
 	return requestOutcome{err: errors.Join(ErrUnknown, ctx.Err())}
 }
 
@@ -114,13 +126,25 @@
 	return binary.LittleEndian.AppendUint64(buf, k)
 }
 
+// mustWait reports whether a proposal must stay queued, because this leader's log is full or the leader refused others.
+func (r *Replica) mustWait(p *proposal) bool {
+	if p.change != nil || p.transfer != nil {
+		return false
+	}
+	if r.node.IsLeader() {
+		return r.isLogFull() && len(p.data) <= r.proposalRoom()
+	}
+	return !r.forwardPause.admit(p)
+}
+
 // submitProposal passes a queued proposal to the raft node. It returns false if the proposal must be queued again
 // because no leader accepts it at present.
 func (r *Replica) submitProposal(p *proposal) bool {
-	if p.change == nil && p.transfer == nil && r.node.IsLeader() && r.isLogFull() {
-		// Its data need not be copied at each tick, and its caller learns at the deadline that it was not submitted.
-		return p.state.Load() == stateAbandoned
+	if p.state.Load() == stateQueued && r.mustWait(p) {
+		return false
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if !p.state.CompareAndSwap(stateQueued, stateSubmitted) {
 		return true
 	}
@@ -152,6 +176,11 @@
 		leader, notLeader := raft.IsNotLeader(err)
 		later := errors.Is(err, raft.ErrTransferInProgress) || errors.Is(err, raft.ErrTooManyUncommitted) || errors.Is(err, raft.ErrLogFull)
 		if notLeader && leader.IsZero() || later {
+			reason := retryReasonRefused
+			if notLeader {
+				reason = retryReasonNoLeader
+			}
+			r.meter.retries[reason].Inc(1)
 			return !p.state.CompareAndSwap(stateSubmitted, stateQueued)
 		}
 	}
@@ -181,6 +210,17 @@
 	}
 	if p := r.takePending(e.Data); p != nil {
 		p.deliverOutcome(o)
+		if p == r.forwardPause.probe {
+			r.endForwardPause()
+		}
+	}
+}
+
+// endForwardPause lets the proposals go on that wait for a leader that refused some.
+func (r *Replica) endForwardPause() {
+	if r.forwardPause.length > 0 {
+		r.forwardPause = forwardPause{}
+		r.wakeLoop()
 	}
 }
 
@@ -210,15 +250,23 @@
 	}
 }
 
-// requeueRefusedProposals queues again the forwarded proposals that the leader refused to append to its log; the next
-// tick or message wakes the replica's loop.
+// requeueRefusedProposals queues again the forwarded proposals that the leader refused to append to its log, and pauses
+// before they are sent again.
 func (r *Replica) requeueRefusedProposals(refused [][]byte) {
-	var requeued []*proposal
+	var taken, requeued []*proposal
 	for _, data := range refused {
-		if p := r.takePending(data); p != nil && p.state.CompareAndSwap(stateSubmitted, stateQueued) {
+		p := r.takePending(data)
+		if p == nil {
+			continue
+		}
+		taken = append(taken, p)
+		if p.state.CompareAndSwap(stateSubmitted, stateQueued) {
 			requeued = append(requeued, p)
 		}
 	}
+	if len(taken) > 0 && r.forwardPause.refuse(taken) {
+		r.Log.Info("forwarding-paused", zap.Int("refused", len(taken)), zap.Int("pause-ticks", r.forwardPause.length))
+	}
 	r.meter.retries[retryReasonRefused].Inc(int64(len(requeued)))
 	r.requeueProposals(requeued)
 }
--- a/io/repl/replica.go
+++ b/io/repl/replica.go
@@ -108,7 +108,7 @@
 	// is each the size of the applied entries after which a snapshot is due, the size of those that stay in memory after
 	// one, and the size of proposals that are queued, are uncommitted or are sent to a member without an
 	// acknowledgement; an eighth is the size of a segment of the log on disk. While a snapshot is written, a leader delays
-	// proposals, and a follower ignores large entries, once the next one would be due.
+	// proposals, and a follower ignores large entries, once the next one would be due by the size of the entries.
 	LogBytes int
 	// MaxQueued is the number of proposals that may wait to be submitted; DefaultMaxQueued if it is zero.
 	MaxQueued int
@@ -134,6 +134,7 @@
 	snapshotCoversBytes int
 	snapshotFailedAt    time.Time
 	logFullSince        time.Time             // since when isLogFull holds; zero if it doesn't
+	proposalsHeld       bool                  // this leader delays proposals, because its log is full
 	snapshotIndex       uint64                // index of the last log entry in the latest snapshot
 	snapshotBytes       int                   // size of the latest snapshot in bytes
 	appliedBytes        int                   // size in bytes of the log entries applied since the latest snapshot
@@ -141,6 +142,7 @@
 	pendingProposals    map[uint64]*proposal  // submitted proposals by the counter part of their key
 	lastKey             uint64                // counter part of the latest key of a proposal or read
 	pendingReads        map[uint64]*readGroup // unanswered reads by the counter part of their key
+	forwardPause        forwardPause          // delays proposals to a leader that refuses them
 }
 
 // publishedStatus is the replica's status after an iteration of its loop.
@@ -222,7 +224,7 @@
 	r.snapshotIndex, r.snapshotBytes = saved.Snapshot.Index, len(saved.Snapshot.Data)
 	r.appliedTerm = saved.Snapshot.Term
 	r.node = &raft.Node{
-		ID: r.Store.MemberID(r.Name), Seed: rand.Uint64(), Forward: true,
+		ID: r.Store.MemberID(r.Name), Seed: rand.Uint64(), Forward: true, ProposalKeyBytes: requestKeyBytes,
 		ElectionTicks: r.ElectionTicks, HeartbeatTicks: r.HeartbeatTicks,
 		InFlightBytes: min(raft.DefaultInFlightBytes, r.quarterBytes()), UncommittedBytes: min(raft.DefaultUncommittedBytes, r.quarterBytes()),
 	}
@@ -315,6 +317,7 @@
 	for range min(due, r.ElectionTicks) {
 		r.node.Tick()
 	}
+	r.forwardPause.advance(due)
 	r.retryReads()
 	r.removeAbandonedProposals()
 }
@@ -390,6 +393,7 @@
 	}
 	r.status.Store(s)
 	if old.Role != s.Role || old.Leader != s.Leader || old.Term != s.Term {
+		r.endForwardPause()
 		r.Log.Info("role-changed", zap.Stringer("role", s.Role), zap.Uint64("term", s.Term),
 			zap.String("leader", s.Leader.Name), zap.Uint64("commit", s.Commit))
 	}
--- a/io/repl/replica_test.go
+++ b/io/repl/replica_test.go
@@ -75,8 +75,9 @@
 	interval time.Duration
 	// snapshotEvery and keepEntries are small by default, so that members restart and catch up from snapshots.
 	snapshotEvery, keepEntries uint64
-	members                    sync.Map // running members: name to *member
-	partitioned                sync.Map // members without a network: name to true
+	members                    sync.Map     // running members: name to *member
+	partitioned                sync.Map     // members without a network: name to true
+	forwardedBytes             atomic.Int64 // data of forwarded proposals and of their refusals
 }
 
 // newGroup returns a group without members that stores its data in a temporary folder.
@@ -92,6 +93,9 @@
 
 func (l *groupTransport) Send(messages []raft.Message) {
 	for _, m := range messages {
+		if m.Type == raft.MsgPropose || m.Type == raft.MsgProposeReply {
+			l.group.forwardedBytes.Add(int64(m.DataBytes()))
+		}
 		_, cutFrom := l.group.partitioned.Load(l.name)
 		_, cutTo := l.group.partitioned.Load(m.To.Name)
 		to, ok := l.group.members.Load(m.To.Name)
@@ -293,6 +297,32 @@
 	}
 }
 
+// Guards against ErrUnknown at the deadline of a proposal that the raft node is just refusing, or whose outcome is known.
+func TestOutcomeAtDeadlineIsCertain(t *testing.T) {
+	r := &Replica{Store: &store.Store{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 20 {
+		p := &proposal{done: make(chan requestOutcome, 1)}
+		p.state.Store(stateSubmitted)
+		p.deliverOutcome(requestOutcome{err: ErrNoSpace})
+		if o := r.queueAndWait(ctx, p); !errors.Is(o.err, ErrNoSpace) {
+			t.Fatalf("a failed proposal ended with %v, want ErrNoSpace", o.err)
+		}
+	}
+	p := &proposal{done: make(chan requestOutcome, 1)}
+	p.mu.Lock()
+	p.state.Store(stateSubmitted)
+	refuse := time.AfterFunc(50*time.Millisecond, func() {
+		p.state.Store(stateQueued)
+		p.mu.Unlock()
+	})
+	defer refuse.Stop()
+	if o := r.queueAndWait(ctx, p); !errors.Is(o.err, ErrNotRun) {
+		t.Fatalf("a refused proposal ended with %v, want ErrNotRun", o.err)
+	}
+}
+
 // Guards against proposals that fail or stall while the leadership is transferred, and against forwarded proposals that
 // the leader refuses during the transfer and that are never submitted again.
 func TestTransferUnderLoad(t *testing.T) {
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -15,6 +15,8 @@
 
 	"wasabiweir/core/raft"
 	"wasabiweir/io/store"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // limitedDisk is a file system of a limited size, which other writers can fill. A write beyond it is cut off.
@@ -52,6 +54,7 @@
 	folder  *store.Folder
 	machine *lastValue
 	replica atomic.Pointer[Replica]
+	scope   tally.TestScope
 	ctx     context.Context
 	cancel  context.CancelFunc
 	done    chan error
@@ -64,7 +67,7 @@
 
 // newMemberOnDisk starts a member on the disk.
 func newMemberOnDisk(t *testing.T, disk *limitedDisk, logBytes int) *limitedMember {
-	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: disk.folder, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1)}
+	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: disk.folder, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1), scope: tally.NewTestScope("", nil)}
 	requireNoError(t, m.folder.Open())
 	m.ctx, m.cancel = context.WithTimeout(context.Background(), time.Minute)
 	go m.loop(logBytes)
@@ -78,7 +81,7 @@
 // loop runs a replica again and again until the member is stopped.
 func (m *limitedMember) loop(logBytes int) {
 	for m.ctx.Err() == nil {
-		r := &Replica{Name: "a", Machine: m.machine, Transport: noTransport{}, Interval: 5 * time.Millisecond, LogBytes: logBytes}
+		r := &Replica{Name: "a", Machine: m.machine, Transport: noTransport{}, Interval: 5 * time.Millisecond, LogBytes: logBytes, Metrics: m.scope}
 		r.Store = &store.Store{Folder: m.folder, Group: "config"}
 		r.Bootstrap = raft.Members{Voters: []raft.ID{{Name: "a", Disk: m.folder.DiskID()}}}
 		m.replica.Store(r)
@@ -156,6 +159,7 @@
 	m := newMemberOnDisk(t, disk, logBytes)
 	release := sync.OnceFunc(disk.snapshots.Unlock)
 	defer release()
+	m.awaitProposal(size)
 	var err error
 	for range 60 {
 		if err = m.propose(size, 2*time.Second); err != nil {
@@ -168,6 +172,9 @@
 	if !errors.Is(err, ErrNotRun) || errors.Is(err, ErrNoSpace) {
 		t.Errorf("the last proposal: %v, want ErrNotRun at its deadline", err)
 	}
+	if c := m.scope.Snapshot().Counters()["replica.log-full+group=config"]; c == nil || c.Value() != 1 {
+		t.Errorf("the counter of full logs is %v, want 1 while the snapshot is written", c)
+	}
 	release()
 	requireNoError(t, m.propose(size, 10*time.Second))
 }
@@ -294,6 +301,56 @@
 	}
 }
 
+// Guards against a follower that sends all its proposals again with each refusal of a leader whose log is full, which
+// filled the network; and against proposals that don't go on when the leader takes them again.
+func TestRefusedProposalsAreForwardedWithPauses(t *testing.T) {
+	const size, callers = 100 << 10, 8
+	g, members, disks := newLimitedGroup(t, 5*time.Millisecond)
+	release := sync.OnceFunc(func() {
+		for _, d := range disks {
+			d.snapshots.Unlock()
+		}
+	})
+	for _, d := range disks {
+		d.snapshots.Lock()
+	}
+	defer release()
+	propose := func(m *member, wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(t.Context(), wait)
+		defer cancel()
+		_, _, err := m.Propose(ctx, make([]byte, size))
+		return err
+	}
+	leader := g.leader()
+	g.propose(leader, "0")
+	var err error
+	for i := 0; i < 100 && err == nil; i++ {
+		err = propose(leader, 500*time.Millisecond)
+	}
+	if !errors.Is(err, ErrNotRun) {
+		t.Fatalf("proposals are not held: %v", err)
+	}
+	follower := members[0]
+	if follower == leader {
+		follower = members[1]
+	}
+	before := g.forwardedBytes.Load()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			if err := propose(follower, time.Second); err == nil {
+				t.Error("a proposal was applied while proposals are held")
+			}
+		})
+	}
+	wg.Wait()
+	if sent := g.forwardedBytes.Load() - before; sent > 10*callers*size {
+		t.Errorf("%d bytes were sent for %d proposals of %d bytes", sent, callers, size)
+	}
+	release()
+	requireNoError(t, propose(follower, 10*time.Second))
+}
+
 // Guards against a group that can't be read while the disks of all members are short of room: a new leader's first
 // entry is dropped like a proposal, and no read is answered before it is committed.
 func TestReadsWhileAllDisksAreShort(t *testing.T) {
