Check an order's lease when it is written, not when it is planned

A leader that was frozen right after it had planned orders wrote them after SIGCONT, although its lease had ended and another leader had taken over: it checked the lease before it opened the connection to the engine. An engine that checks fencing numbers refused the order; one that ignores them took an order of term 4 after one of term 5.

Ruled out: a plan made with the old term after SIGCONT (the ticks that were missed end the leadership before the planner runs).

The connection now refuses to write from the order's NotAfter on. What is left is the time between that check and the system call.

TestStateCalls fails without the check.

--- a/core/orders/doc.go
+++ b/core/orders/doc.go
@@ -10,7 +10,7 @@
 // Each order carries the leader's fencing number. An engine that checks fencing numbers rejects an order with a lower
 // number than one it has accepted. To an engine that does not check them, a new leader sends nothing until the lease of
 // its predecessor has expired, with a margin for clock drift, and a leader sends nothing after its own lease. A process
-// that is paused between checking the lease and sending the order can still send it late; only the next read of the
+// that is paused between checking the lease and the write of the order can still send it late; only the next read of the
 // engine detects that.
 //
 // # Unloading
--- a/io/ctrl/orders.go
+++ b/io/ctrl/orders.go
@@ -228,22 +228,16 @@
 }
 
 // runOrder sends one order to an engine and passes the reply to the planner. If the lease of this process as the
-// leader has ended since the plan was made, the order is not sent and counts as failed.
+// leader ends before the order is written, the order is not sent and counts as failed.
 func (s *orderDispatcher) runOrder(ctx context.Context, o *orders.Order) {
 	defer s.control.guard.Recover("order")
 	defer s.pendingCalls.Done()
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	request := s.engineOrder(o)
-	reply := orders.ReplyFailed
-	var (
-		state engine.OrderState
-		err   error
-	)
-	if s.control.Clock.Now().Before(o.NotAfter) {
-		state, err = s.engineClient(o.Address).SendOrder(ctx, request)
-		reply = classifyReply(o, &state, err)
-	}
+	client := s.engineClient(o.Address)
+	client.NotAfter = o.NotAfter
+	state, err := client.SendOrder(ctx, s.engineOrder(o))
+	reply := classifyReply(o, &state, err)
 	s.control.Log.Info("order-sent", zap.String("endpoint", o.Endpoint), zap.String("action", string(o.Action)),
 		zap.Stringer("copy", o.Copy), zap.String("reply", string(reply)), zap.Error(err))
 	s.mu.Lock()
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -111,18 +111,30 @@
 type deadlineConn struct {
 	net.Conn
 	timeout time.Duration
+	// notAfter is that of the request's client.
+	notAfter time.Time
 }
 
-// Write writes p to the connection and fails if the write takes longer than the connection's write timeout.
+// errExpired is returned for a request that could not be written before its client's NotAfter.
+var errExpired = eris.New("the request has expired")
+
+// Write writes p to the connection and fails if the write takes longer than the connection's write timeout, or if the request has
+// expired.
 func (c *deadlineConn) Write(p []byte) (int, error) {
+	if !c.notAfter.IsZero() && !time.Now().Before(c.notAfter) {
+		return 0, errExpired
+	}
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, fmt.Errorf("set write deadline: %w", err)
 	}
 	return c.Conn.Write(p)
 }
 
-// connTrace records whether an HTTP request got a connection and whether that connection had been used before.
+// connTrace records whether an HTTP request got a connection and whether that connection had been used before, and passes the
+// request's expiry to the connection.
 type connTrace struct {
+	notAfter time.Time
+
 	mu        sync.Mutex // guards the fields below
 	connected bool
 	reused    bool
@@ -133,6 +145,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.connected = true
+	if c, ok := info.Conn.(*deadlineConn); ok {
+		c.notAfter = t.notAfter
+	}
 	t.reused = t.reused || info.Reused
 }
 
@@ -153,6 +168,9 @@
 	Transport *Transport
 	// Fresh makes each request open a connection of its own.
 	Fresh bool
+	// NotAfter is the time from which no byte of a request is written any more; zero means no limit. It is checked at each write: a
+	// process that is paused while it connects would otherwise send a request that it no longer may send.
+	NotAfter time.Time
 }
 
 // sendRequest sends an HTTP request to the engine and returns the reply, whatever its status. A request other than GET
@@ -163,7 +181,7 @@
 	if tr == nil {
 		tr = &sharedTransport
 	}
-	t := &connTrace{}
+	t := &connTrace{notAfter: c.NotAfter}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 	req, err := http.NewRequestWithContext(traced, method, "http://"+c.Address+path, bytes.NewReader(body))
 	if err != nil {
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -287,6 +287,12 @@
 	if _, err := c.SendOrder(ctx, Order{Fencing: Fencing{Term: 1}, Action: ActionUnloadModel, Model: "m"}); !errors.As(err, &orderErr) || orderErr.Code != CodeStaleFencing {
 		t.Fatalf("old order: %v", err)
 	}
+	// An order is not written once its sender may no longer send it, whenever the connection was opened.
+	expired := *c
+	expired.NotAfter = time.Now()
+	if _, err := expired.SendOrder(ctx, Order{Fencing: Fencing{Term: 3}, Action: ActionUnloadModel, Model: "m"}); KindOf(err) != KindTimeout {
+		t.Fatalf("expired order: %v", err)
+	}
 	if o, err := c.ReadOrders(ctx); err != nil || len(o.Adapters) != 1 || o.Adapters[0].State != StateReady || o.Highest.Term != 2 {
 		t.Fatalf("order state %+v, %v", o, err)
 	}
--- a/io/engine/errors.go
+++ b/io/engine/errors.go
@@ -23,7 +23,7 @@
 	KindRefused Kind = "refused"
 	// KindReset means that the connection to the engine was reset or closed before the reply was complete.
 	KindReset Kind = "reset"
-	// KindTimeout means that the write timeout or the header timeout of the engine's Transport expired.
+	// KindTimeout means that the write timeout or the header timeout of the engine's Transport expired, or the Client's NotAfter.
 	KindTimeout Kind = "timeout"
 	// KindProtocol means that the engine's reply does not have the expected format or content.
 	KindProtocol Kind = "protocol"
@@ -94,6 +94,8 @@
 		nerr net.Error
 	)
 	switch {
+	case errors.Is(err, errExpired):
+		e.Kind = KindTimeout
 	case ctx.Err() != nil:
 		e.Kind = KindCanceled
 	case errors.As(err, &dial):
