Refuse to write a call whose deadline has passed while its router connected

The call could then run after its claim had ended; it did not run twice, as the ledger grants no second claim for the key.

Found by reading; no run showed it. TestCallIsSentOnceOnBrokenConnection fails without the check (the call was written).

--- a/io/router/call.go
+++ b/io/router/call.go
@@ -201,7 +201,8 @@
 // sendIdempotent sends an idempotent call and, after a failure, repeats it on another endpoint while the retry budget
 // allows.
 func (c *callSender) sendIdempotent(ctx context.Context, x *serviceCall) (*endpointResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, x.deadline)
+	notAfter := time.Now().Add(x.deadline)
+	ctx, cancel := context.WithDeadline(ctx, notAfter)
 	defer cancel()
 	failed := route.NameSet{}
 	for {
@@ -211,7 +212,7 @@
 			f.Outcome = x.outcome()
 			return nil, &f
 		}
-		client, _ := newSingleUseClient()
+		client, _ := newSingleUseClient(notAfter)
 		out, err := c.sendAttempt(ctx, x, a, client)
 		if err == nil {
 			return out, nil
--- a/io/router/execution.go
+++ b/io/router/execution.go
@@ -243,7 +243,7 @@
 		if pickErr != nil {
 			return nil, false, pickErr
 		}
-		client, written := newSingleUseClient()
+		client, written := newSingleUseClient(e.deadline)
 		out, err = e.calls.sendAttempt(ctx, e.call, a, client)
 		if err == nil || written.Load() {
 			return out, true, err
@@ -281,15 +281,17 @@
 
 // newSingleUseClient returns an HTTP client that opens a new connection for its one request. A pooled connection may
 // have died unnoticed, which would needlessly make the call's outcome unknown, and an endpoint may send a second copy
-// of its last response on it, which would be taken for the next one. written is set once a byte may have been sent.
-func newSingleUseClient() (client *http.Client, written *atomic.Bool) {
+// of its last response on it, which would be taken for the next one. written is set once a byte may have been sent. From notAfter on,
+// no byte is written, since a router that is paused while it connects would otherwise send a call whose claim has ended; zero means no
+// limit.
+func newSingleUseClient(notAfter time.Time) (client *http.Client, written *atomic.Bool) {
 	written = &atomic.Bool{}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialEndpoint(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &writeTrackingConn{Conn: conn, written: written}, nil
+		return &writeTrackingConn{Conn: conn, written: written, notAfter: notAfter}, nil
 	}
 	client = &http.Client{
 		Transport:     &http.Transport{DisableKeepAlives: true, DialContext: dial, MaxResponseHeaderBytes: maxResponseHeader},
@@ -298,14 +300,21 @@
 	return client, written
 }
 
-// writeTrackingConn sets written at the first write on the connection.
+// errCallExpired is returned for a call that could not be written before its deadline.
+var errCallExpired = eris.New("the call has expired")
+
+// writeTrackingConn sets written at the first write on the connection, and refuses writes from notAfter on.
 type writeTrackingConn struct {
 	net.Conn
-	written *atomic.Bool
+	written  *atomic.Bool
+	notAfter time.Time
 }
 
 // Write sets written before it passes any byte on, so that written is also set if the write fails.
 func (c *writeTrackingConn) Write(b []byte) (int, error) {
+	if !c.notAfter.IsZero() && !time.Now().Before(c.notAfter) {
+		return 0, errCallExpired
+	}
 	c.written.Store(true)
 	return c.Conn.Write(b)
 }
--- a/io/router/resend_test.go
+++ b/io/router/resend_test.go
@@ -90,7 +90,7 @@
 func TestCallIsSentOnceOnBrokenConnection(t *testing.T) {
 	s := newCuttingServer(t)
 	for n, body := range []string{"{}", "", "{}"} {
-		client, written := newSingleUseClient()
+		client, written := newSingleUseClient(time.Now().Add(time.Minute))
 		if _, err := newCall(http.MethodPost, body).roundTrip(t.Context(), client, s.server.Listener.Addr().String()); err != nil {
 			t.Fatal(err)
 		}
@@ -98,6 +98,11 @@
 			t.Fatalf("%d requests after %d calls, written %t", got, n+1, written.Load())
 		}
 	}
+	// A call whose deadline has passed while its router connected is not sent.
+	client, written := newSingleUseClient(time.Now())
+	if _, err := newCall(http.MethodPost, "{}").roundTrip(t.Context(), client, s.server.Listener.Addr().String()); err == nil || written.Load() || s.requests.Load() != 3 {
+		t.Errorf("expired call: %v, written %t, %d requests", err, written.Load(), s.requests.Load())
+	}
 	// Also with a client that reuses the connection of the first call, each call is sent once.
 	s.requests.Store(0)
 	pooled := &http.Client{Transport: &http.Transport{}}
