Stop a leader's orders before it transfers the leadership

A control process that was being stopped went on to order engines while it asked a successor to take over. A transfer does not wait for the lease, and the successor orders engines that check fencing numbers at once. Engines that ignore fencing numbers were safe, as the successor waits for the end of the lease.

A stop now ends the requests to engines, waits until they have ended, and transfers the leadership after that.

--- a/io/ctrl/control.go
+++ b/io/ctrl/control.go
@@ -157,9 +157,11 @@
 	}
 }
 
-// loopStop waits until ctx ends and then transfers the leadership of the Raft groups that this process leads.
+// loopStop waits until ctx ends, stops the orders to engines and then transfers the leadership of the Raft groups that this process
+// leads.
 func (c *Control) loopStop(ctx context.Context) error {
 	<-ctx.Done()
+	c.orders.stop()
 	c.transferLeadership()
 	return ctx.Err()
 }
--- a/io/ctrl/orders.go
+++ b/io/ctrl/orders.go
@@ -36,8 +36,13 @@
 	control      *Control
 	transport    engine.Transport
 	pendingCalls sync.WaitGroup // counts the running calls of runReadEngine and runOrder
+	// requests is the context of the requests to engines, which cancel ends.
+	requests context.Context
+	cancel   context.CancelFunc
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// stopped is set once no further requests may start.
+	stopped bool
 	planner orders.Planner
 	// fencing is the fencing number of orders under the current leadership, or of the last one if leading is false.
 	fencing orders.Fencing
@@ -65,6 +70,7 @@
 // weights.
 func (s *orderDispatcher) initPlanner(c *Control) {
 	s.control = c
+	s.requests, s.cancel = context.WithCancel(c.ctx)
 	s.reads = map[string]*engineRead{}
 	tick := cmp.Or(c.Tick, defaultTick)
 	s.planner.Lease = raft.DefaultElectionTicks * tick
@@ -78,7 +84,7 @@
 // loop plans and sends orders to engines every planInterval until ctx ends, and then waits for the requests that are
 // running.
 func (s *orderDispatcher) loop(ctx context.Context) error {
-	defer s.pendingCalls.Wait()
+	defer s.stop()
 	ticker := time.NewTicker(planInterval)
 	defer ticker.Stop()
 	for {
@@ -86,11 +92,21 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			s.dispatchOrders(ctx)
+			s.dispatchOrders(s.requests)
 		}
 	}
 }
 
+// stop ends the requests to engines and starts no further ones. It comes before a planned transfer of the leadership: the successor
+// orders engines that check fencing numbers at once, while the lease of this process still runs.
+func (s *orderDispatcher) stop() {
+	s.mu.Lock()
+	s.stopped = true
+	s.mu.Unlock()
+	s.cancel()
+	s.pendingCalls.Wait()
+}
+
 // dispatchOrders starts the engine reads that are due, runs the planner and starts to send the orders of the new plan
 // to the engines. It does nothing unless this process leads the Raft group config.
 func (s *orderDispatcher) dispatchOrders(ctx context.Context) {
@@ -98,7 +114,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.control.Clock.Now()
-	if !s.updateLeadership(now) {
+	if s.stopped || !s.updateLeadership(now) {
 		return
 	}
 	s.startEngineReads(ctx, graph, now)
--- a/io/itest/process_test.go
+++ b/io/itest/process_test.go
@@ -63,12 +63,17 @@
 
 	mu  sync.Mutex
 	log bytes.Buffer
+	// onLine is called with each piece of new output until it returns true; nil means that nothing is awaited.
+	onLine func(text string) bool
 }
 
 // Write appends to the process's log; it is the writer of its output.
 func (p *process) Write(b []byte) (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.onLine != nil && p.onLine(string(b)) {
+		p.onLine = nil
+	}
 	return p.log.Write(b)
 }
 
--- a/io/stand/orders.go
+++ b/io/stand/orders.go
@@ -206,6 +206,8 @@
 		writeError(w, http.StatusConflict, "stale_fencing", "an order with a higher fencing number was accepted before")
 		return
 	}
+	e.Log.Info("order-applied", zap.Uint64("term", req.Fencing.Term), zap.String("action", req.Action), zap.String("model", req.Model),
+		zap.String("adapter", req.Adapter), zap.String("version", req.Version))
 	writeJSON(w, http.StatusOK, state)
 }
 
