Leave a router's own pause out of the time to the first token

It took the pause into the seconds for each prefilled token. A short prompt was then predicted to start after its caller's wait, and refused requests bring no new sample. The gaps between tokens already leave pauses out.

TestOwnPauseSlowsNoEndpoint fails without the change.

--- a/core/route/health.go
+++ b/core/route/health.go
@@ -170,6 +170,12 @@
 	return now.Sub(s.lastToken)
 }
 
+// PausedSince reports whether this router was paused between the two times, so that what it measured from one to the other says nothing
+// about an endpoint.
+func (t *Table) PausedSince(start, now time.Time) bool {
+	return t.resumedAt.After(start) || !t.lastTick.IsZero() && now.Sub(t.lastTick) > maxTickInterval
+}
+
 // measureTokenGap updates the smoothed token gap of the endpoint, or clears it if no token has arrived for gapTTL and
 // none is awaited.
 func (t *Table) measureTokenGap(e *Endpoint, step time.Duration, now time.Time) {
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -77,7 +77,9 @@
 	e.backoff.clearFailures()
 	s.probe = false
 	uncached := float64(s.PrefillTokens - s.cachedTokens)
-	t.secondsPerPrefillToken.addSample(now.Sub(s.startedAt).Seconds()*e.health.score, uncached+firstTokenOverhead)
+	if !t.PausedSince(s.startedAt, now) {
+		t.secondsPerPrefillToken.addSample(now.Sub(s.startedAt).Seconds()*e.health.score, uncached+firstTokenOverhead)
+	}
 	t.Budget.Earn(uncached * PrefillWeight)
 }
 
--- a/core/route/table_test.go
+++ b/core/route/table_test.go
@@ -180,7 +180,8 @@
 	}
 }
 
-// A pause of the router itself must not make an engine look slow whose tokens are read a little later than those of others.
+// A pause of the router itself must not make an engine look slow whose tokens are read a little later than those of others, or make
+// first tokens look so late that short prompts are refused.
 func TestOwnPauseSlowsNoEndpoint(t *testing.T) {
 	for _, readFirst := range []bool{false, true} {
 		tab := Table{Budget: &Budget{}}
@@ -189,10 +190,16 @@
 		startOneStreamEach(&tab, now)
 		fast := func(string) time.Duration { return 40 * time.Millisecond }
 		now = runStreams(&tab, now, 2*time.Second, fast)
+		request := &Request{PrefillTokens: 5}
+		waiting, predicted := tab.StartStream(request, tab.Endpoint("e000"), now), tab.PredictTimeToFirstTokenIdle(request)
 		now = now.Add(1200 * time.Millisecond)
 		if !readFirst {
 			tab.Tick(now)
 		}
+		tab.RecordTokens(waiting, 1, now)
+		if got := tab.PredictTimeToFirstTokenIdle(request); got != predicted {
+			t.Fatalf("a first token is predicted after %s, before the pause after %s (read before the tick: %t)", got, predicted, readFirst)
+		}
 		for _, e := range tab.Endpoints() {
 			if e.Name == "e002" {
 				continue
--- a/io/router/resumequeue.go
+++ b/io/router/resumequeue.go
@@ -102,7 +102,10 @@
 func (d *dispatcher) recordFirstToken(a *attempt, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.prefillEstimator(a.name).Observe(a.stream.PrefillTokens, took)
+	now := d.Clock.Now()
+	if !d.table.PausedSince(now.Add(-took), now) {
+		d.prefillEstimator(a.name).Observe(a.stream.PrefillTokens, took)
+	}
 }
 
 // predictFirstToken returns the predicted time to the first token of an attempt, after the prompts that already wait
