Play SIGSTOP at the steps of a router's drain

TestFrozenRouters freezes the draining router, or the new owner of a generation, at three of five steps, and checks that a call ran at most once, that its answers are true, and that old and new owners' streams have correct tokens.

--- a/io/itest/calls_test.go
+++ b/io/itest/calls_test.go
@@ -29,15 +29,27 @@
 
 // run sends the call and stores the answer.
 func (b *asyncCall) run(address, key, body string) {
+	b.runRequest(http.MethodPost, address, callPath, body, "Idempotency-Key", key)
+}
+
+// resumeAsync resumes a completion at a router without waiting for the answer.
+func (s *system) resumeAsync(router int, cursor string) *asyncCall {
+	b := &asyncCall{done: make(chan struct{})}
+	go b.runRequest(http.MethodGet, s.routerAddresses[router], resumePath, "", "Last-Event-ID", cursor)
+	return b
+}
+
+// runRequest sends a request with one header of its own and stores the answer.
+func (b *asyncCall) runRequest(method, address, path, body, header, value string) {
 	defer close(b.done)
 	ctx, cancel := context.WithTimeout(context.Background(), responseTimeout)
 	defer cancel()
 	var req *http.Request
-	if req, b.err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+callPath, strings.NewReader(body)); b.err != nil {
+	if req, b.err = http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body)); b.err != nil {
 		return
 	}
 	req.Header.Set("Authorization", "Bearer "+accountToken)
-	req.Header.Set("Idempotency-Key", key)
+	req.Header.Set(header, value)
 	res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
 	if b.err = err; err != nil {
 		return
--- a/io/itest/handover_test.go
+++ b/io/itest/handover_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"regexp"
 	"strconv"
@@ -47,7 +48,7 @@
 	return frozen
 }
 
-// awaitFreeze waits until freezeWhen has stopped a process, ends the watch and reports whether the process still runs.
+// awaitFreeze waits until freezeWhen has stopped a process, ends the watch, and returns the process and whether the process still runs.
 func awaitFreeze(t testing.TB, frozen <-chan *process, watched ...*process) (*process, bool) {
 	t.Helper()
 	var v *process
@@ -61,26 +62,9 @@
 		w.onLine = nil
 		w.mu.Unlock()
 	}
-	eventually(t, stopTimeout, func() error {
-		if v.ended(0) {
-			return nil
-		}
-		return v.checkStopped()
-	})
-	return v, !v.ended(reapTime)
-}
-
-// reapTime is the time within which the end of a process is known that no longer has a thread.
-const reapTime = 100 * time.Millisecond
-
-// ended reports whether the process ends within the time.
-func (p *process) ended(within time.Duration) bool {
-	select {
-	case <-p.done:
-		return true
-	case <-time.After(within):
-		return false
-	}
+	eventually(t, stopTimeout, v.checkStopped)
+	// A process that has ended has no thread that is not stopped.
+	return v, v.cmd.Process.Signal(syscall.Signal(0)) == nil
 }
 
 // itself is the victim of a freeze that the victim's own log begins.
@@ -100,6 +84,9 @@
 const (
 	firstOrder      = "event=order-applied"
 	planningStarted = "event=order-planning-started"
+
+	drainRefused          = "reason=draining"
+	generationTransferred = "event=generation-transferred"
 )
 
 // Steps of a transfer of the leadership: the text in whose log line one side is stopped.
@@ -223,3 +210,103 @@
 		}
 	}
 }
+
+// Steps of a drain: the text in whose log line the frozen router is stopped.
+var drainSteps = []struct {
+	name, text    string
+	old, byOthers bool // the draining router is frozen; the text is in the log of the others
+}{
+	{"draining router as it begins", "event=drain-started", true, false},
+	{"draining router as it refuses a caller", drainRefused, true, false},
+	{"draining router as its journals move", "event=holder-replacement-started", true, true},
+	{"draining router as another one has its generation", generationTransferred, true, true},
+	{"new owner of the generation", generationTransferred, false, true},
+}
+
+// Guards against two routers that both act for a generation or a call, and against false answers, when one side of a drain is frozen
+// at any step of it.
+func TestFrozenRouters(t *testing.T) { runHandOvers(t, testFrozenRouters) }
+
+func testFrozenRouters(t *testing.T, seed int) {
+	const tokens, steps, generations = 80, 3, 16
+	rng := rand.New(rand.NewPCG(uint64(seed), 2))
+	s := newSystem(t, systemSpec{controls: 1, routers: 5, engines: 2, engineArgs: []string{"-tokens-per-second", "25", "-slots", "64"}})
+	injectFault(t, s.serviceAddress, `{"slow-ms":300}`)
+	i := rng.IntN(len(s.routers))
+	for _, at := range rng.Perm(len(drainSteps))[:steps] {
+		step := drainSteps[at]
+		c := newWorkload(s)
+		i = (i + 1 + rng.IntN(len(s.routers)-1)) % len(s.routers) // one that was just restarted holds no journals yet
+		old, next := s.routers[i], (i+1)%len(s.routers)
+		watched, victim := []*process{old}, itself
+		if step.byOthers {
+			watched = others(s.routers, old)
+		}
+		if step.old {
+			victim = func(*process) *process { return old }
+		}
+		for n := range generations {
+			c.startGeneration(n, tokens)
+			c.startCall(newIdempotencyKey(t))
+		}
+		stream := s.startCompletion(i, tokens).readEvents(2)
+		begun := stream.received.String()
+		call := &callCase{system: s, t: t, key: newIdempotencyKey(t)}
+		frozen := freezeWhen(victim, step.text, watched...)
+		first := call.send(i)
+		old.signal(syscall.SIGTERM)
+		resumes := []*asyncCall{}
+		if step.text == generationTransferred {
+			resumes = append(resumes, s.resumeAsync(next, stream.cursor))
+		}
+		if step.text == drainRefused {
+			eventually(t, startTimeout, func() error {
+				if len(frozen) == 0 {
+					s.callAsync(i, newIdempotencyKey(t), "{}")
+					return errors.New("no call is refused")
+				}
+				return nil
+			})
+		}
+		v, running := awaitFreeze(t, frozen, watched...)
+		if !running {
+			t.Logf("%s: it had ended before it was frozen", step.name)
+		}
+		for s.routers[next] == v || next == i {
+			next = (next + 1) % len(s.routers)
+		}
+		again := call.send(next)
+		call.expectAnswer("send elsewhere", again, answerDone, answerUnknown)
+		resumes = append(resumes, s.resumeAsync(next, stream.cursor))
+		if got := resumes[len(resumes)-1]; !got.answerContains("data: [DONE]") {
+			t.Errorf("%s: resume elsewhere: status %d, body %s, error %v", step.name, got.status, lastLines(got.body, 3), got.err)
+		}
+		if running {
+			v.signal(syscall.SIGCONT)
+		}
+		// The streams of the former owners may end early, but with correct tokens only.
+		rest, _ := io.ReadAll(stream.reader)
+		_, _ = stream.received.Write(rest)
+		stream.verifyTokens()
+		for n, r := range resumes {
+			<-r.done
+			both := &streamResponse{t: t}
+			_, _ = both.received.WriteString(begun + r.body)
+			if both.verifyTokens(); n == len(resumes)-1 {
+				both.verifyCompletion(tokens)
+			}
+		}
+		// A router that refuses its send says nothing of the other one.
+		call.expectAnswer("send at the draining router", first, answerDone, answerUnknown, answerNotRun)
+		done := first.answerContains(answerDone) || again.answerContains(answerDone)
+		if n := readExecutions(t, s.serviceAddress).Keys[call.key]; n > 1 || done && n == 0 || !done && n > 0 && first.answerContains(answerNotRun) {
+			t.Errorf("%s: the call ran %d times, answers %s and %s", step.name, n, first.body, again.body)
+		}
+		c.verifyGenerations(generations)
+		c.verifyCalls(s)
+		old.expectExit(0)
+		old.launch()
+		eventually(t, startTimeout, func() error { return checkReady(s.routerAddresses[i]) })
+		eventually(t, startTimeout, func() error { return s.checkSettled(systemSpec{routers: 5}) })
+	}
+}
--- a/io/itest/sessions_test.go
+++ b/io/itest/sessions_test.go
@@ -88,6 +88,15 @@
 
 // verifyCompletion checks that the whole answer to completionBody(tokens) was read, token by token.
 func (l *streamResponse) verifyCompletion(tokens int) {
+	l.t.Helper()
+	check := l.verifyTokens()
+	if err := check.Finish(tokens); err != nil {
+		l.t.Errorf("%v after %s", err, lastLines(l.received.String(), 2))
+	}
+}
+
+// verifyTokens checks that what was read of the answer to completionBody is correct from its first token on.
+func (l *streamResponse) verifyTokens() *token.Checker {
 	l.t.Helper()
 	check := token.Checker{Model: "dente", Seed: 7, Prompt: token.Tokenize("mouth history of a mare")}
 	for _, m := range tokenIDsPattern.FindAllStringSubmatch(l.received.String(), -1) {
@@ -98,9 +107,7 @@
 			}
 		}
 	}
-	if err := check.Finish(tokens); err != nil {
-		l.t.Errorf("%v after %s", err, lastLines(l.received.String(), 2))
-	}
+	return &check
 }
 
 // transcript returns the response as it is written in golden files.
