Ask the kernel about a socket in one place

The check for connections in an accept queue and the one for a caller that has closed its end each had a way of their own to ask for pending events, by epoll and by poll.

--- a/io/serve/shutdown.go
+++ b/io/serve/shutdown.go
@@ -128,32 +128,6 @@
 func (s *httpServer) acceptPending(ctx context.Context, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	for hasPendingConn(s.listener) && Sleep(ctx, acceptCheckInterval) {
+	for hasSocketEvent(s.listener, syscall.EPOLLIN) && Sleep(ctx, acceptCheckInterval) {
 	}
 }
-
-// hasPendingConn reports whether a connection waits in the accept queue of the listener.
-func hasPendingConn(l net.Listener) bool {
-	raw, err := rawConn(l)
-	if err != nil {
-		return false
-	}
-	pending := false
-	err = raw.Control(func(fd uintptr) { pending = isReadable(int(fd)) })
-	return err == nil && pending
-}
-
-// isReadable reports whether a read or an accept on the file descriptor would not block.
-func isReadable(fd int) bool {
-	epfd, err := syscall.EpollCreate1(syscall.EPOLL_CLOEXEC)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = syscall.Close(epfd) }()
-	event := syscall.EpollEvent{Events: syscall.EPOLLIN}
-	if err := syscall.EpollCtl(epfd, syscall.EPOLL_CTL_ADD, fd, &event); err != nil {
-		return false
-	}
-	n, err := syscall.EpollWait(epfd, []syscall.EpollEvent{event}, 0)
-	return err == nil && n > 0
-}
--- a/io/serve/writelimit.go
+++ b/io/serve/writelimit.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // connContextKey is the context key under which a request finds the network connection on which its client sent it.
@@ -55,16 +53,4 @@
 
 // HasPeerClosed reports whether the peer has closed its end of the connection, even if data that it sent before is unread. It
 // returns false if that is not known.
-func HasPeerClosed(nc net.Conn) bool {
-	raw, err := rawConn(nc)
-	if err != nil {
-		return false
-	}
-	closed := false
-	_ = raw.Control(func(fd uintptr) {
-		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}} //nolint:gosec // a file descriptor fits
-		n, err := unix.Poll(state, 0)
-		closed = err == nil && n > 0
-	})
-	return closed
-}
+func HasPeerClosed(nc net.Conn) bool { return hasSocketEvent(nc, syscall.EPOLLRDHUP) }
