Check the expiry of a request in one place

Connections to engines and to plain services each had the same check, and an error of their own, that refuses to write a request whose time is over. Both call serve.CheckExpiry. Errors keep their kinds; a call that has expired is logged as "the request has expired", no longer as "the call has expired". Tests of io/engine, io/serve, io/router and io/ctrl pass.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -115,14 +115,11 @@
 	notAfter time.Time
 }
 
-// errExpired is returned for a request that could not be written before its client's NotAfter.
-var errExpired = eris.New("the request has expired")
-
 // Write writes p to the connection and fails if the write takes longer than the connection's write timeout, or if the request has
 // expired.
 func (c *deadlineConn) Write(p []byte) (int, error) {
-	if !c.notAfter.IsZero() && !time.Now().Before(c.notAfter) {
-		return 0, errExpired
+	if err := serve.CheckExpiry(c.notAfter); err != nil {
+		return 0, err //nolint:wrapcheck // net/http wraps the errors of writes
 	}
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, fmt.Errorf("set write deadline: %w", err)
--- a/io/engine/errors.go
+++ b/io/engine/errors.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"wasabiweir/io/serve"
 )
 
 // Kind classifies the errors of requests to engines by their cause.
@@ -94,7 +96,7 @@
 		nerr net.Error
 	)
 	switch {
-	case errors.Is(err, errExpired):
+	case errors.Is(err, serve.ErrExpired):
 		e.Kind = KindTimeout
 	case ctx.Err() != nil:
 		e.Kind = KindCanceled
--- a/io/router/execution.go
+++ b/io/router/execution.go
@@ -300,9 +300,6 @@
 	return client, written
 }
 
-// errCallExpired is returned for a call that could not be written before its deadline.
-var errCallExpired = eris.New("the call has expired")
-
 // writeTrackingConn sets written at the first write on the connection, and refuses writes from notAfter on.
 type writeTrackingConn struct {
 	net.Conn
@@ -312,8 +309,8 @@
 
 // Write sets written before it passes any byte on, so that written is also set if the write fails.
 func (c *writeTrackingConn) Write(b []byte) (int, error) {
-	if !c.notAfter.IsZero() && !time.Now().Before(c.notAfter) {
-		return 0, errCallExpired
+	if err := serve.CheckExpiry(c.notAfter); err != nil {
+		return 0, err //nolint:wrapcheck // net/http wraps the errors of writes
 	}
 	c.written.Store(true)
 	return c.Conn.Write(b)
--- a/io/serve/client.go
+++ b/io/serve/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -15,6 +16,18 @@
 // ErrOversized is wrapped by the errors for responses that exceed a bound in bytes.
 var ErrOversized = eris.New("the response is too large")
 
+// ErrExpired is returned for a request that could not be written in time.
+var ErrExpired = eris.New("the request has expired")
+
+// CheckExpiry returns ErrExpired from notAfter on; zero means no limit. A connection that calls it before each write sends nothing
+// late for a process that was paused after the request's deadline was last looked at.
+func CheckExpiry(notAfter time.Time) error {
+	if notAfter.IsZero() || time.Now().Before(notAfter) {
+		return nil
+	}
+	return ErrExpired
+}
+
 // The reasons for which a read from another party fails, as FailureReason returns them.
 const (
 	ReadOversized = "oversized"
