Delete the damaged state of a keeper that votes again

A keeper whose stored state is damaged, as after a power loss, joins again under a new disk id and leaves the old state on its disk. Nothing deleted it: control processes did, keepers did not, and the folder of a first start is named "first", which the deletion passed over because it is no UUID.

Only a voter under its new disk id deletes, as in control processes. Folders are now known by their content too.

--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -139,6 +139,14 @@
 	return nil
 }
 
+// discardEarlierState deletes damaged Raft state under earlier disk ids, which otherwise takes the room of the log. It is
+// kept until this process is a voter under its new disk id.
+func (g *raftGroup) discardEarlierState() {
+	if err := g.keeper.folder.DeleteEarlierState(); err != nil {
+		g.keeper.Log.Warn("damaged-state-not-deleted", zap.Error(err))
+	}
+}
+
 // stepMessages passes the Raft messages of a frame to this keeper's Raft replica.
 func (g *raftGroup) stepMessages(l *wire.Link, f wire.Frame) {
 	messages, err := g.receiver.Messages(l, f)
@@ -200,6 +208,9 @@
 		if isVoter != wasVoter {
 			g.recordVoter(isVoter, s)
 			wasVoter = isVoter
+			if isVoter {
+				g.discardEarlierState()
+			}
 		}
 		if s.ID.IsZero() || isVoter && !s.Leader.IsZero() {
 			continue
--- a/io/store/folder.go
+++ b/io/store/folder.go
@@ -110,19 +110,23 @@
 	return f.saveIdentity(folderIdentity{DiskID: uuid.NewString()})
 }
 
-// DeleteEarlierState deletes the Raft groups' state under earlier disk ids, which RenewDiskID keeps for inspection.
+// DeleteEarlierState deletes the Raft groups' state under earlier disk ids, which RenewDiskID keeps for inspection. It has
+// no effect while the current disk id is unknown.
 func (f *Folder) DeleteEarlierState() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.identity.DiskID == "" {
+		return nil
+	}
 	entries, err := os.ReadDir(f.Path)
 	if err != nil {
 		return fmt.Errorf("list the data folder: %w", err)
 	}
 	for _, e := range entries {
-		if uuid.Validate(e.Name()) != nil || e.Name() == f.identity.DiskID {
-			continue
+		path := filepath.Join(f.Path, e.Name())
+		if e.Name() != f.identity.DiskID && (uuid.Validate(e.Name()) == nil || holdsGroups(path)) {
+			err = errors.Join(err, os.RemoveAll(path))
 		}
-		err = errors.Join(err, os.RemoveAll(filepath.Join(f.Path, e.Name())))
 	}
 	if err != nil {
 		return fmt.Errorf("delete the state under an earlier disk id: %w", err)
@@ -130,6 +134,16 @@
 	return nil
 }
 
+// holdsGroups reports whether the folder contains the state of a Raft group. Not every disk id is a UUID.
+func holdsGroups(path string) bool {
+	for _, suffix := range []string{segmentSuffix, snapshotSuffix} {
+		if files, err := filepath.Glob(filepath.Join(path, "*", "*"+suffix)); err == nil && len(files) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // loadIdentity reads the identity file, which holds the disk id, or creates it in a new data folder.
 func (f *Folder) loadIdentity() error {
 	path := filepath.Join(f.Path, identityFile)
