--- a/io/store/store.go
+++ b/io/store/store.go
@@ -60,15 +60,16 @@
 		return raft.PersistentState{}, &CorruptError{File: path, Offset: int64(len(segmentMagic)), Reason: err.Error()}
 	}
 	s.hardState = p.hardState
+	// A crash can come between a snapshot and Trim. If the disk is full, nothing could be written before this, not even a
+	// reset record.
+	if err := s.deleteCoveredFiles(snapshot); err != nil {
+		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
+	}
 	if replaced {
 		if err := s.writeReset(snapshot); err != nil {
 			return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
 		}
 	}
-	// A crash can come between a snapshot and Trim. If the disk is full, nothing could be written before this.
-	if err := s.deleteCoveredFiles(snapshot); err != nil {
-		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
-	}
 	return raft.PersistentState{HardState: p.hardState, Snapshot: snapshot, Entries: entries}, nil
 }
 
@@ -255,12 +256,17 @@
 }
 
 // deleteCoveredFiles deletes the older snapshots and the log segments before the one that contains the snapshot's last
-// entry. That entry is kept, because Open compares its term with the snapshot's.
+// entry. That entry is kept, because Open compares its term with the snapshot's. The last segment with a record is kept
+// too, because it has the hard state.
 func (s *Store) deleteCoveredFiles(snapshot raft.Snapshot) error {
 	if err := removeSnapshotsBefore(s.dir, snapshot.Index); err != nil {
 		return err
 	}
-	for len(s.segments) > 1 && s.segments[0].highestIndex < snapshot.Index {
+	kept := 1
+	if s.segmentSize == int64(len(segmentMagic)) {
+		kept = 2
+	}
+	for len(s.segments) > kept && s.segments[0].highestIndex < snapshot.Index {
 		if err := os.Remove(segmentPath(s.dir, s.segments[0].number)); err != nil {
 			return fmt.Errorf("remove a segment: %w", err)
 		}
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"testing"
 
 	_ "wasabiweir/core/prop"
@@ -150,9 +151,23 @@
 func (m *storeModel) interruptInstall(r raft.Ready) {
 	requireNoError(m, writeSnapshot(SizedDisk{}, m.store.dir, *r.Snapshot))
 	m.want = raft.PersistentState{HardState: m.want.HardState, Snapshot: *r.Snapshot}
+	if m.drawInt("full", 0, 1) == 1 {
+		m.openOnFullDisk()
+	}
 	m.reopen()
 }
 
+// openOnFullDisk opens the store without room beyond its files, or without any even after some are deleted.
+func (m *storeModel) openOnFullDisk() {
+	requireNoError(m, m.store.Close())
+	m.folder.Disk = &sizedDisk{folder: m.folder.Path, limit: UsedBytes(m.folder.Path) * int64(m.drawInt("limit", 0, 1))}
+	m.store = &Store{Folder: m.folder, Group: "config", SegmentBytes: 300}
+	if _, err := m.store.Open(); err != nil && !errors.Is(err, syscall.ENOSPC) {
+		m.Fatal(err)
+	}
+	m.folder.Disk = nil
+}
+
 // reopen closes the store, opens it again and fails the test unless it returns the expected state.
 func (m *storeModel) reopen() {
 	m.Helper()
@@ -378,3 +393,51 @@
 		}
 	})
 }
+
+// sizedDisk is a file system on which the files of a folder have at most limit bytes.
+type sizedDisk struct {
+	SizedDisk
+	folder string
+	limit  int64
+}
+
+func (d *sizedDisk) Write(f *os.File, data []byte) (int, error) {
+	if free := max(0, d.limit-UsedBytes(d.folder)); int64(len(data)) > free {
+		n, err := f.Write(data[:free])
+		return n, errors.Join(err, syscall.ENOSPC)
+	}
+	return f.Write(data)
+}
+
+// Guards against a store that can't be opened again after the disk was full between the file of a snapshot from the
+// leader and its reset record: the log that the snapshot replaces takes the room of that record. The hard state must
+// stay, also if the newest segment is empty.
+func TestInterruptedInstallOnFullDisk(t *testing.T) {
+	for _, emptySegment := range []bool{false, true} {
+		f := filledFolder(t)
+		s := &Store{Folder: f, Group: "config", SegmentBytes: 400}
+		_, err := s.Open()
+		requireNoError(t, err)
+		snapshot := raft.Snapshot{Index: 100, Term: 2, Data: []byte("installed")}
+		requireNoError(t, writeSnapshot(SizedDisk{}, s.dir, snapshot))
+		if emptySegment {
+			requireNoError(t, createSegment(SizedDisk{}, s.dir, s.segments[len(s.segments)-1].number+1))
+		}
+		requireNoError(t, s.Close())
+		full := &sizedDisk{folder: f.Path}
+		limit := UsedBytes(f.Path)
+		f.Disk = full
+		_, err = s.Open()
+		requireError(t, err, syscall.ENOSPC)
+		requireNoError(t, s.Close())
+		full.limit = limit
+		for range 2 {
+			saved, err := s.Open()
+			requireNoError(t, err)
+			requireNoError(t, s.Close())
+			if saved.HardState.Term != 1 || saved.Snapshot.Index != snapshot.Index || len(saved.Entries) > 0 {
+				t.Fatalf("the state is %+v, want term 1 and the snapshot", saved)
+			}
+		}
+	}
+}
