--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -279,6 +281,57 @@
 	}
 }
 
+// Guards against a member that discards its state because a power loss has undone the removal of some of the segments that a
+// snapshot covers, but not of others: all members trim their logs at the same entry, so all would discard it.
+func TestUndoneRemovalOfSegments(t *testing.T) {
+	f := filledFolder(t)
+	s := &Store{Folder: f, Group: "config", SegmentBytes: 400}
+	_, err := s.Open()
+	requireNoError(t, err)
+	removed := map[string][]byte{}
+	for _, g := range s.segments {
+		path := segmentPath(s.dir, g.number)
+		removed[path], err = os.ReadFile(path)
+		requireNoError(t, err)
+	}
+	snapshot := raft.Snapshot{Index: 25, Term: 1, Data: []byte("compacted")}
+	requireNoError(t, s.WriteSnapshot(snapshot))
+	requireNoError(t, s.Trim(snapshot))
+	for _, g := range s.segments {
+		delete(removed, segmentPath(s.dir, g.number))
+	}
+	paths := slices.Sorted(maps.Keys(removed))
+	if len(paths) < 2 {
+		t.Fatalf("%d segments were removed, want at least 2", len(paths))
+	}
+	for undone := range 1 << len(paths) {
+		requireNoError(t, s.Close())
+		for i, path := range paths {
+			if undone&(1<<i) != 0 {
+				requireNoError(t, os.WriteFile(path, removed[path], fileMode))
+			}
+		}
+		saved, err := s.Open()
+		requireNoError(t, err)
+		if saved.HardState.Term != 1 || saved.Snapshot.Index != 25 || len(saved.Entries) != 5 || saved.Entries[0].Index != 26 {
+			t.Fatalf("with the removals %b undone, the state is %+v", undone, saved)
+		}
+		for _, path := range paths {
+			if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
+				t.Fatalf("with the removals %b undone, %s is left: %v", undone, path, err)
+			}
+		}
+	}
+	requireNoError(t, s.Close())
+	// The missing segments may have had a later hard state, even if a snapshot covers all entries.
+	requireNoError(t, s.WriteSnapshot(raft.Snapshot{Index: 100, Term: 2}))
+	requireNoError(t, createSegment(SizedDisk{}, s.dir, 90))
+	var c *CorruptError
+	if _, err := s.Open(); !errors.As(err, &c) {
+		t.Fatalf("a missing segment before an empty one: %v", err)
+	}
+}
+
 // Guards against the loss of the hard state, and so of a vote, when older segments are deleted: a crash can leave the
 // newest segment empty, without the record that repeats the hard state.
 func TestEmptySegmentKeepsHardState(t *testing.T) {
