Check the convergence of crash tables in one place

TestMergeConverges and TestMergeOfRequestsConverges ended with the same exchange and the same checks. requireConvergence takes the number of rounds, the bound on the crashes and the parts; their values and the checks are the same.

--- a/core/poison/request_test.go
+++ b/core/poison/request_test.go
@@ -329,24 +329,7 @@
 				tab.Merge(tables[rapid.IntRange(0, 2).Draw(t, "from")].All(at(now)), at(now))
 			}
 		}
-		for range 3 {
-			for i := range tables {
-				for j := range tables {
-					tables[i].Merge(tables[j].All(at(now)), at(now))
-				}
-			}
-		}
-		later := now + minSuspicion
-		for i := range tables {
-			if n := len(tables[i].crashes); n > maxWholeCrashes {
-				t.Fatalf("%d crashes are kept", n)
-			}
-			for _, p := range []string{"a", "b", "c"} {
-				if isQuarantined(&tables[i], later, p) != isQuarantined(&tables[0], later, p) {
-					t.Fatalf("processes 0 and %d disagree on %s", i, p)
-				}
-			}
-		}
+		requireConvergence(t, tables, now, 3, maxWholeCrashes, "a", "b", "c")
 	})
 }
 
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -225,6 +225,30 @@
 	}
 }
 
+// requireConvergence lets the tables exchange what they know for some rounds, and fails the test unless they keep at most the given
+// number of crashes and have the same of the parts in quarantine after minSuspicion.
+func requireConvergence(t *rapid.T, tables []Table, now time.Duration, rounds, kept int, parts ...string) {
+	t.Helper()
+	for range rounds {
+		for i := range tables {
+			for j := range tables {
+				tables[i].Merge(tables[j].All(at(now)), at(now))
+			}
+		}
+	}
+	later := now + minSuspicion
+	for i := range tables {
+		if n := len(tables[i].crashes); n > kept {
+			t.Fatalf("%d crashes are kept", n)
+		}
+		for _, p := range parts {
+			if isQuarantined(&tables[i], later, p) != isQuarantined(&tables[0], later, p) {
+				t.Fatalf("processes 0 and %d disagree on %s", i, p)
+			}
+		}
+	}
+}
+
 // Whatever the order in which the processes exchange what they know, they decide the same, within the bounds of memory.
 func TestMergeConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -245,24 +269,7 @@
 				tab.Merge(tables[rapid.IntRange(0, 2).Draw(t, "from")].All(at(now)), at(now))
 			}
 		}
-		for range 2 {
-			for i := range tables {
-				for j := range tables {
-					tables[i].Merge(tables[j].All(at(now)), at(now))
-				}
-			}
-		}
-		later := now + minSuspicion
-		for i := range tables {
-			if n := len(tables[i].crashes); n > maxCrashes {
-				t.Fatalf("%d crashes are kept", n)
-			}
-			for _, p := range []string{"a", "b", "c", "d", "e"} {
-				if isQuarantined(&tables[i], later, p) != isQuarantined(&tables[0], later, p) {
-					t.Fatalf("processes 0 and %d disagree on %s", i, p)
-				}
-			}
-		}
+		requireConvergence(t, tables, now, 2, maxCrashes, "a", "b", "c", "d", "e")
 	})
 }
 
