Build the series of crashes of the poison tests in one place

TestLaterPartIsQuarantinedFirst, TestSoundTrialEndsQuarantine, TestQuarantineLapses and TestRareRequestsAreTried wrote the same loop. crashOnEach takes the number of crashes and the parts; ids, times, parts and the checks are the same.

--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -21,6 +21,13 @@
 	return tab.Merge([]Crash{NewCrash(request, endpoint, "", parts)}, at(when))
 }
 
+// crashOnEach adds crashes of n requests with the parts, and a part of its own each, to the table, at n engines 500 ms apart.
+func crashOnEach(tab *Table, n int, parts ...string) {
+	for i := range n {
+		crashAt(tab, time.Duration(i)*500*time.Millisecond, fmt.Sprint("r", i), fmt.Sprint("e", i), append(parts, fmt.Sprint("own", i))...)
+	}
+}
+
 // isQuarantined reports whether a part is in quarantine at the time.
 func isQuarantined(tab *Table, when time.Duration, part string) bool {
 	_, ok := tab.Quarantined([]string{part}, at(when))
@@ -49,9 +56,7 @@
 // No sound request has been seen with the first part either: the part that fewer requests share is quarantined.
 func TestLaterPartIsQuarantinedFirst(t *testing.T) {
 	var tab Table
-	for i := range 5 {
-		crashAt(&tab, time.Duration(i)*500*time.Millisecond, fmt.Sprint("r", i), fmt.Sprint("e", i), "first", "bad", fmt.Sprint("own", i))
-	}
+	crashOnEach(&tab, 5, "first", "bad")
 	if !isQuarantined(&tab, 4*time.Second, "bad") || isQuarantined(&tab, 4*time.Second, "first") {
 		t.Error("want the part bad quarantined, and not the part first")
 	}
@@ -119,9 +124,7 @@
 // A wrong quarantine ends as soon as one request with the part is answered.
 func TestSoundTrialEndsQuarantine(t *testing.T) {
 	var tab Table
-	for i := range 3 {
-		crashAt(&tab, time.Duration(i)*500*time.Millisecond, fmt.Sprint("r", i), fmt.Sprint("e", i), "part", fmt.Sprint("own", i))
-	}
+	crashOnEach(&tab, 3, "part")
 	tab.MarkSound([]string{"part", "x"}, at(21*time.Second), at(22*time.Second))
 	if isQuarantined(&tab, 22*time.Second, "part") {
 		t.Error("the part is still quarantined")
@@ -131,9 +134,7 @@
 // Without further crashes, a quarantine lapses when the crashes are too old.
 func TestQuarantineLapses(t *testing.T) {
 	var tab Table
-	for i := range 3 {
-		crashAt(&tab, time.Duration(i)*500*time.Millisecond, fmt.Sprint("r", i), fmt.Sprint("e", i), "part", fmt.Sprint("own", i))
-	}
+	crashOnEach(&tab, 3, "part")
 	if !isQuarantined(&tab, CrashLifetime-time.Second, "part") || isQuarantined(&tab, CrashLifetime, "part") {
 		t.Error("want the quarantine to end with the lifetime of the first crash")
 	}
@@ -174,9 +175,7 @@
 func TestRareRequestsAreTried(t *testing.T) {
 	const processes = 76
 	var tab Table
-	for i := range 3 {
-		crashAt(&tab, time.Duration(i)*500*time.Millisecond, fmt.Sprint("r", i), fmt.Sprint("e", i), "part", fmt.Sprint("own", i))
-	}
+	crashOnEach(&tab, 3, "part")
 	for i := 1; i <= 12; i++ {
 		q, ok := tab.Quarantined([]string{"part"}, at(time.Duration(i)*10*time.Second))
 		if ok && tab.AllowTrial(q, i*31%processes, processes, at(time.Duration(i)*10*time.Second)) {
