--- a/io/ctrl/access_test.go
+++ b/io/ctrl/access_test.go
@@ -11,6 +11,7 @@
 
 	"wasabiweir/core/object"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/stand"
 	"wasabiweir/io/wire"
 )
 
@@ -83,10 +84,7 @@
 // Guards against idle connections that exhaust a process because their number is not limited, and against closed
 // connections that still count towards the limit.
 func TestConnectionLimit(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	inner := stand.Listen(t)
 	server := &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: headerTimeout}
 	defer func() { _ = server.Close() }()
 	s := &testServer{server: server, listener: serve.LimitListener(inner, 2)}
--- a/io/ctrl/instancelist_test.go
+++ b/io/ctrl/instancelist_test.go
@@ -1,7 +1,6 @@
 package ctrl
 
 import (
-	"net"
 	"testing"
 	"time"
 
@@ -25,11 +24,7 @@
 func TestEndlessInstanceList(t *testing.T) {
 	for name, response := range stand.EndlessResponses("[", `{"name":"engine-1"},`) {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
+			l := stand.Listen(t)
 			s := &stand.EndlessServer{Listener: l, Response: response}
 			go s.Run()
 			scope := tally.NewTestScope("", nil)
@@ -37,7 +32,7 @@
 				InstanceList: "http://" + l.Addr().String(), Clock: wall.Clock{}, Log: zap.NewNop(), Metrics: &metric.Scope{Scope: scope},
 			}
 			start := time.Now()
-			err = c.fetchInstanceList(t.Context())
+			err := c.fetchInstanceList(t.Context())
 			if err == nil {
 				t.Fatal("the list was read")
 			}
--- a/io/ctrl/orders_test.go
+++ b/io/ctrl/orders_test.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -74,10 +73,7 @@
 // addEngine starts engine i, in a failure domain of its own, and adds it to the declared endpoints.
 func (f *testSystem) addEngine(ctx context.Context, i int, checksFencing bool) {
 	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	l := stand.Listen(f.t)
 	e := &stand.Engine{ChecksFencing: checksFencing, OrderLatency: 100 * time.Millisecond}
 	e.Listener, e.Log = l, zap.NewNop()
 	r := &runningEngine{engine: e}
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -23,17 +23,6 @@
 // testTimeout bounds the requests of a test.
 const testTimeout = 10 * time.Second
 
-// listen opens a listener on a free loopback port until the test ends.
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	return l
-}
-
 // newClient returns a client for the address, with a transport of its own, and a context with the test's timeout.
 func newClient(t *testing.T, address string) (*Client, context.Context) {
 	tr := &Transport{}
@@ -46,7 +35,7 @@
 func startStandIn(t *testing.T, e *stand.Engine) (*Client, context.Context) {
 	t.Helper()
 	e.Models = []string{"m"}
-	e.Listener = listen(t)
+	e.Listener = stand.Listen(t)
 	c, ctx := newClient(t, e.Listener.Addr().String())
 	run, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -63,7 +52,7 @@
 
 // startRawServer reads one request on each connection, writes the raw answer, and closes or resets the connection.
 func startRawServer(t *testing.T, answer string, reset bool) (*Client, context.Context) {
-	l := listen(t)
+	l := stand.Listen(t)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -244,14 +233,14 @@
 // Guards against a failed connection attempt that is reported as sent, an unlimited wait for an engine that does not
 // read, and a draining engine that is not recognised as such.
 func TestNotSentAndDraining(t *testing.T) {
-	l := listen(t)
+	l := stand.Listen(t)
 	l.Close()
 	c, ctx := newClient(t, l.Addr().String())
 	var e *Error
 	if _, err := c.StartGeneration(ctx, Request{Model: "m", Text: "a"}); !errors.As(err, &e) || e.Kind != KindConnect || e.Sent {
 		t.Fatalf("got %v", err)
 	}
-	l = listen(t) // accepts connections but never reads from them
+	l = stand.Listen(t) // accepts connections but never reads from them
 	c, ctx = newClient(t, l.Addr().String())
 	c.Transport.HeaderTimeout, c.Transport.WriteTimeout = 30*time.Millisecond, 30*time.Millisecond
 	for _, size := range []int{1, 32 << 20} {
--- a/io/engine/endless_test.go
+++ b/io/engine/endless_test.go
@@ -15,7 +15,7 @@
 func TestEndlessReplies(t *testing.T) {
 	for name, response := range stand.EndlessResponses("{", `"x":1,`) {
 		t.Run(name, func(t *testing.T) {
-			s := &stand.EndlessServer{Listener: listen(t), Response: response}
+			s := &stand.EndlessServer{Listener: stand.Listen(t), Response: response}
 			go s.Run()
 			c, ctx := newClient(t, s.Listener.Addr().String())
 			_, report := c.Metrics(ctx)
--- a/io/itest/enginerror_test.go
+++ b/io/itest/enginerror_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -15,6 +14,7 @@
 	"testing"
 
 	"wasabiweir/core/token"
+	"wasabiweir/io/stand"
 )
 
 // failingEngines are proxies in front of engines. They break the first attempt of a generation off in the middle of its
@@ -88,10 +88,7 @@
 func (f *failingEngines) start(s *system) {
 	var objects []map[string]any
 	for i, a := range s.engineAddresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			s.t.Fatal(err)
-		}
+		l := stand.Listen(s.t)
 		server := httptest.NewUnstartedServer(f.handler(a))
 		server.Listener = l
 		server.Start()
--- a/io/load/fake_test.go
+++ b/io/load/fake_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -190,10 +189,7 @@
 
 // startService runs a simulated service until the test ends and returns its address.
 func startService(t *testing.T, s *stand.Service) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := stand.Listen(t)
 	s.Listener = l
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/io/router/callerwrite_test.go
+++ b/io/router/callerwrite_test.go
@@ -6,15 +6,14 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"wasabiweir/io/stand"
 )
 
 // Guards against a caller that does not read the response of a call and holds its handler without a limit.
 func TestUnreadCallResponseEnds(t *testing.T) {
 	ended := make(chan time.Duration, 1)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := stand.Listen(t)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		start := time.Now()
 		defer func() { ended <- time.Since(start) }()
--- a/io/router/crashes_test.go
+++ b/io/router/crashes_test.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,15 +12,13 @@
 	"wasabiweir/core/poison"
 	"wasabiweir/io/guard"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/stand"
 	"wasabiweir/io/wall"
 )
 
 // An engine that still accepts connections for a moment after it has reset them must count as crashed.
 func TestEndingEngineIsCrashed(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := stand.Listen(t)
 	recorded := runCrashCheck(t, l.Addr().String(), poison.Loss{LastSign: time.Now()}, func() {
 		time.AfterFunc(lossRecheckDelay/4, func() { _ = l.Close() })
 	})
--- a/io/router/resend_test.go
+++ b/io/router/resend_test.go
@@ -201,11 +201,7 @@
 // Guards against a second copy of a response that arrives as the next request is sent on the same connection, and that
 // is taken for the response to that request.
 func TestSecondCopyIsNotTheNextAnswer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
+	l := stand.Listen(t)
 	go (&echoTwiceServer{listener: l}).loop()
 	c := newCalls(t, l.Addr().String())
 	for _, path := range []string{"/first", "/second", "/third"} {
--- a/io/stand/engine_test.go
+++ b/io/stand/engine_test.go
@@ -23,10 +23,7 @@
 // listen opens a listener on a free loopback port and returns it with its base URL.
 func listen(t *testing.T) (net.Listener, string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := Listen(t)
 	return l, "http://" + l.Addr().String()
 }
 
--- a/io/stand/loopback.go
+++ b/io/stand/loopback.go
@@ -45,3 +45,21 @@
 	}
 	panic("no free ports on " + LoopbackHost())
 }
+
+// TestingT is the part of testing.TB that Listen needs.
+type TestingT interface {
+	Helper()
+	Cleanup(func())
+	Fatal(...any)
+}
+
+// Listen opens a listener on a free loopback port until the test ends; the test fails if it can't.
+func Listen(t TestingT) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
