Build the control process of the tests in one place

startWithEmptyMember in join_test.go and newTestSystem in orders_test.go wrote the same settings and the same end of the process. newTestControl and start take the tick, the log and the context, which differ; the time limits for a leader stay where they are, and the checks are the same.

--- a/io/ctrl/join_test.go
+++ b/io/ctrl/join_test.go
@@ -50,27 +50,38 @@
 // run runs the control process until ctx ends and sends the result on done.
 func (r *testControl) run(ctx context.Context) { r.done <- r.Run(ctx) }
 
-// startWithEmptyMember starts a control process beside an emptyMember and waits until it leads the Raft group config.
-func startWithEmptyMember(t *testing.T) *testControl {
-	t.Helper()
-	server := httptest.NewServer(&wire.Server{Key: testKey, HandlerFor: emptyMember{}.handlerFor, Log: zap.NewNop()})
-	t.Cleanup(server.Close)
+// newTestControl returns the control process control-1 with its settings and no other member.
+func newTestControl(t *testing.T, tick time.Duration, log *zap.Logger) *testControl {
 	sum := sha256.Sum256([]byte(testToken))
-	r := &testControl{done: make(chan error, 1), Control: &Control{
+	return &testControl{done: make(chan error, 1), Control: &Control{
 		Name: "control-1", Domain: "petrolina", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", PeerKey: testKey,
-		Members: map[string]string{"control-1": "127.0.0.1:1", "control-2": strings.TrimPrefix(server.URL, "http://")},
-		DataDir: t.TempDir(), LedgerGroups: 1, Tick: 10 * time.Millisecond, Clock: wall.Clock{}, Log: zap.NewNop(),
-		Metrics: metric.New("control"), OperatorHashes: map[string]string{"ops": hex.EncodeToString(sum[:])},
+		Members: map[string]string{"control-1": "127.0.0.1:1"}, DataDir: t.TempDir(), LedgerGroups: 1, Tick: tick,
+		Clock: wall.Clock{}, Log: log, Metrics: metric.New("control"),
+		OperatorHashes: map[string]string{"ops": hex.EncodeToString(sum[:])},
 	}}
-	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
+}
+
+// start runs the control process until the end of the test, at which stop ends ctx; Run must return no error.
+func (r *testControl) start(ctx context.Context, t *testing.T, stop context.CancelFunc) {
+	r.stop = stop
 	go r.run(ctx)
 	t.Cleanup(func() {
-		cancel()
+		stop()
 		if err := <-r.done; err != nil {
 			t.Errorf("control: %v", err)
 		}
 	})
+}
+
+// startWithEmptyMember starts a control process beside an emptyMember and waits until it leads the Raft group config.
+func startWithEmptyMember(t *testing.T) *testControl {
+	t.Helper()
+	server := httptest.NewServer(&wire.Server{Key: testKey, HandlerFor: emptyMember{}.handlerFor, Log: zap.NewNop()})
+	t.Cleanup(server.Close)
+	r := newTestControl(t, 10*time.Millisecond, zap.NewNop())
+	r.Members["control-2"] = strings.TrimPrefix(server.URL, "http://")
+	ctx, cancel := context.WithCancel(context.Background())
+	r.start(ctx, t, cancel)
 	for deadline := time.Now().Add(10 * time.Second); ; {
 		if r.started.Load() && r.groups[ConfigGroup].replica.Status().Role == raft.Leader {
 			return r
--- a/io/ctrl/orders_test.go
+++ b/io/ctrl/orders_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"slices"
 	"strings"
@@ -17,9 +15,7 @@
 	"wasabiweir/core/object"
 	"wasabiweir/core/raft"
 	"wasabiweir/io/engine"
-	"wasabiweir/io/metric"
 	"wasabiweir/io/stand"
-	"wasabiweir/io/wall"
 )
 
 // testSystem is one control process with simulated engines and the objects that declare them.
@@ -37,13 +33,7 @@
 func newTestSystem(t *testing.T, engines int, checksFencing bool, configure func(*Control)) *testSystem {
 	t.Helper()
 	core, logs := observer.New(zapcore.InfoLevel)
-	sum := sha256.Sum256([]byte(testToken))
-	f := &testSystem{t: t, logs: logs, testControl: &testControl{done: make(chan error, 1), Control: &Control{
-		Name: "control-1", Domain: "petrolina", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", PeerKey: testKey,
-		Members: map[string]string{"control-1": "127.0.0.1:1"}, DataDir: t.TempDir(), LedgerGroups: 1, Tick: 20 * time.Millisecond,
-		Clock: wall.Clock{}, Log: zap.New(core), Metrics: metric.New("control"),
-		OperatorHashes: map[string]string{"ops": hex.EncodeToString(sum[:])},
-	}}}
+	f := &testSystem{t: t, logs: logs, testControl: newTestControl(t, 20*time.Millisecond, zap.New(core))}
 	if configure != nil {
 		configure(f.Control)
 	}
@@ -57,13 +47,7 @@
 	for i := range engines {
 		f.addEngine(ctx, i, checksFencing)
 	}
-	go f.run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		if err := <-f.done; err != nil {
-			t.Errorf("control: %v", err)
-		}
-	})
+	f.start(ctx, t, cancel)
 	f.eventually("leader", func() bool {
 		return f.started.Load() && f.groups[ConfigGroup].replica.Status().Role == raft.Leader
 	})
