Wait for the exit of a test process in one place

process.stop in process_test.go and expectExit in sessions_test.go waited and compared the exit code in the same way. stop calls expectExit, which also prints the end of the log; the time limit and the checks are the same.

--- a/io/itest/process_test.go
+++ b/io/itest/process_test.go
@@ -166,13 +166,19 @@
 func (p *process) stop() {
 	p.t.Helper()
 	p.signal(syscall.SIGTERM)
+	p.expectExit(0)
+}
+
+// expectExit waits for the process to exit and checks its exit code.
+func (p *process) expectExit(code int) {
+	p.t.Helper()
 	select {
 	case <-p.done:
 	case <-time.After(stopTimeout):
-		p.t.Fatalf("%s did not stop within %s", p.name, stopTimeout)
+		p.t.Fatalf("%s did not end within %s", p.name, stopTimeout)
 	}
-	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
-		p.t.Fatalf("%s ended with code %d\n%s", p.name, code, lastLines(p.logText(), 20))
+	if got := p.cmd.ProcessState.ExitCode(); got != code {
+		p.t.Fatalf("%s ended with code %d, want %d\n%s", p.name, got, code, lastLines(p.logText(), 20))
 	}
 }
 
--- a/io/itest/sessions_test.go
+++ b/io/itest/sessions_test.go
@@ -215,19 +215,6 @@
 	s.routers[1].expectExit(0)
 }
 
-// expectExit waits for the process to exit and checks its exit code.
-func (p *process) expectExit(code int) {
-	p.t.Helper()
-	select {
-	case <-p.done:
-	case <-time.After(stopTimeout):
-		p.t.Fatalf("%s did not end within %s", p.name, stopTimeout)
-	}
-	if got := p.cmd.ProcessState.ExitCode(); got != code {
-		p.t.Fatalf("%s ended with code %d, want %d", p.name, got, code)
-	}
-}
-
 // Guards against a stream that hangs when its router still runs but no quorum of the routers that hold its journal is
 // left.
 func TestTwoHoldersLost(t *testing.T) {
