Send the requests of the process tests in one place

sendRequest in path_test.go repeated openResponse of sessions_test.go; it calls it now and reads the response to its end. The time limit of 30 s and the checks are the same.

--- a/io/itest/path_test.go
+++ b/io/itest/path_test.go
@@ -4,14 +4,12 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
-	"time"
 
 	"wasabiweir/core/token"
 	"wasabiweir/io/ctrl"
@@ -37,25 +35,8 @@
 // response.
 func sendRequest(t testing.TB, method, address, path, body string, header map[string]string) (int, http.Header, string) {
 	t.Helper()
-	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+accountToken)
-	for k, v := range header {
-		req.Header.Set(k, v)
-	}
-	client := http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	res, err := client.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(res.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return res.StatusCode, res.Header, string(data)
+	l := openResponse(t, method, address, path, body, header).readToEnd()
+	return l.status, l.header, l.received.String()
 }
 
 // readExecutions returns the executions that the stand-in service has counted.
