Build the change files of the process tests in one place

system_test.go, orders_test.go and enginerror_test.go wrote the declaration of an engine, and these and three more files encoded a change, with the same lines. engineObject and encodeChange do it; the files that the tests apply and the checks are the same.

--- a/io/itest/crashcall_test.go
+++ b/io/itest/crashcall_test.go
@@ -1,7 +1,6 @@
 package itest
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -31,11 +30,8 @@
 		s.addresses = append(s.addresses, a)
 		objects = append(objects, map[string]any{"kind": "endpoint", "name": name, "service": "rondas-app", "address": a, "domain": domains[i%3]})
 	}
-	data, err := json.Marshal(map[string]any{"objects": objects, "delete": []map[string]any{{"kind": "endpoint", "name": "rondas-1"}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.apply(string(data), "-wait", "15s")
+	deleted := []map[string]any{{"kind": "endpoint", "name": "rondas-1"}}
+	s.apply(encodeChange(t, map[string]any{"objects": objects, "delete": deleted}), "-wait", "15s")
 	for _, a := range s.addresses {
 		eventually(t, startTimeout, func() error { return checkListening(a) })
 	}
--- a/io/itest/drain_test.go
+++ b/io/itest/drain_test.go
@@ -157,11 +157,7 @@
 			delete(o, "leaving")
 		}
 	}
-	changed, err := json.Marshal(declared)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.apply(string(changed), "-wait", "5s")
+	s.apply(encodeChange(t, declared), "-wait", "5s")
 	before := s.startedGenerations(0)
 	for i := range 8 {
 		c.startGeneration(8+i, 20)
--- a/io/itest/enginerror_test.go
+++ b/io/itest/enginerror_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -93,16 +92,9 @@
 		server.Listener = l
 		server.Start()
 		s.t.Cleanup(server.Close)
-		objects = append(objects, map[string]any{
-			"kind": "endpoint", "name": fmt.Sprintf("engine-%d", i+1), "service": "dente-llm", "address": l.Addr().String(),
-			"domain": domains[i%3], "slots": 64, "checks-fencing": true,
-		})
-	}
-	data, err := json.Marshal(map[string]any{"objects": objects})
-	if err != nil {
-		s.t.Fatal(err)
+		objects = append(objects, engineObject(i, l.Addr().String(), true))
 	}
-	s.apply(string(data), "-wait", "15s")
+	s.apply(encodeChange(s.t, map[string]any{"objects": objects}), "-wait", "15s")
 }
 
 // Answers of an engine to a generation that an earlier engine has begun.
--- a/io/itest/measure_test.go
+++ b/io/itest/measure_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -158,11 +157,7 @@
 			"kind": "endpoint", "name": fmt.Sprintf("many-%d", i), "service": "many", "address": fmt.Sprintf("127.0.0.1:%d", 1000+i), "domain": domains[i%3],
 		})
 	}
-	data, err := json.Marshal(map[string]any{"objects": objects})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(data)
+	return encodeChange(t, map[string]any{"objects": objects})
 }
 
 // claimWorker sends claims to the call ledger one by one until the deadline and records how long each takes.
--- a/io/itest/orders_test.go
+++ b/io/itest/orders_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -13,16 +12,9 @@
 func (s *system) versionChange(version string) string {
 	objects := []map[string]any{{"kind": "model", "name": "dente", "service": "dente-llm", "version": version}}
 	for i, a := range s.engineAddresses {
-		objects = append(objects, map[string]any{
-			"kind": "endpoint", "name": fmt.Sprintf("engine-%d", i+1), "service": "dente-llm", "address": a,
-			"domain": domains[i%3], "slots": 64, "checks-fencing": false,
-		})
+		objects = append(objects, engineObject(i, a, false))
 	}
-	data, err := json.Marshal(map[string]any{"objects": objects})
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	return string(data)
+	return encodeChange(s.t, map[string]any{"objects": objects})
 }
 
 // checkModelLoaded returns an error unless the status shows the model on each engine.
--- a/io/itest/system_test.go
+++ b/io/itest/system_test.go
@@ -157,14 +157,25 @@
 		})
 	}
 	for i, a := range s.engineAddresses {
-		objects = append(objects, map[string]any{
-			"kind": "endpoint", "name": fmt.Sprintf("engine-%d", i+1), "service": "dente-llm", "address": a,
-			"domain": domains[i%3], "slots": 64, "checks-fencing": true,
-		})
+		objects = append(objects, engineObject(i, a, true))
+	}
+	return encodeChange(s.t, map[string]any{"objects": objects})
+}
+
+// engineObject returns the declaration of engine i at the address.
+func engineObject(i int, address string, checksFencing bool) map[string]any {
+	return map[string]any{
+		"kind": "endpoint", "name": fmt.Sprintf("engine-%d", i+1), "service": "dente-llm", "address": address,
+		"domain": domains[i%3], "slots": 64, "checks-fencing": checksFencing,
 	}
-	data, err := json.Marshal(map[string]any{"objects": objects})
+}
+
+// encodeChange returns the contents of a change file.
+func encodeChange(t testing.TB, change any) string {
+	t.Helper()
+	data, err := json.Marshal(change)
 	if err != nil {
-		s.t.Fatal(err)
+		t.Fatal(err)
 	}
 	return string(data)
 }
