Build the options of the target runs in one place

reportWorstMetrics in bench_test.go and TestStatedTargets in target_test.go chose the policies of a scenario with the same lines. targetOptions does it; the scenarios, the seeds and the checks are the same.

--- a/core/bench/bench_test.go
+++ b/core/bench/bench_test.go
@@ -50,17 +50,22 @@
 	}
 }
 
-// reportWorstMetrics runs the scenario with five seeds and reports the worst value for each of its targets.
-func reportWorstMetrics(b *testing.B, scenario, deployment string) {
-	var policies []string
+// targetOptions returns the options of a run from which the scenario's targets are computed.
+func targetOptions(scenario, deployment string, seed uint64) Options {
+	o := Options{Scenario: scenario, Deployment: deployment, Seed: seed}
 	if scenario != ScenarioBlocking {
-		policies = []string{policyWasabiweir}
+		o.Policies = []string{policyWasabiweir}
 	}
+	return o
+}
+
+// reportWorstMetrics runs the scenario with five seeds and reports the worst value for each of its targets.
+func reportWorstMetrics(b *testing.B, scenario, deployment string) {
 	var wg sync.WaitGroup
 	reports := make([]*Report, 5)
 	for i := range reports {
 		wg.Go(func() {
-			r, err := Run(Options{Scenario: scenario, Deployment: deployment, Seed: uint64(i + 1), Policies: policies})
+			r, err := Run(targetOptions(scenario, deployment, uint64(i+1)))
 			if err != nil {
 				panic(err)
 			}
--- a/core/bench/target_test.go
+++ b/core/bench/target_test.go
@@ -30,12 +30,7 @@
 		for _, deployment := range Deployments {
 			t.Run(scenario+"/"+deployment, func(t *testing.T) {
 				t.Parallel()
-				var policies []string
-				if scenario != ScenarioBlocking {
-					policies = []string{policyWasabiweir}
-				}
-				r := runReport(t, Options{Scenario: scenario, Deployment: deployment, Seed: 1, Policies: policies})
-				checkTargets(t, r)
+				checkTargets(t, runReport(t, targetOptions(scenario, deployment, 1)))
 			})
 		}
 	}
