--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -11,10 +11,9 @@
 	"time"
 
 	"wasabiweir/core/codec"
+	"wasabiweir/core/prop"
 
 	"pgregory.net/rapid"
-
-	_ "wasabiweir/core/prop" // fixes the seed of the property tests
 )
 
 // validState returns a valid state with two services, two routes and two client accounts.
@@ -106,6 +105,25 @@
 	}
 }
 
+// encodeEntry returns the entry as it is stored in the log.
+func encodeEntry(t prop.TestingT, e LogEntry) []byte {
+	t.Helper()
+	data, err := e.Encode()
+	prop.FailIf(t, err != nil, "encode: %v", err)
+	return data
+}
+
+// restoredCopy returns a machine that was restored from a snapshot of m.
+func restoredCopy(t prop.TestingT, m *Machine) (out Machine) {
+	t.Helper()
+	saved, err := m.Snapshot()
+	if err == nil {
+		err = out.Restore(saved)
+	}
+	prop.FailIf(t, err != nil, "restore: %v", err)
+	return out
+}
+
 // Guards against an entry of a lower version, or with other content under the version in force, taking effect, in any
 // order of entries and after restoring snapshots.
 func TestHighestVersionWins(t *testing.T) {
@@ -118,10 +136,7 @@
 				Version:  rapid.Uint64Range(1, 12).Draw(t, "version"),
 				Document: []byte(rapid.StringMatching(`[a-z]{1,8}`).Draw(t, "document")),
 			}
-			data, err := e.Encode()
-			if err != nil {
-				t.Fatal(err)
-			}
+			data := encodeEntry(t, e)
 			out := m.Apply(data)
 			if e.Version > highest {
 				highest = e.Version
@@ -132,14 +147,7 @@
 				t.Fatalf("version in force is %d %q after entry %d, want %d %q", current.Version, current.Document, e.Version, highest, documents[highest])
 			}
 			if rapid.Bool().Draw(t, "restart") {
-				saved, err := m.Snapshot()
-				if err != nil {
-					t.Fatal(err)
-				}
-				m = Machine{}
-				if err := m.Restore(saved); err != nil {
-					t.Fatal(err)
-				}
+				m = restoredCopy(t, &m)
 			}
 		}
 	})
@@ -149,10 +157,7 @@
 func TestUnreadableEntryChangesNothing(t *testing.T) {
 	var m Machine
 	e := LogEntry{Version: 1, Document: []byte("one")}
-	data, err := e.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
+	data := encodeEntry(t, e)
 	m.Apply(data)
 	if out := m.Apply([]byte("garbage")); out.Err == nil || out.Changed || out.Version != 1 {
 		t.Errorf("outcome of an unreadable entry is %+v", out)
@@ -229,10 +234,7 @@
 	large := []byte(strings.Repeat(`{"name":"r-1","host":"a.example","prefix":"/a/"},`, 20_000))
 	for _, document := range [][]byte{large, []byte("x")} {
 		e := NewLogEntry(7, document)
-		data, err := e.Encode()
-		if err != nil {
-			t.Fatal(err)
-		}
+		data := encodeEntry(t, e)
 		if len(data) > 2000 {
 			t.Errorf("a document of %d bytes has an entry of %d", len(document), len(data))
 		}
@@ -255,15 +257,9 @@
 // requireDocument requires that the document of version 7 is in force after the encoded entry and after a restart.
 func requireDocument(t *testing.T, entry, document []byte) {
 	t.Helper()
-	var m, restored Machine
+	var m Machine
 	m.Apply(entry)
-	saved, err := m.Snapshot()
-	if err == nil {
-		err = restored.Restore(saved)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	restored := restoredCopy(t, &m)
 	for _, machine := range []*Machine{&m, &restored} {
 		current, ok := machine.Current()
 		text, err := current.Text()
