Start a simulated group with its leader in one place

Twelve tests of node_test.go and fault_test.go started a simulation and elected a leader with the same two lines, which newLedSimulation does. The numbers of voters and the checks are the same.

--- a/core/raft/fault_test.go
+++ b/core/raft/fault_test.go
@@ -37,8 +37,7 @@
 func TestLostDiskUnderOldIdentity(t *testing.T) {
 	scenario := func(keepIdentity bool) func(t failureReporter) {
 		return func(t failureReporter) {
-			s := newSimulation(t, 3)
-			leader := s.electLeader()
+			s, leader := newLedSimulation(t, 3)
 			others := s.followers(leader)
 			s.partitioned[others[1].id.Name] = true
 			s.proposeAndCommit(leader, "acknowledged")
@@ -69,8 +68,7 @@
 func TestSecondLossAfterReplacement(t *testing.T) {
 	scenario := func(removeDead bool) func(t failureReporter) {
 		return func(t failureReporter) {
-			s := newSimulation(t, 3)
-			leader := s.electLeader()
+			s, leader := newLedSimulation(t, 3)
 			dead := s.followers(leader)[0]
 			replacement := s.loseDisk(dead, false)
 			s.proposeAndCommit(leader, "before")
@@ -124,8 +122,7 @@
 // Guards against a removal after which fewer than a quorum of the remaining voters answer: the removed voter may
 // return, but the others no longer count it, and the group never recovers.
 func TestNoChangeWithoutQuorumOfTheNewMembers(t *testing.T) {
-	s := newSimulation(t, 5)
-	leader := s.electLeader()
+	s, leader := newLedSimulation(t, 5)
 	others := s.followers(leader)
 	for _, p := range others[:3] {
 		s.crash(p)
@@ -143,8 +140,7 @@
 // Guards against a leader that is paused, continues after another was elected, and answers a read from its old state or
 // commits a proposal in its old term.
 func TestPausedLeaderContinues(t *testing.T) {
-	s := newSimulation(t, 3)
-	old := s.electLeader()
+	s, old := newLedSimulation(t, 3)
 	readBefore := s.startRead(old)
 	requireNoError(t, old.node.Propose([]byte("of the old term")))
 	old.paused = true
@@ -172,8 +168,7 @@
 
 // Guards against a leader without a quorum that does not step down, or that answers a read.
 func TestPartitionedLeaderStepsDown(t *testing.T) {
-	s := newSimulation(t, 3)
-	leader := s.electLeader()
+	s, leader := newLedSimulation(t, 3)
 	s.partitioned[leader.id.Name] = true
 	context := s.startRead(leader)
 	s.runTicks(DefaultElectionTicks / 2)
@@ -197,8 +192,7 @@
 
 // Guards against a member that raises its term while it is partitioned and deposes the leader when it returns.
 func TestRejoiningMemberDoesNotDisrupt(t *testing.T) {
-	s := newSimulation(t, 3)
-	leader := s.electLeader()
+	s, leader := newLedSimulation(t, 3)
 	term := leader.node.term
 	isolated := s.followers(leader)[0]
 	s.partitioned[isolated.id.Name] = true
@@ -220,8 +214,7 @@
 // an entry of its term, and the promotion of a learner that is far behind: each can lead to two disjoint quorums or to
 // no quorum.
 func TestMembershipChangeRules(t *testing.T) {
-	s := newSimulation(t, 3)
-	leader := s.electLeader()
+	s, leader := newLedSimulation(t, 3)
 	a, b := ID{Name: "x", Disk: "0"}, ID{Name: "y", Disk: "0"}
 	requireNoError(t, leader.node.ProposeConfChange(ConfChange{Type: AddLearner, ID: a}))
 	requireError(t, leader.node.ProposeConfChange(ConfChange{Type: AddLearner, ID: b}), ErrChangePending)
@@ -239,8 +232,7 @@
 // Guards against a planned stop or a removal of the leader that leaves the group without a leader for an election
 // timeout, and against a leadership transfer to a dead member that blocks proposals for ever.
 func TestTransferLeavesNoGap(t *testing.T) {
-	s := newSimulation(t, 3)
-	leader := s.electLeader()
+	s, leader := newLedSimulation(t, 3)
 	to, err := leader.node.TransferLeadership(ID{})
 	requireNoError(t, err)
 	requireError(t, leader.node.Propose(nil), ErrTransferInProgress)
@@ -267,8 +259,7 @@
 // Guards against forwarded proposals that are lost without a fault or appended twice when the network duplicates them,
 // and against a NotLeaderError that does not name the leader.
 func TestForwardedProposals(t *testing.T) {
-	s := newSimulation(t, 3)
-	leader := s.electLeader()
+	s, leader := newLedSimulation(t, 3)
 	follower := s.followers(leader)[0]
 	for i := range 5 {
 		requireNoError(t, follower.node.Propose(fmt.Appendf(nil, "forwarded %d", i)))
--- a/core/raft/node_test.go
+++ b/core/raft/node_test.go
@@ -97,8 +97,7 @@
 func TestAppendsArePipelined(t *testing.T) {
 	const entries, perAppend, window = 800, 5, 64
 	for _, compacted := range []bool{false, true} {
-		s := newSimulation(t, 3)
-		leader := s.electLeader()
+		s, leader := newLedSimulation(t, 3)
 		isolated := s.followers(leader)[0]
 		leader.node.InFlight = window
 		leader.node.AppendBytes = perAppend * (entryOverhead + len("proposal 100"))
@@ -123,8 +122,7 @@
 // Guards against a snapshot that never completes: a member restarts, loses the chunks that it had acknowledged, and
 // then receives a late copy of the first one.
 func TestSnapshotContinuesAfterRestart(t *testing.T) {
-	s := newSimulation(t, 3)
-	leader := s.electLeader()
+	s, leader := newLedSimulation(t, 3)
 	isolated := s.followers(leader)[0]
 	s.partitioned[isolated.id.Name] = true
 	s.proposeAndCommit(leader, "missed")
@@ -159,8 +157,7 @@
 func TestLargeEntriesAreBoundedInBytes(t *testing.T) {
 	const size, count, keep = 1000, 40, 30
 	const keepBytes = 4 * size
-	s := newSimulation(t, 3)
-	leader := s.electLeader()
+	s, leader := newLedSimulation(t, 3)
 	leader.node.InFlightBytes = keepBytes
 	leader.node.InFlight = count
 	for range count {
--- a/core/raft/sim_test.go
+++ b/core/raft/sim_test.go
@@ -89,6 +89,12 @@
 	return s
 }
 
+// newLedSimulation starts a group with a number of voters and returns it with its leader.
+func newLedSimulation(t failureReporter, voters int) (*simulation, *peer) {
+	s := newSimulation(t, voters)
+	return s, s.electLeader()
+}
+
 // addPeer adds a peer with the given persistent state and starts it.
 func (s *simulation) addPeer(id ID, saved PersistentState) *peer {
 	p := &peer{id: id, saved: saved}
