Check which engine 20 requests get in one place

TestResumesAvoidLostEngines and TestRefusedRequestPausesEngine ran the same loop. requirePicks takes the kind of request, the engine and the message, which are the same as before, like the checks.

--- a/io/router/dispatch_test.go
+++ b/io/router/dispatch_test.go
@@ -46,18 +46,24 @@
 	return a
 }
 
+// requirePicks starts 20 attempts one after the other, and stops the test with the message if one is not on the named endpoint.
+func (d *dispatcher) requirePicks(t *testing.T, resume bool, name, message string) {
+	t.Helper()
+	for range 20 {
+		a := d.mustPick(t, resume)
+		if a.name != name {
+			t.Fatal(message)
+		}
+		d.attemptFinished(a)
+	}
+}
+
 // An interrupted generation must not be resumed on an engine that was just lost, while another one is available.
 func TestResumesAvoidLostEngines(t *testing.T) {
 	d, c := newDispatcher(t, "engine-1", "engine-2")
 	d.attemptFailed(d.mustPick(t, true, "engine-2"), common.RetryReset)
 	c.Advance(time.Second) // longer than the backoff after a first failure
-	for range 20 {
-		a := d.mustPick(t, true)
-		if a.name != "engine-2" {
-			t.Fatal("a resume was sent to the engine that was just lost")
-		}
-		d.attemptFinished(a)
-	}
+	d.requirePicks(t, true, "engine-2", "a resume was sent to the engine that was just lost")
 	if a := d.mustPick(t, true, "engine-2"); a.name != "engine-1" {
 		t.Errorf("with engine-2 excluded, %s was selected, want engine-1", a.name)
 	}
@@ -106,13 +112,7 @@
 	d.pauseEngine("engine-1", fmt.Errorf("start a generation: %w", refusal))
 	d.pauseEngine("engine-2", &engine.Error{Kind: engine.KindRefused, Status: http.StatusTooManyRequests, RetryAfter: time.Minute})
 	c.Advance(2900 * time.Millisecond)
-	for range 20 {
-		a := d.mustPick(t, false)
-		if a.name != "engine-2" {
-			t.Fatal("a request was sent to the engine within its pause")
-		}
-		d.attemptFinished(a)
-	}
+	d.requirePicks(t, false, "engine-2", "a request was sent to the engine within its pause")
 	c.Advance(100 * time.Millisecond)
 	d.mustPick(t, false, "engine-2")
 }
