Send the slow calls of the process tests in one place

Four cases of TestCallsRunOnce slowed the service, sent the call and waited for a third of the delay with the same lines. sendSlow does it; the delays and the checks are the same.

--- a/io/itest/calls_test.go
+++ b/io/itest/calls_test.go
@@ -106,6 +106,14 @@
 // serviceDelay is how long the slowed service takes to answer a call.
 const serviceDelay = 1500 * time.Millisecond
 
+// sendSlow slows the service, sends the test case's call to the first router and waits until the service runs it.
+func (c *callCase) sendSlow() *asyncCall {
+	c.setServiceDelay(serviceDelay)
+	first := c.send(0)
+	time.Sleep(serviceDelay / 3)
+	return first
+}
+
 // Guards against calls that run twice, that are reported as not run although they ran, or whose outcome is lost.
 func TestCallsRunOnce(t *testing.T) {
 	t.Parallel()
@@ -166,9 +174,7 @@
 
 // testRouterPausedAfterClaim pauses a router while it runs the call, and sends the key to other routers.
 func (c *callCase) testRouterPausedAfterClaim() {
-	c.setServiceDelay(serviceDelay)
-	first := c.send(0)
-	time.Sleep(serviceDelay / 3)
+	first := c.sendSlow()
 	c.routers[0].signal(syscall.SIGSTOP)
 	c.expectAnswer("send elsewhere", c.send(1), answerUnknown)
 	c.routers[0].signal(syscall.SIGCONT)
@@ -179,9 +185,7 @@
 
 // testServiceSilent makes the connection to the service silent while the call runs.
 func (c *callCase) testServiceSilent() {
-	c.setServiceDelay(serviceDelay)
-	first := c.send(0)
-	time.Sleep(serviceDelay / 3)
+	first := c.sendSlow()
 	injectFault(c.t, c.serviceAddress, `{"silent":true}`)
 	c.expectAnswer("new connection", c.callAsync(1, newIdempotencyKey(c.t), "{}"), answerDone)
 	c.expectAnswer("silent connection", first, answerUnknown)
@@ -191,9 +195,7 @@
 
 // testRouterKilled kills a router while it runs the call, and sends the key again before and after its restart.
 func (c *callCase) testRouterKilled() {
-	c.setServiceDelay(serviceDelay)
-	first := c.send(0)
-	time.Sleep(serviceDelay / 3)
+	first := c.sendSlow()
 	c.routers[0].kill()
 	c.expectAnswer("send elsewhere", c.send(1), answerUnknown)
 	if <-first.done; first.err == nil {
@@ -226,9 +228,7 @@
 
 // testNoQuorumAfterClaim stops the ledger's quorum while the call runs, so that its outcome is recorded late.
 func (c *callCase) testNoQuorumAfterClaim() {
-	c.setServiceDelay(serviceDelay)
-	first := c.send(0)
-	time.Sleep(serviceDelay / 3)
+	first := c.sendSlow()
 	second := c.send(1)
 	time.Sleep(serviceDelay / 3)
 	c.signalMajority(syscall.SIGSTOP)
