Start series of generations in one place

Eight places in chaos_test.go, relay_test.go, resume_test.go and drain_test.go started generations in the same loop. startGenerations takes the first number, the number of them and their tokens, which are the same, like the checks.

--- a/io/itest/chaos_test.go
+++ b/io/itest/chaos_test.go
@@ -45,6 +45,13 @@
 	go c.runGeneration(i, tokens)
 }
 
+// startGenerations starts n generations in the background, the first of which has the given number.
+func (c *workload) startGenerations(first, n, tokens int) {
+	for i := range n {
+		c.startGeneration(first+i, tokens)
+	}
+}
+
 // runGeneration runs one generation and stores its result.
 func (c *workload) runGeneration(i, tokens int) {
 	defer c.wg.Done()
@@ -145,9 +152,7 @@
 		"-tokens-per-second", "25", "-slots", "64", "-batch-slowdown", "0.005", "-prefill-tokens-per-second", "20000",
 	}})
 	c := newWorkload(s)
-	for i := range generations {
-		c.startGeneration(i, tokens)
-	}
+	c.startGenerations(0, generations, tokens)
 	for range calls {
 		c.startCall(newIdempotencyKey(t))
 	}
@@ -179,9 +184,7 @@
 	const generations, tokens, pause = 60, 250, 7 * time.Second
 	s := newSystem(t, systemSpec{controls: 1, routers: 4, engines: 4, engineArgs: []string{"-tokens-per-second", "25", "-slots", "64"}})
 	c := newWorkload(s)
-	for i := range generations {
-		c.startGeneration(i, tokens)
-	}
+	c.startGenerations(0, generations, tokens)
 	time.Sleep(2 * time.Second)
 	paused := s.routers[:2]
 	for _, r := range paused {
--- a/io/itest/drain_test.go
+++ b/io/itest/drain_test.go
@@ -141,9 +141,7 @@
 	t.Parallel()
 	s := newSystem(t, systemSpec{controls: 1, routers: 1, engines: 2, engineArgs: []string{"-tokens-per-second", "25"}})
 	c := newWorkload(s)
-	for i := range 8 {
-		c.startGeneration(i, 100)
-	}
+	c.startGenerations(0, 8, 100)
 	time.Sleep(500 * time.Millisecond)
 	var declared struct {
 		Objects []map[string]any `json:"objects"`
@@ -159,9 +157,7 @@
 	}
 	s.apply(encodeChange(t, declared), "-wait", "5s")
 	before := s.startedGenerations(0)
-	for i := range 8 {
-		c.startGeneration(8+i, 20)
-	}
+	c.startGenerations(8, 8, 20)
 	c.verifyGenerations(16)
 	if n := s.startedGenerations(0) - before; n != 0 {
 		t.Errorf("a leaving engine got %d new generations", n)
@@ -171,9 +167,7 @@
 	s.apply(s.configuration(), "-wait", "5s")
 	injectFault(t, s.engineAddresses[1], `{"refuse":true,"for-ms":1000}`)
 	c.results = nil
-	for i := range 8 {
-		c.startGeneration(20+i, 20)
-	}
+	c.startGenerations(20, 8, 20)
 	c.verifyGenerations(8)
 	before = s.startedGenerations(1)
 	eventually(t, startTimeout, func() error {
--- a/io/itest/relay_test.go
+++ b/io/itest/relay_test.go
@@ -114,9 +114,7 @@
 		t.Run(kind, func(t *testing.T) {
 			c := newWorkload(s)
 			c.t = t
-			for i := range 30 {
-				c.startGeneration(i, 75)
-			}
+			c.startGenerations(0, 30, 75)
 			time.Sleep(time.Second)
 			s.relays.silence(kind)
 			c.startCall(newIdempotencyKey(t))
--- a/io/itest/resume_test.go
+++ b/io/itest/resume_test.go
@@ -82,9 +82,7 @@
 	lostBefore, lostTokensBefore := s.lostAttempts()
 	stats := map[string]stand.Stats{}
 	_, start := s.tokenTotals(stats)
-	for i := range resumeGenerations {
-		c.startGeneration(i, x.tokensBefore+tokensAfterFault)
-	}
+	c.startGenerations(0, resumeGenerations, x.tokensBefore+tokensAfterFault)
 	time.Sleep(time.Duration(x.tokensBefore) * time.Second / tokenRate)
 	prefilled, generated := s.tokenTotals(stats)
 	x.inject()
@@ -183,9 +181,7 @@
 	t.Parallel()
 	s := newSystem(t, systemSpec{controls: 1, routers: 1, engines: 3, engineArgs: []string{"-tokens-per-second", strconv.Itoa(tokenRate)}})
 	c := newWorkload(s)
-	for i := range 12 {
-		c.startGeneration(i, 75)
-	}
+	c.startGenerations(0, 12, 75)
 	time.Sleep(time.Second)
 	s.routers[0].signal(syscall.SIGSTOP)
 	time.Sleep(1200 * time.Millisecond)
