Count trials and check stand-ins of process tests in one place

testPromptsThatCrashEngines had a copy of countTrials of crashcall_test.go, and checkAllServing in resume_test.go one of checkListening. They call these now; the checks are the same.

--- a/io/itest/crash_test.go
+++ b/io/itest/crash_test.go
@@ -58,17 +58,11 @@
 		t.Errorf("%d of %d engines do not respond, want 3 to 6", dead, engines)
 	}
 	// The trial of the part is due some time after its last crash, and runs once.
-	trials := func() (n int) {
-		for _, p := range s.routers {
-			n += strings.Count(p.logText(), "event=part-trial-started")
-		}
-		return n
-	}
 	checkRefused := func(router int) {
 		t.Helper()
-		earlier := trials()
+		earlier := s.countTrials()
 		status, text := complete(router, beginning+"deadly "+strings.Repeat("and more of it ", 12)+"once more")
-		if earlier == 0 && trials() == 1 && status == http.StatusServiceUnavailable && strings.Contains(text, `"outcome":"unknown"`) {
+		if earlier == 0 && s.countTrials() == 1 && status == http.StatusServiceUnavailable && strings.Contains(text, `"outcome":"unknown"`) {
 			return
 		}
 		if status != http.StatusServiceUnavailable || !strings.Contains(text, "crashes-engines") || !strings.Contains(text, `"outcome":"not-run"`) {
--- a/io/itest/crashcall_test.go
+++ b/io/itest/crashcall_test.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// countTrials returns the number of deadly calls that were sent to find out whether they still crash endpoints.
-func (s *callSystem) countTrials() (n int) {
+// countTrials returns the number of deadly requests that were sent to find out whether they still crash endpoints.
+func (s *system) countTrials() (n int) {
 	for _, p := range s.routers {
 		n += strings.Count(p.logText(), "event=part-trial-started")
 	}
@@ -240,7 +240,7 @@
 	}
 }
 
-// checkListening returns an error unless the stand-in service at the address answers its health check.
+// checkListening returns an error unless the stand-in at the address answers its health check.
 func checkListening(address string) error {
 	res, err := http.Get("http://" + address + "/health")
 	if err == nil {
--- a/io/itest/resume_test.go
+++ b/io/itest/resume_test.go
@@ -204,11 +204,9 @@
 		}
 	}
 	for _, a := range s.engineAddresses {
-		res, err := http.Get("http://" + a + "/health")
-		if err != nil {
+		if err := checkListening(a); err != nil {
 			return err
 		}
-		_ = res.Body.Close()
 	}
 	return s.checkSettled(systemSpec{routers: len(s.routers)})
 }
