--- a/io/ctrl/orders_test.go
+++ b/io/ctrl/orders_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -18,9 +15,7 @@
 	"wasabiweir/core/object"
 	"wasabiweir/core/raft"
 	"wasabiweir/io/engine"
-	"wasabiweir/io/metric"
 	"wasabiweir/io/stand"
-	"wasabiweir/io/wall"
 )
 
 // testSystem is one control process with simulated engines and the objects that declare them.
@@ -38,13 +33,7 @@
 func newTestSystem(t *testing.T, engines int, checksFencing bool, configure func(*Control)) *testSystem {
 	t.Helper()
 	core, logs := observer.New(zapcore.InfoLevel)
-	sum := sha256.Sum256([]byte(testToken))
-	f := &testSystem{t: t, logs: logs, testControl: &testControl{done: make(chan error, 1), Control: &Control{
-		Name: "control-1", Domain: "petrolina", Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", PeerKey: testKey,
-		Members: map[string]string{"control-1": "127.0.0.1:1"}, DataDir: t.TempDir(), LedgerGroups: 1, Tick: 20 * time.Millisecond,
-		Clock: wall.Clock{}, Log: zap.New(core), Metrics: metric.New("control"),
-		OperatorHashes: map[string]string{"ops": hex.EncodeToString(sum[:])},
-	}}}
+	f := &testSystem{t: t, logs: logs, testControl: newTestControl(t, 20*time.Millisecond, zap.New(core))}
 	if configure != nil {
 		configure(f.Control)
 	}
@@ -58,13 +47,7 @@
 	for i := range engines {
 		f.addEngine(ctx, i, checksFencing)
 	}
-	go f.run(ctx)
-	t.Cleanup(func() {
-		cancel()
-		if err := <-f.done; err != nil {
-			t.Errorf("control: %v", err)
-		}
-	})
+	f.start(ctx, t, cancel)
 	f.eventually("leader", func() bool {
 		return f.started.Load() && f.groups[ConfigGroup].replica.Status().Role == raft.Leader
 	})
@@ -74,10 +57,7 @@
 // addEngine starts engine i, in a failure domain of its own, and adds it to the declared endpoints.
 func (f *testSystem) addEngine(ctx context.Context, i int, checksFencing bool) {
 	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
-	}
+	l := stand.Listen(f.t)
 	e := &stand.Engine{ChecksFencing: checksFencing, OrderLatency: 100 * time.Millisecond}
 	e.Listener, e.Log = l, zap.NewNop()
 	r := &runningEngine{engine: e}
