Test a group whose disks are full in turn

No test had a group of several members that start again after a failure: limitedMember was a group of one, and the members of newLimitedGroup don't start again.

TestDisksAreFullInTurn draws three to five members that start again like io/keeper does (folder closed and opened, new replica, pause). Once the last disk has room, each member, asked alone, must apply a small and a large proposal and answer a read of the latest state within a bound that follows from the pause, the look at the disk and the election timeout. No acknowledged proposal may be lost, none applied twice, and none applied that ended with ErrNotRun.

limitedMember is now a member of any group, and a failure other than a full disk fails its test.

--- a/io/repl/replica_test.go
+++ b/io/repl/replica_test.go
@@ -100,7 +100,7 @@
 		_, cutTo := l.group.partitioned.Load(m.To.Name)
 		to, ok := l.group.members.Load(m.To.Name)
 		if ok && !cutFrom && !cutTo {
-			to.(*member).Step(m)
+			to.(interface{ Step(m raft.Message) }).Step(m)
 		}
 	}
 }
--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"wasabiweir/core/form"
 	"wasabiweir/core/raft"
 	"wasabiweir/io/store"
 
@@ -26,33 +27,66 @@
 	others atomic.Int64
 	// snapshots delays the writes of large snapshots while it is locked.
 	snapshots sync.RWMutex
-	// stall is for how long a look at the free bytes blocks.
-	stall atomic.Int64
+	// stall is for how long a look at the free bytes blocks; its result is then old if stallsLate is set.
+	stall      atomic.Int64
+	stallsLate atomic.Bool
+	// fillAt fills the disk at the next write to a file of a kind; nil if there is none.
+	fillAt atomic.Pointer[fillMoment]
+}
+
+// fillMoment is a write at which a limitedDisk becomes full.
+type fillMoment struct {
+	suffix string // end of the file's name
+	after  bool   // fill the disk after the write instead of before it
+	left   int64  // bytes that stay free
 }
 
 func (d *limitedDisk) FreeBytes(string) int64 {
-	time.Sleep(time.Duration(d.stall.Load()))
-	return max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder))
+	free, late := d.free(), d.stallsLate.Load()
+	if stall := d.stall.Load(); stall > 0 {
+		time.Sleep(time.Duration(stall))
+		if !late {
+			free = d.free()
+		}
+	}
+	return free
+}
+
+// free returns the bytes that can still be written.
+func (d *limitedDisk) free() int64 { return max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder)) }
+
+// fill lets other writers take all room but the left bytes.
+func (d *limitedDisk) fill(left int64) {
+	d.others.Store(max(0, d.limit-store.UsedBytes(d.folder)-left))
 }
 
 func (d *limitedDisk) Write(f *os.File, data []byte) (int, error) {
+	if at := d.fillAt.Load(); at != nil && strings.HasSuffix(f.Name(), at.suffix) && d.fillAt.CompareAndSwap(at, nil) {
+		if at.after {
+			defer d.fill(at.left)
+		} else {
+			d.fill(at.left)
+		}
+	}
 	if len(data) > 4<<10 && strings.Contains(f.Name(), ".snap") {
 		d.snapshots.RLock()
 		defer d.snapshots.RUnlock()
 	}
-	if free := max(0, d.limit-d.others.Load()-store.UsedBytes(d.folder)); int64(len(data)) > free {
+	if free := d.free(); int64(len(data)) > free {
 		n, err := f.Write(data[:free])
 		return n, errors.Join(err, syscall.ENOSPC)
 	}
 	return f.Write(data)
 }
 
-// limitedMember is the only member of a group, on a limited disk. It is started again when it fails, as a keeper does.
+// limitedMember is a member of a group on a limited disk. It is started again when it fails, as a keeper does.
 type limitedMember struct {
-	t       *testing.T
+	t       testing.TB
 	disk    *limitedDisk
 	folder  *store.Folder
-	machine *lastValue
+	machine Machine
+	config  func(*Replica) // sets the fields of a new replica that differ between tests
+	pause   time.Duration  // between a failure and the next start
 	replica atomic.Pointer[Replica]
 	scope   tally.TestScope
 	ctx     context.Context
@@ -60,43 +94,68 @@
 	done    chan error
 }
 
-// newLimitedMember starts a member in the folder on a disk with the limit.
+// newLimitedMember starts the only member of a group in the folder on a disk with the limit.
 func newLimitedMember(t *testing.T, dir string, limit int64, logBytes int) *limitedMember {
 	return newMemberOnDisk(t, &limitedDisk{folder: dir, limit: limit}, logBytes)
 }
 
-// newMemberOnDisk starts a member on the disk.
+// newMemberOnDisk starts the only member of a group on the disk.
 func newMemberOnDisk(t *testing.T, disk *limitedDisk, logBytes int) *limitedMember {
-	m := &limitedMember{t: t, disk: disk, folder: &store.Folder{Path: disk.folder, Disk: disk}, machine: &lastValue{}, done: make(chan error, 1), scope: tally.NewTestScope("", nil)}
-	requireNoError(t, m.folder.Open())
-	m.ctx, m.cancel = context.WithTimeout(context.Background(), time.Minute)
-	go m.loop(logBytes)
-	for m.replica.Load() == nil {
-		time.Sleep(time.Millisecond)
-	}
+	m := &limitedMember{t: t, disk: disk, machine: &lastValue{}, pause: 10 * time.Millisecond, config: func(r *Replica) {
+		r.Name, r.Transport, r.Interval, r.LogBytes = "a", noTransport{}, 5*time.Millisecond, logBytes
+		r.Bootstrap = form.BootstrapMembers("a", []string{"a"})
+	}}
+	m.start()
 	t.Cleanup(m.stop)
 	return m
 }
 
-// loop runs a replica again and again until the member is stopped.
-func (m *limitedMember) loop(logBytes int) {
-	for m.ctx.Err() == nil {
-		r := &Replica{Name: "a", Machine: m.machine, Transport: noTransport{}, Interval: 5 * time.Millisecond, LogBytes: logBytes, Metrics: m.scope}
-		r.Store = &store.Store{Folder: m.folder, Group: "config"}
-		r.Bootstrap = raft.Members{Voters: []raft.ID{{Name: "a", Disk: m.folder.DiskID()}}}
-		m.replica.Store(r)
-		if err := r.Run(m.ctx); err != nil {
-			m.t.Logf("the replica failed: %v", err)
-			time.Sleep(10 * time.Millisecond)
+// start runs the member.
+func (m *limitedMember) start() {
+	m.folder = &store.Folder{Path: m.disk.folder, Disk: m.disk}
+	m.done, m.scope = make(chan error, 1), tally.NewTestScope("", nil)
+	m.ctx, m.cancel = context.WithTimeout(context.Background(), 2*time.Minute)
+	m.replica.Store(m.newReplica())
+	go m.loop()
+}
+
+// newReplica returns a replica that is not started.
+func (m *limitedMember) newReplica() *Replica {
+	r := &Replica{Machine: m.machine, Metrics: m.scope, Store: &store.Store{Folder: m.folder, Group: "config"}}
+	m.config(r)
+	if len(r.Bootstrap.Voters) > 0 {
+		m.folder.InitialDiskID = form.BootstrapDiskID
+	}
+	return r
+}
+
+// loop opens the folder and runs a replica again and again until the member is stopped.
+func (m *limitedMember) loop() {
+	for {
+		err := m.folder.Open()
+		if err == nil {
+			err = m.replica.Load().Run(m.ctx)
+			err = errors.Join(err, m.folder.Close())
 		}
+		if m.ctx.Err() != nil {
+			m.done <- err
+			return
+		}
+		if !isDiskFull(err) {
+			m.t.Errorf("the replica failed: %v", err)
+		}
+		time.Sleep(m.pause)
+		m.replica.Store(m.newReplica())
 	}
-	m.done <- m.folder.Close()
 }
 
+// Step passes a Raft message to the running replica.
+func (m *limitedMember) Step(msg raft.Message) { m.replica.Load().Step(msg) }
+
 // stop stops the member.
 func (m *limitedMember) stop() {
 	m.cancel()
-	if err := <-m.done; err != nil {
+	if err := <-m.done; err != nil && !isDiskFull(err) {
 		m.t.Error(err)
 	}
 }
