--- a/io/store/store.go
+++ b/io/store/store.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 
 	"wasabiweir/core/raft"
 )
@@ -51,7 +52,7 @@
 		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
 	}
 	var p logReplay
-	if err := s.readSegments(&p); err != nil {
+	if err := s.readSegments(&p, snapshot.Index); err != nil {
 		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
 	}
 	entries, replaced, err := p.entriesAfter(snapshot)
@@ -60,20 +61,23 @@
 		return raft.PersistentState{}, &CorruptError{File: path, Offset: int64(len(segmentMagic)), Reason: err.Error()}
 	}
 	s.hardState = p.hardState
+	// A crash can come between a snapshot and Trim. If the disk is full, nothing could be written before this, not even a
+	// reset record.
+	if err := s.deleteCoveredFiles(snapshot); err != nil {
+		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
+	}
 	if replaced {
 		if err := s.writeReset(snapshot); err != nil {
 			return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
 		}
 	}
-	// A crash can come between a snapshot and Trim. If the disk is full, nothing could be written before this.
-	if err := s.deleteCoveredFiles(snapshot); err != nil {
-		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
-	}
 	return raft.PersistentState{HardState: p.hardState, Snapshot: snapshot, Entries: entries}, nil
 }
 
-// readSegments replays the records of all log segments in order and opens the last segment for writing.
-func (s *Store) readSegments(p *logReplay) error {
+// readSegments replays the records of all log segments in order and opens the last segment for writing. Segments before a
+// gap are passed over if the snapshot that ends at the index covers them: after a power loss, each removal of a segment may
+// be undone by itself.
+func (s *Store) readSegments(p *logReplay, snapshotIndex uint64) error {
 	numbers, err := listFileNumbers(s.dir, segmentSuffix)
 	if err != nil {
 		return &CorruptError{File: s.dir, Reason: err.Error()}
@@ -84,8 +88,9 @@
 	s.segments = nil
 	for i, number := range numbers {
 		path := segmentPath(s.dir, number)
-		if number != numbers[0]+uint64(i) {
-			return &CorruptError{File: path, Reason: "the previous segment is missing"}
+		afterGap := i > 0 && number != numbers[i-1]+1
+		if afterGap {
+			*p = logReplay{}
 		}
 		p.highestIndex = 0
 		last := i == len(numbers)-1
@@ -93,11 +98,20 @@
 		if err != nil {
 			return err
 		}
+		// Only the first record of a segment is sure to have the hard state of the segments before it.
+		if afterGap && (!s.areCovered(snapshotIndex) || s.segmentSize == int64(len(segmentMagic))) {
+			return &CorruptError{File: path, Reason: "the previous segment is missing"}
+		}
 		s.segments = append(s.segments, logSegment{number: number, highestIndex: p.highestIndex})
 	}
 	return s.openLastSegment()
 }
 
+// areCovered reports whether a snapshot that ends at the index makes all segments read so far unnecessary.
+func (s *Store) areCovered(snapshotIndex uint64) bool {
+	return !slices.ContainsFunc(s.segments, func(g logSegment) bool { return g.highestIndex >= snapshotIndex })
+}
+
 // openLastSegment opens the last log segment for writing and truncates it after its last valid record.
 func (s *Store) openLastSegment() error {
 	path := segmentPath(s.dir, s.segments[len(s.segments)-1].number)
@@ -255,12 +269,17 @@
 }
 
 // deleteCoveredFiles deletes the older snapshots and the log segments before the one that contains the snapshot's last
-// entry. That entry is kept, because Open compares its term with the snapshot's.
+// entry. That entry is kept, because Open compares its term with the snapshot's. The last segment with a record is kept
+// too, because it has the hard state.
 func (s *Store) deleteCoveredFiles(snapshot raft.Snapshot) error {
 	if err := removeSnapshotsBefore(s.dir, snapshot.Index); err != nil {
 		return err
 	}
-	for len(s.segments) > 1 && s.segments[0].highestIndex < snapshot.Index {
+	kept := 1
+	if s.segmentSize == int64(len(segmentMagic)) {
+		kept = 2
+	}
+	for len(s.segments) > kept && s.segments[0].highestIndex < snapshot.Index {
 		if err := os.Remove(segmentPath(s.dir, s.segments[0].number)); err != nil {
 			return fmt.Errorf("remove a segment: %w", err)
 		}
