Sync the removal of each log segment

What operators would see: after a power loss a keeper discards sound state as damaged (stored-state-corrupt), with what it had acknowledged; all keepers trim their logs after the same entry, so one power loss can do it to all of them.

Cause: removals of segments were not synced, and each may be undone by itself.

Now the folder is synced after each removal, oldest segment first, so only a prefix can be back and any gap is damage again.

TestStoreReturnsWhatWasSynced now loses power at any sync of the folder and undoes any removals since the last one. It takes the place of TestUndoneRemovalOfSegments, which asserted the former rule. Disk got SyncFolder for that.

--- a/io/repl/space_test.go
+++ b/io/repl/space_test.go
@@ -22,6 +22,7 @@
 
 // limitedDisk is a file system of a limited size, which other writers can fill. A write beyond it is cut off.
 type limitedDisk struct {
+	store.SizedDisk
 	folder string
 	limit  int64
 	others atomic.Int64
--- a/io/store/folder.go
+++ b/io/store/folder.go
@@ -214,8 +214,8 @@
 		return "", err
 	}
 	for _, dir := range []string{filepath.Dir(path), f.Path} {
-		if err := syncDir(dir); err != nil {
-			return "", err
+		if err := f.disk().SyncFolder(dir); err != nil {
+			return "", fmt.Errorf("create the folder of group %s: %w", name, err)
 		}
 	}
 	id := folderIdentity{DiskID: f.identity.DiskID, Groups: append(slices.Clone(f.identity.Groups), name)}
@@ -245,17 +245,5 @@
 	if err := os.Rename(tmp, path); err != nil {
 		return fmt.Errorf("rename a temporary file: %w", err)
 	}
-	return syncDir(filepath.Dir(path))
-}
-
-// syncDir syncs a folder, so that files created or renamed in it survive a crash.
-func syncDir(path string) error {
-	dir, err := os.Open(path)
-	if err != nil {
-		return fmt.Errorf("open a folder to sync it: %w", err)
-	}
-	if err := errors.Join(dir.Sync(), dir.Close()); err != nil {
-		return fmt.Errorf("sync a folder: %w", err)
-	}
-	return nil
+	return disk.SyncFolder(filepath.Dir(path))
 }
--- a/io/store/space.go
+++ b/io/store/space.go
@@ -17,6 +17,9 @@
 	Write(f *os.File, data []byte) (int, error)
 	// FreeBytes returns how many bytes can still be written to files in the folder, or math.MaxInt64 if that is unknown.
 	FreeBytes(folder string) int64
+	// SyncFolder makes the creations, renames and removals of files in the folder durable. After a loss of power without it,
+	// each of them may be kept or lost by itself.
+	SyncFolder(folder string) error
 }
 
 // SizedDisk is the file system of the operating system. The platform may limit the files of a process to fewer bytes than
@@ -41,6 +44,18 @@
 	return free
 }
 
+// SyncFolder syncs the folder.
+func (SizedDisk) SyncFolder(folder string) error {
+	dir, err := os.Open(folder)
+	if err != nil {
+		return fmt.Errorf("open a folder to sync it: %w", err)
+	}
+	if err := errors.Join(dir.Sync(), dir.Close()); err != nil {
+		return fmt.Errorf("sync a folder: %w", err)
+	}
+	return nil
+}
+
 // UsedBytes returns the size of all files below the path. Files that are removed meanwhile may count.
 func UsedBytes(path string) (size int64) {
 	_ = filepath.WalkDir(path, func(_ string, e fs.DirEntry, err error) error {
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"slices"
 
 	"wasabiweir/core/raft"
 )
@@ -52,7 +51,7 @@
 		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
 	}
 	var p logReplay
-	if err := s.readSegments(&p, snapshot.Index); err != nil {
+	if err := s.readSegments(&p); err != nil {
 		return raft.PersistentState{}, fmt.Errorf("open group %s: %w", s.Group, err)
 	}
 	entries, replaced, err := p.entriesAfter(snapshot)
@@ -74,10 +73,8 @@
 	return raft.PersistentState{HardState: p.hardState, Snapshot: snapshot, Entries: entries}, nil
 }
 
-// readSegments replays the records of all log segments in order and opens the last segment for writing. Segments before a
-// gap are passed over if the snapshot that ends at the index covers them: after a power loss, each removal of a segment may
-// be undone by itself.
-func (s *Store) readSegments(p *logReplay, snapshotIndex uint64) error {
+// readSegments replays the records of all log segments in order and opens the last segment for writing.
+func (s *Store) readSegments(p *logReplay) error {
 	numbers, err := listFileNumbers(s.dir, segmentSuffix)
 	if err != nil {
 		return &CorruptError{File: s.dir, Reason: err.Error()}
@@ -88,9 +85,8 @@
 	s.segments = nil
 	for i, number := range numbers {
 		path := segmentPath(s.dir, number)
-		afterGap := i > 0 && number != numbers[i-1]+1
-		if afterGap {
-			*p = logReplay{}
+		if number != numbers[0]+uint64(i) {
+			return &CorruptError{File: path, Reason: "the previous segment is missing"}
 		}
 		p.highestIndex = 0
 		last := i == len(numbers)-1
@@ -98,20 +94,11 @@
 		if err != nil {
 			return err
 		}
-		// Only the first record of a segment is sure to have the hard state of the segments before it.
-		if afterGap && (!s.areCovered(snapshotIndex) || s.segmentSize == int64(len(segmentMagic))) {
-			return &CorruptError{File: path, Reason: "the previous segment is missing"}
-		}
 		s.segments = append(s.segments, logSegment{number: number, highestIndex: p.highestIndex})
 	}
 	return s.openLastSegment()
 }
 
-// areCovered reports whether a snapshot that ends at the index makes all segments read so far unnecessary.
-func (s *Store) areCovered(snapshotIndex uint64) bool {
-	return !slices.ContainsFunc(s.segments, func(g logSegment) bool { return g.highestIndex >= snapshotIndex })
-}
-
 // openLastSegment opens the last log segment for writing and truncates it after its last valid record.
 func (s *Store) openLastSegment() error {
 	path := segmentPath(s.dir, s.segments[len(s.segments)-1].number)
@@ -284,6 +271,10 @@
 			return fmt.Errorf("remove a segment: %w", err)
 		}
 		s.segments = s.segments[1:]
+		// A power loss that undoes the removal of this segment but not that of the next one would leave a gap, which is damage.
+		if err := s.Folder.disk().SyncFolder(s.dir); err != nil {
+			return fmt.Errorf("remove a segment: %w", err)
+		}
 	}
 	return nil
 }
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"io/fs"
 	"maps"
 	"os"
 	"path/filepath"
@@ -49,9 +48,50 @@
 	*rapid.T
 	folder *Folder
 	store  *Store
+	disk   *powerDisk
 	want   raft.PersistentState // what Open must return
 }
 
+// powerDisk is a file system that can lose its power.
+type powerDisk struct {
+	SizedDisk
+	durable map[string][]byte // the files of each synced folder, by their paths
+	// syncs is the number of syncs of folders before the power fails; it does not if that is negative.
+	syncs int
+}
+
+// errNoPower is returned once the power has failed.
+var errNoPower = errors.New("the power has failed")
+
+// SyncFolder makes what is in the folder durable unless the power fails.
+func (d *powerDisk) SyncFolder(folder string) error {
+	if d.syncs == 0 {
+		return errNoPower
+	}
+	d.syncs--
+	maps.DeleteFunc(d.durable, func(path string, _ []byte) bool { return filepath.Dir(path) == folder })
+	entries, err := os.ReadDir(folder)
+	for _, e := range entries {
+		path := filepath.Join(folder, e.Name())
+		if data, err := os.ReadFile(path); err == nil {
+			d.durable[path] = data
+		}
+	}
+	return err
+}
+
+// losePower closes the store, undoes some of the removals of files that are not durable, and reopens the store.
+func (m *storeModel) losePower() {
+	requireNoError(m, m.store.Close())
+	for _, path := range slices.Sorted(maps.Keys(m.disk.durable)) {
+		if _, err := os.Stat(path); err != nil && m.drawInt("undone", 0, 1) == 1 {
+			requireNoError(m, os.WriteFile(path, m.disk.durable[path], fileMode))
+		}
+	}
+	m.disk.syncs = -1
+	m.reopen()
+}
+
 // drawInt draws a number from low to high.
 func (m *storeModel) drawInt(name string, low, high int) int {
 	return rapid.IntRange(low, high).Draw(m.T, name)
@@ -121,7 +161,15 @@
 		m.reopen()
 		return
 	}
-	requireNoError(m, m.store.Trim(m.want.Snapshot))
+	m.disk.syncs = m.drawInt("syncs", -1, 2)
+	err := m.store.Trim(m.want.Snapshot)
+	if err != nil {
+		requireError(m, err, errNoPower)
+	}
+	if err != nil || m.drawInt("power", 0, 1) == 1 {
+		m.losePower()
+	}
+	m.disk.syncs = -1
 }
 
 // saveTorn saves r, then truncates or damages its record as a crash before the sync could, and reopens the store.
@@ -162,12 +210,12 @@
 // openOnFullDisk opens the store without room beyond its files, or without any even after some are deleted.
 func (m *storeModel) openOnFullDisk() {
 	requireNoError(m, m.store.Close())
-	m.folder.Disk = &sizedDisk{folder: m.folder.Path, limit: UsedBytes(m.folder.Path) * int64(m.drawInt("limit", 0, 1))}
+	m.folder.Disk = &sizedDisk{Disk: m.disk, folder: m.folder.Path, limit: UsedBytes(m.folder.Path) * int64(m.drawInt("limit", 0, 1))}
 	m.store = &Store{Folder: m.folder, Group: "config", SegmentBytes: 300}
 	if _, err := m.store.Open(); err != nil && !errors.Is(err, syscall.ENOSPC) {
 		m.Fatal(err)
 	}
-	m.folder.Disk = nil
+	m.folder.Disk = m.disk
 }
 
 // reopen closes the store, opens it again and fails the test unless it returns the expected state.
@@ -190,7 +238,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		run++
 		path := filepath.Join(dir, fmt.Sprint(run))
-		m := &storeModel{T: rt, folder: openFolder(rt, path)}
+		m := &storeModel{T: rt, folder: openFolder(rt, path), disk: &powerDisk{durable: map[string][]byte{}, syncs: -1}}
+		m.folder.Disk = m.disk
 		defer os.RemoveAll(path)
 		defer m.folder.Close()
 		m.store = &Store{Folder: m.folder, Group: "config", SegmentBytes: 300}
@@ -201,7 +250,7 @@
 			installed, after := m.drawSnapshot()
 			switch m.drawInt("action", 0, 9) {
 			case 0:
-				m.reopen()
+				m.losePower()
 			case 1:
 				m.saveTorn(r, want)
 			case 2:
@@ -281,57 +330,6 @@
 	}
 }
 
-// Guards against a member that discards its state because a power loss has undone the removal of some of the segments that a
-// snapshot covers, but not of others: all members trim their logs at the same entry, so all would discard it.
-func TestUndoneRemovalOfSegments(t *testing.T) {
-	f := filledFolder(t)
-	s := &Store{Folder: f, Group: "config", SegmentBytes: 400}
-	_, err := s.Open()
-	requireNoError(t, err)
-	removed := map[string][]byte{}
-	for _, g := range s.segments {
-		path := segmentPath(s.dir, g.number)
-		removed[path], err = os.ReadFile(path)
-		requireNoError(t, err)
-	}
-	snapshot := raft.Snapshot{Index: 25, Term: 1, Data: []byte("compacted")}
-	requireNoError(t, s.WriteSnapshot(snapshot))
-	requireNoError(t, s.Trim(snapshot))
-	for _, g := range s.segments {
-		delete(removed, segmentPath(s.dir, g.number))
-	}
-	paths := slices.Sorted(maps.Keys(removed))
-	if len(paths) < 2 {
-		t.Fatalf("%d segments were removed, want at least 2", len(paths))
-	}
-	for undone := range 1 << len(paths) {
-		requireNoError(t, s.Close())
-		for i, path := range paths {
-			if undone&(1<<i) != 0 {
-				requireNoError(t, os.WriteFile(path, removed[path], fileMode))
-			}
-		}
-		saved, err := s.Open()
-		requireNoError(t, err)
-		if saved.HardState.Term != 1 || saved.Snapshot.Index != 25 || len(saved.Entries) != 5 || saved.Entries[0].Index != 26 {
-			t.Fatalf("with the removals %b undone, the state is %+v", undone, saved)
-		}
-		for _, path := range paths {
-			if _, err := os.Stat(path); !errors.Is(err, fs.ErrNotExist) {
-				t.Fatalf("with the removals %b undone, %s is left: %v", undone, path, err)
-			}
-		}
-	}
-	requireNoError(t, s.Close())
-	// The missing segments may have had a later hard state, even if a snapshot covers all entries.
-	requireNoError(t, s.WriteSnapshot(raft.Snapshot{Index: 100, Term: 2}))
-	requireNoError(t, createSegment(SizedDisk{}, s.dir, 90))
-	var c *CorruptError
-	if _, err := s.Open(); !errors.As(err, &c) {
-		t.Fatalf("a missing segment before an empty one: %v", err)
-	}
-}
-
 // Guards against the loss of the hard state, and so of a vote, when older segments are deleted: a crash can leave the
 // newest segment empty, without the record that repeats the hard state.
 func TestEmptySegmentKeepsHardState(t *testing.T) {
@@ -449,7 +447,7 @@
 
 // sizedDisk is a file system on which the files of a folder have at most limit bytes.
 type sizedDisk struct {
-	SizedDisk
+	Disk
 	folder string
 	limit  int64
 }
@@ -477,7 +475,7 @@
 			requireNoError(t, createSegment(SizedDisk{}, s.dir, s.segments[len(s.segments)-1].number+1))
 		}
 		requireNoError(t, s.Close())
-		full := &sizedDisk{folder: f.Path}
+		full := &sizedDisk{Disk: SizedDisk{}, folder: f.Path}
 		limit := UsedBytes(f.Path)
 		f.Disk = full
 		_, err = s.Open()
