Delete no folder that is not the state under a disk id

What operators would see: a copy of damaged state, or any folder beside it with a file *.log or *.snap two levels down, vanished from a keeper's data folder once the keeper voted again.

TestOnlyEarlierStateIsDeleted failed before.

--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -142,7 +142,7 @@
 // discardEarlierState deletes damaged Raft state under earlier disk ids, which otherwise takes the room of the log. It is
 // kept until this process is a voter under its new disk id.
 func (g *raftGroup) discardEarlierState() {
-	if err := g.keeper.folder.DeleteEarlierState(); err != nil {
+	if err := g.keeper.folder.DeleteEarlierState(form.BootstrapDiskID); err != nil {
 		g.keeper.Log.Warn("damaged-state-not-deleted", zap.Error(err))
 	}
 }
--- a/io/store/folder.go
+++ b/io/store/folder.go
@@ -110,9 +110,9 @@
 	return f.saveIdentity(folderIdentity{DiskID: uuid.NewString()})
 }
 
-// DeleteEarlierState deletes the Raft groups' state under earlier disk ids, which RenewDiskID keeps for inspection. It has
-// no effect while the current disk id is unknown.
-func (f *Folder) DeleteEarlierState() error {
+// DeleteEarlierState deletes the Raft groups' state under earlier disk ids, which RenewDiskID keeps for inspection: under
+// those that are UUIDs and under those that are named. It has no effect while the current disk id is unknown.
+func (f *Folder) DeleteEarlierState(named ...string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.identity.DiskID == "" {
@@ -123,9 +123,9 @@
 		return fmt.Errorf("list the data folder: %w", err)
 	}
 	for _, e := range entries {
-		path := filepath.Join(f.Path, e.Name())
-		if e.Name() != f.identity.DiskID && (uuid.Validate(e.Name()) == nil || holdsGroups(path)) {
-			err = errors.Join(err, os.RemoveAll(path))
+		isDiskID := uuid.Validate(e.Name()) == nil || slices.Contains(named, e.Name())
+		if isDiskID && e.Name() != f.identity.DiskID {
+			err = errors.Join(err, os.RemoveAll(filepath.Join(f.Path, e.Name())))
 		}
 	}
 	if err != nil {
@@ -134,16 +134,6 @@
 	return nil
 }
 
-// holdsGroups reports whether the folder contains the state of a Raft group. Not every disk id is a UUID.
-func holdsGroups(path string) bool {
-	for _, suffix := range []string{segmentSuffix, snapshotSuffix} {
-		if files, err := filepath.Glob(filepath.Join(path, "*", "*"+suffix)); err == nil && len(files) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // loadIdentity reads the identity file, which holds the disk id, or creates it in a new data folder.
 func (f *Folder) loadIdentity() error {
 	path := filepath.Join(f.Path, identityFile)
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -14,6 +14,7 @@
 	_ "wasabiweir/core/prop"
 	"wasabiweir/core/raft"
 
+	"github.com/google/uuid"
 	"pgregory.net/rapid"
 )
 
@@ -330,6 +331,24 @@
 	}
 }
 
+// Guards against files of an operator, such as a copy of damaged state, that are deleted with the state under earlier disk
+// ids.
+func TestOnlyEarlierStateIsDeleted(t *testing.T) {
+	f := openFolder(t, t.TempDir())
+	defer f.Close()
+	earlier := uuid.NewString()
+	for _, name := range []string{earlier, "first", "copy", f.DiskID()} {
+		requireNoError(t, os.MkdirAll(filepath.Join(f.Path, name, "config"), folderMode))
+		requireNoError(t, createSegment(SizedDisk{}, filepath.Join(f.Path, name, "config"), 1))
+	}
+	requireNoError(t, f.DeleteEarlierState("first"))
+	for name, want := range map[string]bool{earlier: false, "first": false, "copy": true, f.DiskID(): true} {
+		if _, err := os.Stat(filepath.Join(f.Path, name)); (err == nil) != want {
+			t.Errorf("%s is there: %t, want %t", name, err == nil, want)
+		}
+	}
+}
+
 // Guards against the loss of the hard state, and so of a vote, when older segments are deleted: a crash can leave the
 // newest segment empty, without the record that repeats the hard state.
 func TestEmptySegmentKeepsHardState(t *testing.T) {
@@ -377,7 +396,7 @@
 			t.Fatalf("group %s has the state %+v of %s", group, saved.HardState, s.MemberID("a"))
 		}
 	}
-	requireNoError(t, f.DeleteEarlierState())
+	requireNoError(t, f.DeleteEarlierState("first"))
 	if left, err := filepath.Glob(filepath.Join(f.Path, "*-*")); err != nil || len(left) != 1 {
 		t.Fatalf("after the old state was discarded, the folder has %v", left)
 	}
