--- a/io/store/folder.go
+++ b/io/store/folder.go
@@ -233,7 +233,7 @@
 		return errors.Join(fmt.Errorf("write a temporary file: %w", err), os.Remove(tmp))
 	}
 	if err := os.Rename(tmp, path); err != nil {
-		return fmt.Errorf("rename a temporary file: %w", err)
+		return errors.Join(fmt.Errorf("rename a temporary file: %w", err), os.Remove(tmp))
 	}
 	return disk.SyncFolder(filepath.Dir(path))
 }
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -331,6 +331,19 @@
 	}
 }
 
+// Guards against temporary files that stay on a full disk, one for each snapshot whose file could not be renamed.
+func TestFailedRenameLeavesNoFile(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "target")
+	requireNoError(t, os.MkdirAll(filepath.Join(path, "not-empty"), folderMode))
+	if err := writeFileAtomic(SizedDisk{}, path, []byte("data")); err == nil {
+		t.Fatal("a folder was replaced by a file")
+	}
+	if _, err := os.Stat(path + tempSuffix); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("the temporary file is left: %v", err)
+	}
+}
+
 // Guards against files of an operator, such as a copy of damaged state, that are deleted with the state under earlier disk
 // ids.
 func TestOnlyEarlierStateIsDeleted(t *testing.T) {
