Keep the known keepers when one names none

A keeper that has not opened its store has no members yet, for example while it starts for the first time on a full disk. It still sends its list of keepers to relays that connect, and the list is empty. A relay then forgot the keepers that others had named, and had only its seeds to try; if those had been replaced, it found no keeper.

A relay now ignores a list without keepers: no group is empty, so such a list says only that its sender does not know. The relays in the same message are still taken, because keepers learn them without the group.

TestKeeperWithoutMembersIsNotBelieved failed before: the relay knew the keepers [], want k1 and k2.

--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -60,7 +60,7 @@
 	reportWake chan struct{}
 
 	mu sync.Mutex
-	// keepers are the peer addresses of all keepers, as received last from any keeper.
+	// keepers are the peer addresses of all keepers, as received last from any keeper that knows them.
 	keepers []string
 	// link is the connection to the followed keeper.
 	link *wire.Link
@@ -294,7 +294,10 @@
 // not know most relays.
 func (f *keeperFeed) handleKeepers(l *wire.Link, k wire.Keepers) {
 	f.mu.Lock()
-	f.keepers = k.Addresses
+	// A keeper that has not opened its store knows no keepers.
+	if len(k.Addresses) > 0 {
+		f.keepers = k.Addresses
+	}
 	isFollowed := f.link == nil || f.link == l
 	if !isFollowed {
 		f.otherKeepers[l] = k
--- a/io/relay/feed_test.go
+++ b/io/relay/feed_test.go
@@ -69,3 +69,21 @@
 		t.Errorf("versions %v were read, want %v", d.decoded, want)
 	}
 }
+
+// Guards against a relay that no longer finds the keepers once one of them, which has not read its disk, has named none.
+func TestKeeperWithoutMembersIsNotBelieved(t *testing.T) {
+	r := newTestRelay(t)
+	r.Seeds = func() []string { return nil }
+	for _, addresses := range [][]string{{"k1", "k2"}, nil} {
+		body, err := wire.Marshal(wire.Keepers{Addresses: addresses, Relays: []string{"r1"}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.feed.HandleFrame(nil, wire.Frame{Kind: wire.KindKeepers, Body: body})
+	}
+	got := r.feed.otherKeeperAddresses(nil)
+	slices.Sort(got)
+	if !slices.Equal(got, []string{"k1", "k2"}) {
+		t.Errorf("the relay knows the keepers %v, want k1 and k2", got)
+	}
+}
