--- a/io/cmds/cmds.go
+++ b/io/cmds/cmds.go
@@ -7,6 +7,7 @@
 	"io"
 
 	"wasabiweir/io/flags"
+	"wasabiweir/io/store"
 )
 
 // Exit codes of the wasabiweir binary.
@@ -32,6 +33,8 @@
 type invocation struct {
 	stdout io.Writer
 	stderr io.Writer
+	// keeperDisk is the field of Program.
+	keeperDisk store.Disk
 	// set holds the settings of the subcommand; it is nil until bindAndParse creates it.
 	set *flags.Set
 }
@@ -45,18 +48,32 @@
 // Unwrap returns the wrapped error.
 func (e *usageError) Unwrap() error { return e.err }
 
+// Program is the wasabiweir binary; its fields are set before Run.
+type Program struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	// KeeperDisk is the file system of a keeper's data folder; nil means that of the operating system, limited as the
+	// settings say.
+	KeeperDisk store.Disk
+}
+
 // Main runs the subcommand that the command-line arguments name and returns the exit code of the process.
 func Main(args []string, stdout, stderr io.Writer) int {
-	err := dispatchCommand(context.Background(), args, &invocation{stdout: stdout, stderr: stderr})
+	return (&Program{Stdout: stdout, Stderr: stderr}).Run(args)
+}
+
+// Run runs the subcommand that the command-line arguments name and returns the exit code of the process.
+func (p *Program) Run(args []string) int {
+	err := dispatchCommand(context.Background(), args, &invocation{stdout: p.Stdout, stderr: p.Stderr, keeperDisk: p.KeeperDisk})
 	if err == nil {
 		return exitOK
 	}
 	var usage *usageError
 	if errors.As(err, &usage) {
-		fmt.Fprintf(stderr, "wasabiweir: %v\n", err)
+		fmt.Fprintf(p.Stderr, "wasabiweir: %v\n", err)
 		return exitUsage
 	}
-	fmt.Fprintf(stderr, "wasabiweir: %v\n", err)
+	fmt.Fprintf(p.Stderr, "wasabiweir: %v\n", err)
 	return exitError
 }
 
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -208,7 +208,7 @@
 		s := p.settings
 		k := &keeper.Keeper{
 			PeerAddress: s.PeerAddress, Seeds: p.liveSettings.SeedPeerAddresses, Bootstrap: s.Bootstrap, PeerKey: platform.PeerKey, DataDir: s.DataDir,
-			MemoryBytes: s.MemoryBytes, DiskBytes: s.DiskBytes,
+			MemoryBytes: s.MemoryBytes, DiskBytes: s.DiskBytes, Disk: inv.keeperDisk,
 			Decode: platform.DecodeState, EndpointLister: p.newInstanceListReader(), Clock: wall.Clock{}, Log: p.log, Metrics: p.metrics,
 		}
 		k.Servers = []keeper.Server{
--- a/io/keeper/bounds.go
+++ b/io/keeper/bounds.go
@@ -19,6 +19,14 @@
 	minLogBytes = 1 << 20
 )
 
+// disk returns the file system on which the files in the data folder are written.
+func (k *Keeper) disk() store.Disk {
+	if k.Disk == nil {
+		return store.SizedDisk{Bytes: k.DiskBytes}
+	}
+	return k.Disk
+}
+
 // logBytes returns the bound of the log in bytes, which follows from the memory and the disk that the process has.
 func (k *Keeper) logBytes() int {
 	disk := k.DiskBytes
--- a/io/keeper/crashfile.go
+++ b/io/keeper/crashfile.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	if err := store.WriteFileAtomic(f.path(), data); err != nil {
+	if err := store.WriteFileAtomic(f.keeper.disk(), f.path(), data); err != nil {
 		return err
 	}
 	f.saved = changes
--- a/io/keeper/crashfile_test.go
+++ b/io/keeper/crashfile_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 
 	"wasabiweir/core/clock"
 	"wasabiweir/core/poison"
+	"wasabiweir/io/store"
 	"wasabiweir/io/wire"
 )
 
@@ -67,3 +70,44 @@
 		}
 	}
 }
+
+// fullDisk is a disk on which no write succeeds.
+type fullDisk struct{ store.SizedDisk }
+
+// Write appends half of the data.
+func (d fullDisk) Write(f *os.File, data []byte) (int, error) {
+	n, err := d.SizedDisk.Write(f, data[:len(data)/2])
+	return n, errors.Join(err, syscall.ENOSPC)
+}
+
+// Guards against a keeper that loses the crashes on its disk when that is full, or does not save the later ones once it has room.
+func TestCrashFileOnFullDisk(t *testing.T) {
+	dir, now := t.TempDir(), &clock.Manual{}
+	now.Set(time.Unix(10000, 0))
+	k, _ := newCrashKeeper(dir, now)
+	crash := func(part string) []poison.Crash {
+		return []poison.Crash{poison.NewCrash("r-"+part, "e", "a", []string{"first", part})}
+	}
+	saved := func() int {
+		later, _ := newCrashKeeper(dir, now)
+		later.crashFile.load()
+		list, _ := later.crashes.all()
+		return len(list)
+	}
+	k.crashes.merge(crash("own"))
+	if err := k.crashFile.save(); err != nil {
+		t.Fatal(err)
+	}
+	k.crashes.merge(crash("other"))
+	k.Disk = fullDisk{}
+	if err := k.crashFile.save(); !errors.Is(err, syscall.ENOSPC) {
+		t.Errorf("save on a full disk: %v", err)
+	}
+	if files, err := os.ReadDir(dir); err != nil || len(files) != 1 || saved() != 1 {
+		t.Errorf("the full disk holds %v with %d crashes, %v; want one file with the earlier crash", files, saved(), err)
+	}
+	k.Disk = nil
+	if err := k.crashFile.save(); err != nil || saved() != 2 {
+		t.Errorf("%d crashes are saved once the disk has room, %v; want 2", saved(), err)
+	}
+}
--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -54,7 +54,7 @@
 // initReplica creates a Raft replica without starting it, so that requests that arrive before the start can wait for
 // it.
 func (g *raftGroup) initReplica() {
-	g.keeper.folder = &store.Folder{Path: g.keeper.DataDir, Disk: store.SizedDisk{Bytes: g.keeper.DiskBytes}}
+	g.keeper.folder = &store.Folder{Path: g.keeper.DataDir, Disk: g.keeper.disk()}
 	g.replica.Store(g.newReplica())
 }
 
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -45,6 +45,9 @@
 	// only the disk bounds the log.
 	MemoryBytes int64
 	DiskBytes   int64
+	// Disk is the file system on which the files in DataDir are written; nil means that of the operating system, limited to
+	// DiskBytes.
+	Disk store.Disk
 	// Decode parses a configuration document.
 	Decode state.Decoder
 	// EndpointLister reads the platform's list of endpoints.
--- a/io/store/folder.go
+++ b/io/store/folder.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return fmt.Errorf("encode the identity: %w", err)
 	}
-	if err := writeFileAtomic(f.disk(), filepath.Join(f.Path, identityFile), data); err != nil {
+	if err := WriteFileAtomic(f.disk(), filepath.Join(f.Path, identityFile), data); err != nil {
 		return fmt.Errorf("write the identity: %w", err)
 	}
 	f.identity = id
@@ -222,13 +222,9 @@
 	return path, f.saveIdentity(id)
 }
 
-// WriteFileAtomic replaces a file and syncs it. It returns an error if the disk fails; after a crash, the file has either its old or its new contents.
-func WriteFileAtomic(path string, data []byte) error {
-	return writeFileAtomic(SizedDisk{}, path, data)
-}
-
-// writeFileAtomic does what WriteFileAtomic does, on the disk.
-func writeFileAtomic(disk Disk, path string, data []byte) error {
+// WriteFileAtomic replaces a file on the disk and syncs it. It returns an error if the disk fails; after a crash, the file has
+// either its old or its new contents.
+func WriteFileAtomic(disk Disk, path string, data []byte) error {
 	tmp := path + tempSuffix
 	file, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
 	if err != nil {
--- a/io/store/segment.go
+++ b/io/store/segment.go
@@ -36,7 +36,7 @@
 // createSegment creates an empty log segment and syncs it. It replaces an existing file of that number, which can exist
 // only if a crash interrupted an earlier creation.
 func createSegment(disk Disk, dir string, number uint64) error {
-	if err := writeFileAtomic(disk, segmentPath(dir, number), segmentMagic); err != nil {
+	if err := WriteFileAtomic(disk, segmentPath(dir, number), segmentMagic); err != nil {
 		return fmt.Errorf("create segment %d: %w", number, err)
 	}
 	return nil
--- a/io/store/snapshot.go
+++ b/io/store/snapshot.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return fmt.Errorf("snapshot %d: %w", s.Index, err)
 	}
-	if err := writeFileAtomic(disk, snapshotPath(dir, s.Index), frame); err != nil {
+	if err := WriteFileAtomic(disk, snapshotPath(dir, s.Index), frame); err != nil {
 		return fmt.Errorf("write snapshot %d: %w", s.Index, err)
 	}
 	return nil
