Keep a keeper's membership while its replica restarts

While a keeper's disk was full, operators read that it was no voter of a group without members: each time that the replica failed and started again, 0.25 s of voter-changed voter=false voters=0, and the metric voter at 0. Relays that were connected were sent an empty list of keepers, other keepers that asked to join got no members, and links to keepers that are no seeds were closed at such a moment.

A replica knows itself and its members only after its first iteration. One whose first write fails never gets there, and it stays the current one for the pause of 0.5 s. The keeper took its empty status for the truth.

The keeper now keeps the last status of a replica that had opened its store, and uses it until the next one has. The leader is not kept: a stopped replica has none. After a damaged store the folder has a new disk id, under which the keeper is no member; then only the members are kept.

--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -44,6 +44,8 @@
 type raftGroup struct {
 	keeper  *Keeper
 	replica atomic.Pointer[repl.Replica]
+	// earlier is the last status of an earlier replica that had opened its store; nil if there is none.
+	earlier atomic.Pointer[repl.Status]
 	// receiver decodes the Raft messages from other keepers.
 	receiver mesh.Receiver
 }
@@ -51,6 +53,16 @@
 // currentReplica returns the running Raft replica; after a disk failure it is a new one.
 func (g *raftGroup) currentReplica() *repl.Replica { return g.replica.Load() }
 
+// status returns the status of the running Raft replica. A replica that has not opened its store, or fails at once, knows neither
+// itself nor the members; until then, the status is the last one of an earlier replica.
+func (g *raftGroup) status() repl.Status {
+	s := g.currentReplica().Status()
+	if earlier := g.earlier.Load(); s.ID.IsZero() && earlier != nil {
+		return *earlier
+	}
+	return s
+}
+
 // initReplica creates a Raft replica without starting it, so that requests that arrive before the start can wait for
 // it.
 func (g *raftGroup) initReplica() {
@@ -118,6 +130,8 @@
 	g.keeper.Log.Info("folder-opened", zap.String("disk", f.DiskID()))
 	r := g.currentReplica()
 	err = r.Run(ctx)
+	s := g.status()
+	g.earlier.Store(&s)
 	if isCorrupt(err) {
 		err = errors.Join(err, g.renewDiskID(err))
 	}
@@ -136,6 +150,10 @@
 	if err := g.keeper.folder.RenewDiskID(); err != nil {
 		return fmt.Errorf("renew the disk id: %w", err)
 	}
+	// With another disk, this process is no member, but those that it knows still are.
+	s := g.status()
+	s.ID = raft.ID{}
+	g.earlier.Store(&s)
 	return nil
 }
 
@@ -203,7 +221,7 @@
 func (g *raftGroup) loopJoin(ctx context.Context) error {
 	wasVoter := false
 	for serve.Sleep(ctx, joinRetryInterval) {
-		s := g.currentReplica().Status()
+		s := g.status()
 		isVoter := s.Members.IsVoter(s.ID)
 		if isVoter != wasVoter {
 			g.recordVoter(isVoter, s)
@@ -236,11 +254,10 @@
 // IsVoter reports whether this keeper, with its current disk, is a voter of the Raft group as far as it knows. The
 // repair of a keeper that lost its disk is complete only then, and the next keeper must not be replaced before.
 func (k *Keeper) IsVoter() bool {
-	r := k.group.currentReplica()
-	if r == nil {
+	if k.group.currentReplica() == nil {
 		return false
 	}
-	s := r.Status()
+	s := k.group.status()
 	return s.Members.IsVoter(s.ID)
 }
 
--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -152,7 +152,7 @@
 // memberAddresses returns the peer addresses of the Raft group's members.
 func (g *raftGroup) memberAddresses() []string {
 	var names []string
-	for _, id := range g.currentReplica().Status().Members.All() {
+	for _, id := range g.status().Members.All() {
 		names = append(names, id.Name)
 	}
 	return names
