Answer at once while a keeper's replica has failed

A keeper whose data folder could not be opened, such as one that starts for the first time on a full disk, let an operator's change wait for 3 s and a read for 0.9 s, while operators' clients try another keeper after a second. The replica never ran in that case, so nothing ended the requests in its queue: shutDown answers them only after Run. Each restart left such a queue behind.

Each replica of the group now has a context that ends when it has failed, also before it ran. A change is answered 503 with "was not stored and may be sent again" if it was not submitted; a read, also a relay's, is answered 503. Both are true and name no other cause. A change that was submitted before the failure is still answered as unknown.

--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -43,15 +43,43 @@
 // raftGroup is this process's membership in the Raft group of the keepers.
 type raftGroup struct {
 	keeper  *Keeper
-	replica atomic.Pointer[repl.Replica]
+	replica atomic.Pointer[groupReplica]
 	// earlier is the last status of an earlier replica that had opened its store; nil if there is none.
 	earlier atomic.Pointer[repl.Status]
 	// receiver decodes the Raft messages from other keepers.
 	receiver mesh.Receiver
 }
 
+// groupReplica is a Raft replica that runs once.
+type groupReplica struct {
+	*repl.Replica
+	// failed ends, by fail, when the replica has failed, possibly before it ran; requests to it are then answered at once.
+	failed context.Context
+	fail   context.CancelFunc
+}
+
+// propose proposes the data; it returns repl.ErrNotRun if the replica has failed, or fails before it submits them.
+func (r *groupReplica) propose(ctx context.Context, data []byte) (any, uint64, error) {
+	if r.failed.Err() != nil {
+		return nil, 0, fmt.Errorf("the replica has failed: %w", repl.ErrNotRun)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.failed, cancel)()
+	return r.Propose(ctx, data)
+}
+
+// confirm waits until this member has applied all that was acknowledged; it returns an error at once if the replica has failed.
+func (r *groupReplica) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.failed, cancel)()
+	_, err := r.ReadIndex(ctx)
+	return err
+}
+
 // currentReplica returns the running Raft replica; after a disk failure it is a new one.
-func (g *raftGroup) currentReplica() *repl.Replica { return g.replica.Load() }
+func (g *raftGroup) currentReplica() *groupReplica { return g.replica.Load() }
 
 // status returns the status of the running Raft replica. A replica that has not opened its store, or fails at once, knows neither
 // itself nor the members; until then, the status is the last one of an earlier replica.
@@ -72,9 +100,10 @@
 
 // newReplica returns a Raft replica that is not started. On the first start of the system it bootstraps the Raft group
 // from the seeds.
-func (g *raftGroup) newReplica() *repl.Replica {
+func (g *raftGroup) newReplica() *groupReplica {
 	k := g.keeper
-	r := &repl.Replica{
+	failed, fail := context.WithCancel(context.Background())
+	r := &groupReplica{failed: failed, fail: fail, Replica: &repl.Replica{
 		Name:           k.PeerAddress,
 		Store:          &store.Store{Folder: k.folder, Group: groupName},
 		Machine:        &k.machine,
@@ -84,7 +113,7 @@
 		KeepEntries:    keepEntries,
 		LogBytes:       k.logBytes(),
 		Log:            k.Log,
-	}
+	}}
 	if k.Bootstrap {
 		r.Bootstrap = form.BootstrapMembers(k.PeerAddress, k.Seeds())
 	}
@@ -99,6 +128,7 @@
 func (g *raftGroup) loop(ctx context.Context) error {
 	for {
 		err := g.runOnce(ctx)
+		g.currentReplica().fail()
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/io/keeper/machine.go
+++ b/io/keeper/machine.go
@@ -30,7 +30,7 @@
 	// ErrUnavailable means that no quorum of keepers confirmed in time; a new configuration may or may not take effect
 	// later.
 	ErrUnavailable = eris.New("no quorum of keepers has confirmed in time")
-	// ErrNotStored means that a configuration was not passed on, since a keeper's disk has no room for it or too much
+	// ErrNotStored means that a configuration was not passed on, since a keeper's disk fails or has no room for it, or too much
 	// waits; it will not take effect and may be sent again.
 	ErrNotStored = eris.New("the configuration was not stored and may be sent again")
 	// ErrNoConfiguration means that no configuration was ever stored.
@@ -130,7 +130,7 @@
 			return nil
 		}
 	}
-	result, index, err := k.group.currentReplica().Propose(ctx, data)
+	result, index, err := k.group.currentReplica().propose(ctx, data)
 	if err != nil {
 		if errors.Is(err, repl.ErrNoSpace) || errors.Is(err, repl.ErrNotRun) {
 			k.Log.Warn("state-not-stored", zap.Uint64("version", s.Version), zap.Int("bytes", len(data)), zap.Error(err))
@@ -164,7 +164,7 @@
 func (k *Keeper) confirmApplied(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if _, err := k.group.currentReplica().ReadIndex(ctx); err != nil {
+	if err := k.group.currentReplica().confirm(ctx); err != nil {
 		return fmt.Errorf("confirm with a quorum: %w", err)
 	}
 	return nil
