Keep relays in the directory that leave a keeper without a leader

When the leader's disk filled beside changes, the directories of all keepers named no relay for about a second (503 "no relay has reported yet" to callers), while the relays served. Relays leave a keeper that can't confirm the configuration. The keeper took the closed link for the end of the relay's process and told all others so, and the relays could report to none before a new leader was elected.

A closed link says so only while the keeper can confirm. If it has had no leader since the longest wait for a confirmation, it now logs relay-left and leaves the rest to the lifetime of the relay's last report. The price: a relay that is killed at such a moment stays in the directory for up to 3.5 s instead of 0.2 s.

--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -19,6 +19,9 @@
 	// relayLifetime is how long after its last report a relay's address is given to callers: the time of three reports.
 	// A relay whose link closes is removed at once.
 	relayLifetime = 3500 * time.Millisecond
+	// leaveTime is how long after this keeper had no leader relays may still leave it: they wait for a confirmation, and their
+	// closed links are found at the next search.
+	leaveTime = readTimeout + rosterCheckInterval
 )
 
 // relayRoster tracks which relays callers may use, by the relays' reports. Each keeper forwards the reports of its
@@ -30,6 +33,8 @@
 	table member.RouterTable
 	// links holds the last report of each relay that is connected to this keeper.
 	links map[*wire.Link]wire.Report
+	// leaderlessAt is when a search for disconnected relays last found this keeper without a leader.
+	leaderlessAt time.Time
 }
 
 // initRoster initialises a keeper's roster of the relays that callers may use.
@@ -74,13 +79,24 @@
 }
 
 // dropDisconnectedRelays removes relays whose link to this keeper closed until they report again over another link. The
-// link of a killed process closes at once, so callers need not wait for relayLifetime to pass.
+// link of a killed process closes at once, so callers need not wait for relayLifetime to pass. But relays also leave a keeper
+// without a leader, which can't confirm the configuration, and may find no other for a while; then only relayLifetime counts.
 func (s *relayRoster) dropDisconnectedRelays() {
 	var closed []*wire.Link
 	s.mu.Lock()
+	now := s.keeper.Clock.Now()
+	if s.keeper.group.status().Leader.IsZero() {
+		s.leaderlessAt = now
+	}
+	mayLeave := now.Sub(s.leaderlessAt) <= leaveTime
 	for l := range s.links {
 		select {
 		case <-l.Done():
+			if mayLeave {
+				s.keeper.Log.Info("relay-left", zap.String("relay", l.Name))
+				delete(s.links, l)
+				continue
+			}
 			closed = append(closed, l)
 		default:
 		}
