--- a/io/keeper/group.go
+++ b/io/keeper/group.go
@@ -43,26 +43,67 @@
 // raftGroup is this process's membership in the Raft group of the keepers.
 type raftGroup struct {
 	keeper  *Keeper
-	replica atomic.Pointer[repl.Replica]
+	replica atomic.Pointer[groupReplica]
+	// earlier is the last status of an earlier replica that had opened its store; nil if there is none.
+	earlier atomic.Pointer[repl.Status]
 	// receiver decodes the Raft messages from other keepers.
 	receiver mesh.Receiver
 }
 
+// groupReplica is a Raft replica that runs once.
+type groupReplica struct {
+	*repl.Replica
+	// failed ends, by fail, when the replica has failed, possibly before it ran; requests to it are then answered at once.
+	failed context.Context
+	fail   context.CancelFunc
+}
+
+// propose proposes the data; it returns repl.ErrNotRun if the replica has failed, or fails before it submits them.
+func (r *groupReplica) propose(ctx context.Context, data []byte) (any, uint64, error) {
+	if r.failed.Err() != nil {
+		return nil, 0, fmt.Errorf("the replica has failed: %w", repl.ErrNotRun)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.failed, cancel)()
+	return r.Propose(ctx, data)
+}
+
+// confirm waits until this member has applied all that was acknowledged; it returns an error at once if the replica has failed.
+func (r *groupReplica) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.failed, cancel)()
+	_, err := r.ReadIndex(ctx)
+	return err
+}
+
 // currentReplica returns the running Raft replica; after a disk failure it is a new one.
-func (g *raftGroup) currentReplica() *repl.Replica { return g.replica.Load() }
+func (g *raftGroup) currentReplica() *groupReplica { return g.replica.Load() }
+
+// status returns the status of the running Raft replica. A replica that has not opened its store, or fails at once, knows neither
+// itself nor the members; until then, the status is the last one of an earlier replica.
+func (g *raftGroup) status() repl.Status {
+	s := g.currentReplica().Status()
+	if earlier := g.earlier.Load(); s.ID.IsZero() && earlier != nil {
+		return *earlier
+	}
+	return s
+}
 
 // initReplica creates a Raft replica without starting it, so that requests that arrive before the start can wait for
 // it.
 func (g *raftGroup) initReplica() {
-	g.keeper.folder = &store.Folder{Path: g.keeper.DataDir, Disk: store.SizedDisk{Bytes: g.keeper.DiskBytes}}
+	g.keeper.folder = &store.Folder{Path: g.keeper.DataDir, Disk: g.keeper.disk()}
 	g.replica.Store(g.newReplica())
 }
 
 // newReplica returns a Raft replica that is not started. On the first start of the system it bootstraps the Raft group
 // from the seeds.
-func (g *raftGroup) newReplica() *repl.Replica {
+func (g *raftGroup) newReplica() *groupReplica {
 	k := g.keeper
-	r := &repl.Replica{
+	failed, fail := context.WithCancel(context.Background())
+	r := &groupReplica{failed: failed, fail: fail, Replica: &repl.Replica{
 		Name:           k.PeerAddress,
 		Store:          &store.Store{Folder: k.folder, Group: groupName},
 		Machine:        &k.machine,
@@ -72,7 +113,7 @@
 		KeepEntries:    keepEntries,
 		LogBytes:       k.logBytes(),
 		Log:            k.Log,
-	}
+	}}
 	if k.Bootstrap {
 		r.Bootstrap = form.BootstrapMembers(k.PeerAddress, k.Seeds())
 	}
@@ -87,6 +128,7 @@
 func (g *raftGroup) loop(ctx context.Context) error {
 	for {
 		err := g.runOnce(ctx)
+		g.currentReplica().fail()
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -118,6 +160,8 @@
 	g.keeper.Log.Info("folder-opened", zap.String("disk", f.DiskID()))
 	r := g.currentReplica()
 	err = r.Run(ctx)
+	s := g.status()
+	g.earlier.Store(&s)
 	if isCorrupt(err) {
 		err = errors.Join(err, g.renewDiskID(err))
 	}
@@ -136,6 +180,10 @@
 	if err := g.keeper.folder.RenewDiskID(); err != nil {
 		return fmt.Errorf("renew the disk id: %w", err)
 	}
+	// With another disk, this process is no member, but those that it knows still are.
+	s := g.status()
+	s.ID = raft.ID{}
+	g.earlier.Store(&s)
 	return nil
 }
 
@@ -203,7 +251,7 @@
 func (g *raftGroup) loopJoin(ctx context.Context) error {
 	wasVoter := false
 	for serve.Sleep(ctx, joinRetryInterval) {
-		s := g.currentReplica().Status()
+		s := g.status()
 		isVoter := s.Members.IsVoter(s.ID)
 		if isVoter != wasVoter {
 			g.recordVoter(isVoter, s)
@@ -236,11 +284,10 @@
 // IsVoter reports whether this keeper, with its current disk, is a voter of the Raft group as far as it knows. The
 // repair of a keeper that lost its disk is complete only then, and the next keeper must not be replaced before.
 func (k *Keeper) IsVoter() bool {
-	r := k.group.currentReplica()
-	if r == nil {
+	if k.group.currentReplica() == nil {
 		return false
 	}
-	s := r.Status()
+	s := k.group.status()
 	return s.Members.IsVoter(s.ID)
 }
 
