End a relay that has lost one of its listeners

Callers saw nothing but refused connections: the relay had closed its listeners and its process stayed, so that nothing started it again.

Cause: the run group interrupts all of its members when one returns, and waits for each. The member that waits for the stop signal ignored the interrupt, so a failure of the listener for readiness checks or for callers left a process that neither served nor exited until SIGTERM.

Ruled out: the other processes add all of their loops with AddLoop, which ends them.

The wait is now added with AddLoop as well. The wait within a drain goes by the same context, so a failure during a drain ends it too.

--- a/io/relay/cut_test.go
+++ b/io/relay/cut_test.go
@@ -81,7 +81,7 @@
 	serve.AddHTTPServer(&group, front, callers, r.drain.answerTime)
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
-	group.Add(func() error { return r.drain.run(ctx) }, func(error) {})
+	group.Add(func() error { return r.drain.run(r.ctx, ctx) }, func(error) {})
 	go func() { defer close(g.ended); _ = group.Run() }()
 	t.Cleanup(func() { stop(); <-g.ended })
 	return g
--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -144,18 +145,20 @@
 	return d.runTimes.Estimate(k, kind == state.Safe, deadline.Sub(now), now) <= left
 }
 
-// run waits for the stop signal, and then until the last caller's request has ended or the platform is about to kill
-// the process.
-func (d *drain) run(stop context.Context) error {
-	<-stop.Done()
+// run waits until stop ends with the stop signal, and then until the last caller's request has ended or the platform is about
+// to kill the process. It returns early when ctx ends because a part of the relay has failed.
+func (d *drain) run(ctx, stop context.Context) error {
+	select {
+	case <-stop.Done():
+	case <-ctx.Done():
+		return fmt.Errorf("wait for the stop signal: %w", ctx.Err())
+	}
 	d.mu.Lock()
 	d.startedAt = d.relay.Clock.Now()
 	inFlight := d.inFlight
 	d.mu.Unlock()
 	d.relay.Log.Info("drain-started", zap.Int("running", inFlight))
 	d.relay.feed.sendReport()
-	// The wait below is part of the shutdown, so it must not use the context whose end started it.
-	ctx := d.relay.ctx
 	for serve.Sleep(ctx, drainCheckInterval) {
 		elapsed := d.relay.Clock.Now().Sub(d.startedAt)
 		if elapsed > d.acceptWindow() && d.inFlightCount() == 0 || elapsed > d.relay.StopGrace-killMargin {
--- a/io/relay/drain_test.go
+++ b/io/relay/drain_test.go
@@ -50,7 +50,7 @@
 		if c.running {
 			r.drain.requestStarted()
 		}
-		if err := r.drain.run(stopped); !errors.Is(err, errDrained) {
+		if err := r.drain.run(t.Context(), stopped); !errors.Is(err, errDrained) {
 			t.Fatal(err)
 		}
 		if !c.running {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -229,7 +229,7 @@
 	serve.AddLoop(ctx, &g, r.pool.loop)
 	serve.AddLoop(ctx, &g, r.callers.loop)
 	serve.AddLoop(ctx, &g, r.loopAnnouncements)
-	g.Add(func() error { return r.drain.run(stop) }, func(error) {})
+	serve.AddLoop(ctx, &g, func(ctx context.Context) error { return r.drain.run(ctx, stop) })
 	err = g.Run()
 	if errors.Is(err, errDrained) {
 		err = nil
