Answer the requests of a relay when a part of it fails

Callers saw their connection end without an answer, also for requests that had been sent to an endpoint: a listener of the relay had failed, such as the one for readiness checks, and the server for callers closed at once.

Cause: the server answered requests in progress only after a planned stop. At any other end of the run group its answer time was zero.

Evidence: TestRelayAnswersAndExitsWhenListenerFails ends the listening socket for callers or for readiness checks under two running requests. Before, all four ended with EOF after about 11 ms; now each gets 502. TestRequestsAreAnsweredWithoutDrain did not end before, as nothing ended its request; with the fix it passes. Ruled out: routers end their requests by themselves (TestPlannedStop in io/itest plays a second signal), keepers and control processes answer for a second at each end, and a second SIGTERM is ignored by relays and keepers, whose first one has ended the loop that handles signals (from reading).

At such an end, the relay now ends its requests as at the end of a grace period, refuses new ones and answers for at most a second. TestRequestAtEndOfDrainIsAnswered no longer expects an answer time of zero before the end of a drain, which was this fault; the new test checks the time, the end of the request and the refusal instead.

--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -49,7 +49,8 @@
 	startedAt time.Time
 	// inFlight is the number of requests that are being served.
 	inFlight int
-	// finished is true once the shutdown has ended, because no request was left or by the grace period.
+	// finished is true once the shutdown has ended, because no request was left, by the grace period, or because a part of the
+	// relay has failed.
 	finished bool
 	// runTimes are the times that requests with one message as the response have recently taken.
 	runTimes place.RunTimes
@@ -93,13 +94,19 @@
 	return d.inFlight
 }
 
-// answerTime returns the time for which the server for callers must answer requests before it closes; zero unless the
-// shutdown has ended. Requests that arrive after that are refused at once, and those that still run are answered.
+// answerTime returns the time for which the server for callers must answer requests before it closes. Requests that arrive
+// after that are refused at once, and those that still run are answered. If the shutdown has not ended, a part of the relay has
+// failed, and the requests end as at its end.
 func (d *drain) answerTime() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.finished {
-		return 0
+		d.finished = true
+		d.cutRequests()
+		d.relay.Log.Error("drain-skipped", zap.Int("running", d.inFlight))
+	}
+	if d.startedAt.IsZero() {
+		return serve.ShutdownTimeout
 	}
 	left := d.relay.StopGrace - exitMargin - d.relay.Clock.Now().Sub(d.startedAt)
 	return min(serve.ShutdownTimeout, left)
@@ -123,7 +130,7 @@
 func (d *drain) refusesNewRequest(stream bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.startedAt.IsZero() && (stream || d.relay.Clock.Now().Sub(d.startedAt) > d.acceptWindow())
+	return d.finished || !d.startedAt.IsZero() && (stream || d.relay.Clock.Now().Sub(d.startedAt) > d.acceptWindow())
 }
 
 // recordRunTime records how long a request ran that has ended.
