Hold a header that was read ahead to the header limit

Callers that send the first bytes of a request together with the one before lost it beside a stop: the server closed the connection after 0.1 s as idle, although a request whose first bytes come by themselves is awaited for the whole answer time. The relay's check of time limits also held such a header to the idle limit.

Cause: net/http may read bytes of the next request into its buffer. The table of connections goes by the reads, and saw none for these bytes.

Evidence: TestRequestReadWithFormerOneIsAnsweredAtShutdown sends one byte, ten bytes and a whole line with the first request, and the rest 0.3 s after the listener has closed. Before, all three got EOF; now they are answered. Ruled out: bytes that come while the request before is served are already counted (setPhase and readAhead).

Why it works: as a connection becomes idle, net/http sets a read deadline, peeks four bytes and sets the next one. With four bytes or more in its buffer the second deadline follows without a read; with fewer, the read asks for less than an empty buffer. Both now end the idle phase, and the header's time runs from the end of the response.

--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -196,6 +196,9 @@
 	lateWriteUsed atomic.Bool
 	// readAhead is true if a byte of the next request was read while the current one is served.
 	readAhead bool
+	// bufferSize is the size in bytes of net/http's empty read buffer, and deadlines the number of read deadlines that were set
+	// in the phase.
+	bufferSize, deadlines int
 	// waiting is true while a read waits for bytes. As long as the header of a request is being read, the bytes that the
 	// server has got are then no whole header.
 	waiting bool
@@ -207,7 +210,7 @@
 // Read reads from the connection. Bytes that arrive when the connection has been closed for a limit are dropped, so that
 // no request of which the client gets no response is served.
 func (c *clientConn) Read(p []byte) (int, error) {
-	c.setWaiting()
+	c.beginRead(len(p))
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -262,11 +265,30 @@
 // SyscallConn returns the raw connection, or an error if the connection is no socket of the operating system.
 func (c *clientConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
 
-// setWaiting records that a read waits for bytes.
-func (c *clientConn) setWaiting() {
+// beginRead records that a read of at most n bytes waits for bytes. A read for less than an empty buffer means that net/http
+// has read the first bytes of the request together with the request before.
+func (c *clientConn) beginRead(n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = true
+	if c.bufferSize == 0 {
+		c.bufferSize = n
+	}
+	if c.phase == phaseIdle && n < c.bufferSize {
+		c.phase = phaseReceiving
+	}
+}
+
+// SetReadDeadline sets the time at which reads fail. net/http sets one as a connection becomes idle, and the next one when it
+// has bytes of a request, which it may have read together with the request before.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.deadlines++
+	if c.phase == phaseIdle && c.deadlines > 1 {
+		c.phase = phaseReceiving
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // the caller adds the context
 }
 
 // setPhase records the beginning of a phase and the limit on idle connections, which is not below the announced one.
@@ -276,7 +298,7 @@
 	if p == phaseIdle && c.readAhead {
 		p = phaseReceiving
 	}
-	c.readAhead = false
+	c.readAhead, c.deadlines = false, 0
 	c.phase, c.since, c.idleLimit = p, c.table.Clock.Now(), max(idleLimit, c.promisedIdle)
 	c.promisedIdle = 0
 }
--- a/io/serve/shutdown_test.go
+++ b/io/serve/shutdown_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -217,3 +218,26 @@
 		t.Errorf("the stream ended with %v", err)
 	}
 }
+
+// Guards against a request that is dropped early in a shutdown because its first bytes were read together with the request before.
+func TestRequestReadWithFormerOneIsAnsweredAtShutdown(t *testing.T) {
+	for name, first := range map[string]int{"one byte": 1, "ten bytes": 10, "a whole line": strings.Index(wholeRequest, "Host")} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, stop, ended := runServer(t, func(http.ResponseWriter, *http.Request) {}, time.Minute)
+			c := dial(t, l, wholeRequest+wholeRequest[:first])
+			responses := bufio.NewReader(c)
+			if _, err := http.ReadResponse(responses, nil); err != nil {
+				t.Fatal(err)
+			}
+			stop()
+			<-l.closed
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(c, wholeRequest[first:])
+			if _, err := http.ReadResponse(responses, nil); err != nil {
+				t.Errorf("the request got no response: %v", err)
+			}
+			<-ended
+		})
+	}
+}
