Announce the idle limit of routers, keepers and control processes

Callers of our own interface were not told when a router closes an idle connection, so one that kept connections for longer could send a request just as its connection was closed, and get no answer.

Cause: only the relay announced its limit; the writer that does so was part of the relay.

Evidence: TestRouterAnnouncesIdleLimit failed (no Keep-Alive header) and now gets timeout=96, four fifths of the 2 minutes; a draining router announces the close only. Ruled out: the limit of these servers is fixed, so that it can't fall below what was announced.

The writer moves to io/serve, and each server that has an idle limit uses it. A response whose handler writes nothing has no announcement.

--- a/io/relay/callers.go
+++ b/io/relay/callers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,9 +15,6 @@
 // callerCheckInterval is the time between two checks of the callers' connections for exceeded time limits.
 const callerCheckInterval = 500 * time.Millisecond
 
-// idleMarginShare is the part, as a divisor, of the limit on idle connections that callers are not told of.
-const idleMarginShare = 5
-
 // callerConns enforces the configuration's time limits on callers' connections. The limits can change while a
 // connection is open, so net/http's own fixed timeouts do not suffice.
 type callerConns struct {
@@ -53,46 +49,11 @@
 // announceLimits returns a handler that calls h with a response writer which announces the limit on idle connections.
 func (c *callerConns) announceLimits(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.ServeHTTP(&limitWriter{ResponseWriter: w, table: &c.table, conn: serve.ConnOf(r.Context())}, r)
+		nc := serve.ConnOf(r.Context())
+		h.ServeHTTP(serve.AnnounceIdleLimit(w, func() time.Duration { return c.table.PromiseIdle(nc) }), r)
 	})
 }
 
-// limitWriter is a response writer that tells the caller in the response header how long its connection may stay idle.
-type limitWriter struct {
-	http.ResponseWriter
-	table *serve.ConnTable
-	conn  net.Conn
-	// headerSent is true once the header of the final response was sent.
-	headerSent bool
-}
-
-// Unwrap returns the underlying response writer to http.ResponseController.
-func (w *limitWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// WriteHeader sends the response header. Without an announcement that the connection closes, it announces the limit less
-// a margin for a request that is on its way, in whole seconds, unless that is less than a second.
-func (w *limitWriter) WriteHeader(status int) {
-	if status >= http.StatusOK && !w.headerSent {
-		w.headerSent = true
-		if h := w.Header(); h.Get("Connection") == "" {
-			limit := w.table.PromiseIdle(w.conn)
-			if seconds := int64((limit - limit/idleMarginShare) / time.Second); seconds > 0 {
-				h.Set("Connection", "keep-alive")
-				h.Set("Keep-Alive", "timeout="+strconv.FormatInt(seconds, 10))
-			}
-		}
-	}
-	w.ResponseWriter.WriteHeader(status)
-}
-
-// Write sends a part of the response body.
-func (w *limitWriter) Write(p []byte) (int, error) {
-	if !w.headerSent {
-		w.WriteHeader(http.StatusOK)
-	}
-	return w.ResponseWriter.Write(p) //nolint:wrapcheck // the caller of the writer wraps the error
-}
-
 // reportClosedInUse logs and counts the end of a request on whose connection the relay enforced a time limit, so that its
 // caller got no answer.
 func (c *callerConns) reportClosedInUse(q *request) {
--- a/io/serve/shutdown.go
+++ b/io/serve/shutdown.go
@@ -67,11 +67,15 @@
 	return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
 }
 
-// serveRequest serves a request; during the graceful shutdown, the response ends the connection.
+// serveRequest serves a request. The response announces the server's limit on idle connections, if it has one; during the
+// graceful shutdown, it ends the connection.
 func (s *httpServer) serveRequest(w http.ResponseWriter, r *http.Request) {
 	if s.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.IdleTimeout > 0 {
+		w = AnnounceIdleLimit(w, func() time.Duration { return s.IdleTimeout })
+	}
 	s.handler.ServeHTTP(w, r)
 }
 
