--- a/io/relay/callers_test.go
+++ b/io/relay/callers_test.go
@@ -511,3 +511,28 @@
 		t.Error("without a configuration, nothing limits the idle time")
 	}
 }
+
+// Guards against a request that is lost when, as it arrives, its route is dropped, the idle limit falls and the relay begins to stop.
+func TestRequestDuringChangeAndStopIsAnswered(t *testing.T) {
+	for _, moment := range []string{asBytesArrive, asHeaderIsRead} {
+		t.Run(moment, func(t *testing.T) {
+			g := newCallerRig(t)
+			g.initRelay()
+			g.handler = g.relay
+			g.sendFirst()
+			g.hooks.Store(&callerHook{moment: moment, f: func(*hookedConn) {
+				g.setLimits(3*time.Second, time.Second)
+				g.relay.drain.mu.Lock()
+				g.relay.drain.startedAt = g.clock.Now()
+				g.relay.drain.mu.Unlock()
+				g.check(12 * time.Second) // the time that the first response has announced
+			}})
+			if !g.send(plainRequest) {
+				t.Error("the request got no response")
+			}
+			if g.hooks.Load() != nil {
+				t.Error("the moment was not reached")
+			}
+		})
+	}
+}
