Let requests end for a moment when a part of the relay fails

Callers saw 502 for requests that their endpoint would have answered within the second for which the failed relay still answers, since all were cut at its beginning; and the relay said for that second that it is ready.

The requests are now cut 0.2 s before the end of the answer time, as in the other processes (serve.EndRequests), and the relay is not ready and announces that connections close. TestRequestsAreAnsweredWithoutDrain checks both; it failed before on the readiness, and looks for a request that ends at once 0.1 s later.

--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -96,27 +96,27 @@
 
 // answerTime returns the time for which the server for callers must answer requests before it closes. Requests that arrive
 // after that are refused at once, and those that still run are answered. If the shutdown has not ended, a part of the relay has
-// failed, and the requests end as at its end.
+// failed, and the requests may still end within the answer time.
 func (d *drain) answerTime() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.finished {
-		d.finished = true
-		d.cutRequests()
-		d.relay.Log.Error("drain-skipped", zap.Int("running", d.inFlight))
+	timeout := serve.ShutdownTimeout
+	if !d.startedAt.IsZero() {
+		timeout = min(timeout, d.relay.StopGrace-exitMargin-d.relay.Clock.Now().Sub(d.startedAt))
 	}
-	if d.startedAt.IsZero() {
-		return serve.ShutdownTimeout
+	if d.finished {
+		return timeout
 	}
-	left := d.relay.StopGrace - exitMargin - d.relay.Clock.Now().Sub(d.startedAt)
-	return min(serve.ShutdownTimeout, left)
+	d.finished = true
+	d.relay.Log.Error("drain-skipped", zap.Int("running", d.inFlight))
+	return serve.EndRequests(timeout, d.cutRequests)()
 }
 
-// hasStarted reports whether the relay's graceful shutdown has started.
+// hasStarted reports whether the relay's graceful shutdown has started, or was skipped because a part of the relay has failed.
 func (d *drain) hasStarted() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.startedAt.IsZero()
+	return d.finished || !d.startedAt.IsZero()
 }
 
 // acceptWindow returns the time after the stop signal in which a relay still accepts new requests.
--- a/io/relay/drain_test.go
+++ b/io/relay/drain_test.go
@@ -82,6 +82,13 @@
 		if got := r.drain.answerTime(); got != c.want {
 			t.Errorf("%s: the server answers for %v, want %v", name, got, c.want)
 		}
+		time.Sleep(100 * time.Millisecond)
+		if !c.draining && ctx.Err() != nil {
+			t.Errorf("%s: a request ends at once, though it may be served within the answer time", name)
+		}
+		if !r.drain.hasStarted() {
+			t.Errorf("%s: the relay still counts as ready", name)
+		}
 		// The cause is set by another goroutine.
 		for began := time.Now(); ctx.Err() == nil && time.Since(began) < 10*time.Second; {
 			time.Sleep(time.Millisecond)
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -336,7 +336,7 @@
 	dir := t.TempDir()
 	path := filepath.Join(dir, "target")
 	requireNoError(t, os.MkdirAll(filepath.Join(path, "not-empty"), folderMode))
-	if err := writeFileAtomic(SizedDisk{}, path, []byte("data")); err == nil {
+	if err := WriteFileAtomic(SizedDisk{}, path, []byte("data")); err == nil {
 		t.Fatal("a folder was replaced by a file")
 	}
 	if _, err := os.Stat(path + tempSuffix); !errors.Is(err, os.ErrNotExist) {
