Notice a caller that closes its connection behind an unread upload

What callers saw: none saw it. A caller that closed its connection, without a reset, in the middle of an upload that its endpoint did not read was noticed only at the deadline if its data did not fit into the relay's receive buffer.

Cause: the FIN stays in the caller's kernel behind data that nobody reads. The orphaned socket answers keep-alive and zero-window probes (still there after 75 s in a trial), so the relay's socket looks established.

Change: while the write of an upload to the endpoint is blocked, the relay sends the nine bytes with which any response begins, one at a time, and leaves them out of the response. Data that arrive at a closed socket are refused with a reset, whatever it has not sent; a byte that the caller has not read makes its later close a reset. The write needs no socket option and no memory. The log has upload-stalled with the endpoint.

What does not hold: a caller that reads while it sends, after the upload has stood still for 3 s.

The case of a reset in TestUploadEndsWithCallerAndDeadline uses a route with 10 s instead of 1 s, so that the deadline can't end it; TestEndlessForwardedResponses shares its meter of the heap with the new test, its bounds are the same.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -373,14 +373,30 @@
 	return true, nil
 }
 
-// uploadCheckInterval is the time between two checks whether the caller of an upload has closed its connection.
-const uploadCheckInterval = 100 * time.Millisecond
+const (
+	// uploadCheckInterval is the time between two checks whether the caller of an upload has closed its connection.
+	uploadCheckInterval = 100 * time.Millisecond
+	// uploadProbeInterval is the time without progress of an upload, or since the last probe, after which its caller is probed.
+	uploadProbeInterval = 250 * time.Millisecond
+	// uploadProbeWait is the time after a probe within which the caller's kernel refuses it.
+	uploadProbeWait = 20 * time.Millisecond
+)
 
 // bodyUpload sends an unbuffered request body to the endpoint while the response is being read.
 type bodyUpload struct {
 	request  *request
 	conn     *endpointConn
 	outgoing *outgoingRequest
+	// blockedSince is when the write to the endpoint that is in progress began, as a time since the start of the process in
+	// nanoseconds; 0 if there is none.
+	blockedSince atomic.Int64
+}
+
+// Write sends a part of the body to the endpoint.
+func (u *bodyUpload) Write(p []byte) (int, error) {
+	u.blockedSince.Store(int64(u.request.relay.uptime()))
+	defer u.blockedSince.Store(0)
+	return u.conn.Write(p) //nolint:wrapcheck // the caller adds the context
 }
 
 // run sends the request body to the endpoint. A failure is only logged, because it also shows in the endpoint's
@@ -397,15 +413,26 @@
 }
 
 // loopWatchCaller ends the request when its caller closes the connection, until ctx ends. net/http notices that only at the end of
-// what the caller has sent, which stays unread while the endpoint does not read.
+// what the caller has sent, which stays unread while the endpoint does not read. If not all of that fits into the socket's buffer,
+// the end does not even reach the relay, and only a probe shows it.
 func (u *bodyUpload) loopWatchCaller(ctx context.Context) {
 	defer u.request.relay.guard.Recover("upload-watch")
 	nc := serve.ConnOf(u.request.r.Context())
-	for serve.Sleep(ctx, uploadCheckInterval) {
+	var probedAt time.Duration
+	for wait := uploadCheckInterval; serve.Sleep(ctx, wait); {
 		if serve.HasPeerClosed(nc) {
 			u.request.cancel(errCallerDisconnected)
 			return
 		}
+		wait = uploadCheckInterval
+		now, since := u.request.relay.uptime(), time.Duration(u.blockedSince.Load())
+		if since != 0 && now-max(since, probedAt) >= uploadProbeInterval {
+			if probedAt == 0 {
+				u.request.log.Info("upload-stalled", zap.String("endpoint", u.conn.endpoint.ID), zap.Duration("for", now-since))
+			}
+			serve.ProbeClient(u.request.r)
+			probedAt, wait = now, uploadProbeWait
+		}
 	}
 }
 
@@ -422,19 +449,19 @@
 // sendBody copies the request body to the endpoint's connection, with chunked encoding if its length is not known.
 func (u *bodyUpload) sendBody() error {
 	if u.outgoing.contentLength >= 0 {
-		if _, err := io.Copy(u.conn, u.outgoing.bodyReader); err != nil {
+		if _, err := io.Copy(u, u.outgoing.bodyReader); err != nil {
 			return fmt.Errorf("send the body: %w", err)
 		}
 		return nil
 	}
-	w := httputil.NewChunkedWriter(u.conn)
+	w := httputil.NewChunkedWriter(u)
 	if _, err := io.Copy(w, u.outgoing.bodyReader); err != nil {
 		return fmt.Errorf("send the body: %w", err)
 	}
 	if err := w.Close(); err != nil {
 		return fmt.Errorf("end the body: %w", err)
 	}
-	if _, err := io.WriteString(u.conn, "\r\n"); err != nil {
+	if _, err := io.WriteString(u, "\r\n"); err != nil {
 		return fmt.Errorf("end the body: %w", err)
 	}
 	return nil
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -68,6 +70,9 @@
 	routes = append(routes, state.Route{
 		Name: "paused", Host: "h", Prefix: "/paused", Kind: state.Stream, Timeout: 10 * time.Second, MaxAttempts: 3, Resumable: true,
 		Shares: []state.ServiceShare{{Service: "s", Weight: 1}},
+	}, state.Route{
+		Name: "upload", Host: "h", Prefix: "/upload", Kind: state.Unsafe, Timeout: 10 * time.Second, MaxAttempts: 1,
+		Shares: []state.ServiceShare{{Service: "s", Weight: 1}},
 	}, state.Route{
 		Name: "sound", Host: "h", Prefix: "/sound", Kind: state.Unsafe, Timeout: 5 * time.Second, MaxAttempts: 1,
 		Shares: []state.ServiceShare{{Service: "sound", Weight: 1}},
@@ -157,10 +162,8 @@
 
 // endlessBody sends a large body without end until the relay closes the connection.
 func endlessBody(c net.Conn, header string) {
-	_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 1000000000\r\n\r\n")
-	for chunk := make([]byte, 32<<10); err == nil; {
-		_, err = c.Write(chunk)
-	}
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 1000000000\r\n\r\n")
+	_ = sendUntilError(c)
 }
 
 // silentAfter returns a script that sends the first bytes of a body and then nothing.
@@ -254,10 +257,8 @@
 // the request.
 func TestLargeErrorResponseIsClosedOnRetry(t *testing.T) {
 	g := newForwardRig(t, func(c net.Conn, header string) {
-		_, err := io.WriteString(c, "HTTP/1.1 500 Failed\r\n"+header+"Content-Length: 1000000000\r\n\r\n")
-		for chunk := make([]byte, 32<<10); err == nil; {
-			_, err = c.Write(chunk)
-		}
+		_, _ = io.WriteString(c, "HTTP/1.1 500 Failed\r\n"+header+"Content-Length: 1000000000\r\n\r\n")
+		_ = sendUntilError(c)
 	})
 	req := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/safe", http.NoBody)
 	q := &request{
@@ -288,11 +289,7 @@
 		unread := make(chan struct{})
 		g := newForwardRig(t, func(net.Conn, string) { <-unread })
 		defer close(unread)
-		c := g.send(header)
-		_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
-		if n, err := c.Write(make([]byte, 64<<20)); err == nil {
-			t.Fatalf("all %d bytes were sent", n)
-		}
+		c := g.fillUpload()
 		_ = c.SetLinger(0)
 		_ = c.Close()
 		g.within(g.handled, maxEndDelay, "the handler ends")
@@ -318,6 +315,54 @@
 	}
 }
 
+// uploadHeader is the header of a long upload to the endpoint of the rig's script.
+const uploadHeader = "POST /upload HTTP/1.1\r\nHost: h\r\nX-Id: r\r\nContent-Length: 1000000000\r\n\r\n"
+
+// fillUpload sends the header of an upload, and as much of its body as the sockets hold while the endpoint does not read.
+func (g *forwardRig) fillUpload() *net.TCPConn {
+	g.t.Helper()
+	c := g.send(uploadHeader)
+	_ = c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+	if err := sendUntilError(c); !errors.Is(err, os.ErrDeadlineExceeded) {
+		g.t.Fatal(err)
+	}
+	return c
+}
+
+// sendUntilError sends bytes until the connection takes no more of them.
+func sendUntilError(c net.Conn) (err error) {
+	for chunk := make([]byte, 32<<10); err == nil; {
+		_, err = c.Write(chunk)
+	}
+	return err
+}
+
+// Guards against an endpoint that does not read an upload and is left only at the deadline, although the caller has closed its
+// connection: the end of it then waits in the caller's kernel behind bytes that nobody reads.
+func TestUploadThatNobodyReadsEndsWithCaller(t *testing.T) {
+	for name, x := range map[string]struct {
+		callerReads bool
+		leavesAfter time.Duration
+	}{
+		"at once": {false, 0}, "later": {false, 4 * time.Second},
+		"at once, caller reads": {true, 0}, "later, caller reads": {true, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			unread := make(chan struct{})
+			g := newForwardRig(t, func(net.Conn, string) { <-unread })
+			defer close(unread)
+			c := g.fillUpload()
+			if x.callerReads {
+				go func() { _, _ = io.Copy(io.Discard, c) }()
+			}
+			time.Sleep(x.leavesAfter)
+			_ = c.Close()
+			g.within(g.handled, maxEndDelay, "the handler ends")
+		})
+	}
+}
+
 // neverEnding is a body without end that is sent in pieces with pauses.
 type neverEnding struct{}
 
@@ -328,22 +373,64 @@
 }
 
 const (
-	// endlessRequests is the number of requests that meet an endless response at the same time.
-	endlessRequests = 100
-	// maxHeapGrowth bounds the growth of the heap under endless responses in bytes; it is half of the memory of a relay's
+	// manyRequests is the number of requests that meet an endpoint in trouble at the same time.
+	manyRequests = 100
+	// maxHeapGrowth bounds the growth of the heap under these requests in bytes; it is half of the memory of a relay's
 	// instance, and covers the simulated endpoints and the callers too.
 	maxHeapGrowth = 92 << 20
 )
 
+// heapMeter measures the growth of the heap of the test's process.
+type heapMeter struct{ before, peak uint64 }
+
+// newHeapMeter returns a meter that starts with the present heap.
+func newHeapMeter() *heapMeter {
+	runtime.GC()
+	m := &heapMeter{}
+	m.measure()
+	m.before = m.peak
+	return m
+}
+
+// measure takes the present size of the heap into account.
+func (m *heapMeter) measure() {
+	var now runtime.MemStats
+	runtime.ReadMemStats(&now)
+	m.peak = max(m.peak, now.HeapInuse)
+}
+
+// check fails the test if the heap grew by more than maxHeapGrowth.
+func (m *heapMeter) check(t *testing.T) {
+	t.Helper()
+	if grown := m.peak - m.before; grown > maxHeapGrowth {
+		t.Errorf("the heap grew by %d MB, want at most %d", grown>>20, maxHeapGrowth>>20)
+	} else {
+		t.Logf("the heap grew by %d MB", grown>>20)
+	}
+}
+
+// sendSound sends sound requests one after the other for the duration d, and returns their number. Each must be served.
+func (g *forwardRig) sendSound(m *heapMeter, d time.Duration) (served int) {
+	g.t.Helper()
+	for start := time.Now(); time.Since(start) < d; served++ {
+		c := g.send(get("sound"))
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || res.StatusCode != http.StatusOK {
+			g.t.Fatalf("a sound request got %v, %v", res, err)
+		}
+		_ = c.Close()
+		m.measure()
+	}
+	g.t.Logf("%d sound requests were served", served)
+	return served
+}
+
 // Guards against a relay that runs out of memory or serves sound requests no more, while 100 endless responses are
 // forwarded at once to callers that read slowly or not at all.
 func TestEndlessForwardedResponses(t *testing.T) {
 	g := newForwardRig(t, endlessBody)
-	var before, now runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	var peak uint64
-	for i := range endlessRequests {
+	m := newHeapMeter()
+	for i := range manyRequests {
 		c := g.send(get("unsafe"))
 		if i%2 == 0 {
 			go func() {
@@ -355,23 +442,33 @@
 			}()
 		}
 	}
-	start, served := time.Now(), 0
-	for ; time.Since(start) < forwardTimeout+writeGrace; served++ {
-		c := g.send(get("sound"))
-		res, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil || res.StatusCode != http.StatusOK {
-			t.Fatalf("a sound request got %v, %v", res, err)
-		}
-		_ = c.Close()
-		runtime.ReadMemStats(&now)
-		peak = max(peak, now.HeapInuse)
+	served := g.sendSound(m, forwardTimeout+writeGrace)
+	m.check(t)
+	for range manyRequests + served {
+		g.within(g.handled, 2*maxEndDelay, "a handler ends")
 	}
-	if grown := int64(peak) - int64(before.HeapInuse); grown > maxHeapGrowth {
-		t.Errorf("the heap grew by %d MB, want at most %d", grown>>20, maxHeapGrowth>>20)
-	} else {
-		t.Logf("the heap grew by %d MB; %d sound requests were served", grown>>20, served)
+}
+
+// Guards against a relay that keeps the bodies of uploads that their endpoint does not read, or serves sound requests no more
+// beside them, and against endpoints that are left late if 100 callers close their connections at once.
+func TestManyUploadsThatNobodyReads(t *testing.T) {
+	unread := make(chan struct{})
+	g := newForwardRig(t, func(net.Conn, string) { <-unread })
+	defer close(unread)
+	m := newHeapMeter()
+	var callers []*net.TCPConn
+	for range manyRequests {
+		c := g.send(uploadHeader)
+		callers = append(callers, c)
+		go func() { _ = sendUntilError(c) }()
 	}
-	for range endlessRequests + served {
-		g.within(g.handled, 2*maxEndDelay, "a handler ends")
+	served := g.sendSound(m, forwardTimeout)
+	for _, c := range callers {
+		_ = c.Close()
+	}
+	start := time.Now()
+	for range manyRequests + served {
+		g.within(g.handled, max(0, maxEndDelay-time.Since(start)), "a handler ends")
 	}
+	m.check(t)
 }
--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -66,6 +66,7 @@
 	}
 	switch s {
 	case http.StateActive:
+		c.early.reset()
 		c.setPhase(phaseServing, 0)
 	case http.StateIdle:
 		c.setPhase(phaseIdle, t.Limits().Idle)
@@ -192,6 +193,8 @@
 	idleLimit time.Duration
 	// promisedIdle is the limit on idle connections that the response of the current request has announced.
 	promisedIdle time.Duration
+	// early holds what was sent ahead of the response of the current request.
+	early earlyStart
 	// lateWriteUsed is true once a write was tried again after the present write deadline.
 	lateWriteUsed atomic.Bool
 	// readAhead is true if a byte of the next request was read while the current one is served.
@@ -238,7 +241,12 @@
 // stood still until then. If that fails too, the connection ends with a reset: net/http closes it as soon as a write has failed,
 // before a handler can ask for that.
 func (c *clientConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	early, err := c.early.begin(p)
+	if err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p[early:])
+	n += early
 	if errors.Is(err, os.ErrDeadlineExceeded) && !c.lateWriteUsed.Swap(true) && c.Conn.SetWriteDeadline(time.Now().Add(lateWriteTime)) == nil {
 		var more int
 		more, err = c.Conn.Write(p[n:])
