Reset the connection of an upload that is broken off

What endpoints saw: after the relay had given an upload up, because its caller had left or its deadline had passed, an endpoint that had not read it saw its connection as open, for as long as it did not read.

Cause: the relay closed the connection, and its own kernel kept the end of it behind the part of the body that the endpoint's socket had no room for. That is the same fault as a caller's hidden close, one hop further on; the kernel keeps the data of such a socket while the endpoint's kernel answers.

Change: a connection on which a body is streamed is reset if the request is broken off, which drops the data and reaches the endpoint at once. If the reset is refused, the connection closes as before. A request with a whole response still closes without a reset.

TestUploadThatNobodyReadsEndsWithCaller now has an endpoint that reads nothing and looks for the end of its connection. The test was stricter by that; it still checks the handler.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -61,7 +61,7 @@
 	// The caller of a stream that the relay cuts resumes it at another relay, so its copy is kept.
 	s.ended.Store(result.outcome == completed || s.ctx.Err() != nil && !s.isCut())
 	if result.outcome != completed {
-		_ = c.Close()
+		c.abort()
 		if cause := w.closeCause.Load(); cause != nil {
 			result.cause, result.err = cause.reason, errors.New(cause.text)
 		}
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -70,7 +70,7 @@
 	// hasForeign is true once a response to another request was skipped.
 	hasForeign bool
 	// bodyStreamed is true if a request body is sent while the response is being read.
-	bodyStreamed bool
+	bodyStreamed atomic.Bool
 	// uploadFailed is true once a part of such a body could not be sent. The kernel reports a reset connection only once: after
 	// a failed write, a read finds what looks like the end of the response.
 	uploadFailed atomic.Bool
@@ -93,8 +93,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.uses == use {
-		_ = c.Close()
+		c.abort()
+	}
+}
+
+// abort closes the connection in the middle of a request. If a body is being sent, the endpoint may not read, and the end of the
+// connection would wait in this instance's kernel behind megabytes of it, for as long as the endpoint's kernel answers; a reset
+// drops them and reaches the endpoint at once.
+func (c *endpointConn) abort() {
+	if c.bodyStreamed.Load() {
+		// Without the reset, the connection still closes.
+		_ = serve.ResetOnClose(c.Conn)
 	}
+	_ = c.Close()
 }
 
 // endUse takes the connection from the request that has it.
@@ -441,7 +452,8 @@
 	if o.bodyReader == nil {
 		return
 	}
-	c.bodyStreamed, q.bodyStreamed = true, true
+	c.bodyStreamed.Store(true)
+	q.bodyStreamed = true
 	u := &bodyUpload{request: q, conn: c, outgoing: o}
 	go u.run()
 }
@@ -534,7 +546,7 @@
 	if c.hasForeign {
 		p.relay.Log.Info("response-skipped", zap.String("endpoint", c.endpoint.ID), zap.String("address", c.endpoint.Address))
 	}
-	if res.Close || c.bodyStreamed || c.hasForeign || c.br.Buffered() > 0 {
+	if res.Close || c.bodyStreamed.Load() || c.hasForeign || c.br.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -19,6 +19,7 @@
 
 	"wasabiweir/core/place"
 	"wasabiweir/core/state"
+	"wasabiweir/io/serve"
 )
 
 const (
@@ -337,6 +338,14 @@
 	return err
 }
 
+// awaitClose reads nothing, and waits until the relay has closed the connection. The end of a connection can't be seen if it waits
+// behind data that have no room in the socket.
+func awaitClose(c net.Conn, _ string) {
+	for start := time.Now(); !serve.HasPeerClosed(c) && time.Since(start) < 20*time.Second; {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // Guards against an endpoint that does not read an upload and is left only at the deadline, although the caller has closed its
 // connection: the end of it then waits in the caller's kernel behind bytes that nobody reads.
 func TestUploadThatNobodyReadsEndsWithCaller(t *testing.T) {
@@ -349,16 +358,16 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			unread := make(chan struct{})
-			g := newForwardRig(t, func(net.Conn, string) { <-unread })
-			defer close(unread)
+			g := newForwardRig(t, awaitClose)
 			c := g.fillUpload()
 			if x.callerReads {
 				go func() { _, _ = io.Copy(io.Discard, c) }()
 			}
 			time.Sleep(x.leavesAfter)
 			_ = c.Close()
+			start := time.Now()
 			g.within(g.handled, maxEndDelay, "the handler ends")
+			g.within(g.left, max(0, maxEndDelay-time.Since(start)), "the endpoint is left")
 		})
 	}
 }
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -261,7 +261,7 @@
 		}
 	}
 	if result.outcome != completed {
-		_ = c.Close()
+		c.abort()
 		if result.outcome == outcomeUnknown && ctx.Err() != nil {
 			result.cause = common.RetrySilent
 		}
