Probe the caller of an upload only after a pause of 2 s

What callers could see: an upload broken off by their own client, because its endpoint had not read for 0.25 s. A client that watches for an early response may stop sending at the first byte of it, and a sound endpoint may be silent for about a second. Found in the review by reading RFC 9112; no client was seen to do it.

The first probe now comes after 2 s without progress of one write.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -387,7 +387,10 @@
 const (
 	// uploadCheckInterval is the time between two checks whether the caller of an upload has closed its connection.
 	uploadCheckInterval = 100 * time.Millisecond
-	// uploadProbeInterval is the time without progress of an upload, or since the last probe, after which its caller is probed.
+	// uploadProbeDelay is the time without progress of an upload after which its caller is probed. A sound endpoint may be
+	// silent for about a second, and a client that watches for an early response may stop sending when it gets the first byte.
+	uploadProbeDelay = 2 * time.Second
+	// uploadProbeInterval is the time between two probes.
 	uploadProbeInterval = 250 * time.Millisecond
 	// uploadProbeWait is the time after a probe within which the caller's kernel refuses it.
 	uploadProbeWait = 20 * time.Millisecond
@@ -437,7 +440,7 @@
 		}
 		wait = uploadCheckInterval
 		now, since := u.request.relay.uptime(), time.Duration(u.blockedSince.Load())
-		if since != 0 && now-max(since, probedAt) >= uploadProbeInterval {
+		if since != 0 && now-since >= uploadProbeDelay && now-probedAt >= uploadProbeInterval {
 			if probedAt == 0 {
 				u.request.log.Info("upload-stalled", zap.String("endpoint", u.conn.endpoint.ID), zap.Duration("for", now-since))
 			}
