--- a/io/serve/probe.go
+++ b/io/serve/probe.go
@@ -2,15 +2,16 @@
 
 import (
 	"bytes"
-	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+
+	"github.com/rotisserie/eris"
 )
 
 // errForeignStart is returned if a response does not begin with the bytes that were sent ahead of it.
-var errForeignStart = errors.New("the response does not begin with the bytes sent ahead of it")
+var errForeignStart = eris.New("the response does not begin with the bytes sent ahead of it")
 
 // interimStart is the start of the status lines of interim responses, after which the final response still follows.
 const interimStart = "HTTP/1.1 1"
