--- a/io/router/completion.go
+++ b/io/router/completion.go
@@ -100,6 +100,7 @@
 	if err := checkAdapter(intent, c.Adapter); err != nil {
 		return nil, err
 	}
+	r.journal.awaitHolders(ctx)
 	id := uuid.NewString()
 	j, err := r.dispatcher.enqueue(model.Service, r.admissionRequest(v, account, intent, model, c, id))
 	if err != nil {
--- a/io/router/holders.go
+++ b/io/router/holders.go
@@ -1,12 +1,14 @@
 package router
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/stream"
+	"wasabiweir/io/serve"
 )
 
 // replaceLostHolders replaces one journal holder of the generation that is gone, unreachable or draining, so that the
@@ -57,6 +59,29 @@
 	s.sendMessages(messages)
 }
 
+const (
+	// maxHolderWait bounds the wait for connections to the routers that the control process lists; a router that has just
+	// started has them within milliseconds.
+	maxHolderWait = 500 * time.Millisecond
+	// holderWaitInterval is the time between two checks for these connections.
+	holderWaitInterval = 5 * time.Millisecond
+)
+
+// awaitHolders waits until this router is connected to enough others for the journal of a new generation, unless too few are
+// listed. A router that has just started would otherwise keep the only copy, and its loss would end the generation.
+func (s *journal) awaitHolders(ctx context.Context) {
+	until := s.router.Clock.Now().Add(maxHolderWait)
+	for s.lacksHolders() && s.router.Clock.Now().Before(until) && serve.Sleep(ctx, holderWaitInterval) {
+	}
+}
+
+// lacksHolders reports whether this router is connected to too few others for a journal although enough are listed, or none
+// are listed yet.
+func (s *journal) lacksHolders() bool {
+	listed := len(s.router.peers.liveRouters())
+	return (listed == 0 || listed >= stream.HolderCount) && len(s.router.peers.holderCandidates()) < stream.HolderCount-1
+}
+
 // chooseHolders selects the journal holders of a new generation: this router and two others, in different failure
 // domains if possible. With fewer than three routers, this router is the only holder: a quorum of two holders needs
 // both, so a second holder would only add a point of failure.
