--- a/io/relay/lossprobe.go
+++ b/io/relay/lossprobe.go
@@ -46,6 +46,9 @@
 	if early.Stop() && pr.result != poison.ProbeAnswered {
 		p.suspend(e, aliveLabel(false), err)
 	}
+	if err == nil || errors.Is(err, ErrCallRefused) {
+		p.recordResponse(e.ID, p.relay.uptime())
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pr.endedAt = p.relay.Clock.Now()
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -24,6 +24,8 @@
 	lossProbes map[string]*lossProbe
 	// lastActivity is when each engine last sent data on any stream, as time since the start of the process.
 	lastActivity map[string]time.Duration
+	// suspendedAt is when each engine that has not responded since was suspended, as time since the start of the process.
+	suspendedAt map[string]time.Duration
 }
 
 // livenessProbe is one liveness request to an engine. Its results are valid once done is closed.
@@ -41,13 +43,28 @@
 	p.probes = map[string]*livenessProbe{}
 	p.lossProbes = map[string]*lossProbe{}
 	p.lastActivity = map[string]time.Duration{}
+	p.suspendedAt = map[string]time.Duration{}
 }
 
-// recordActivity records that data from an engine arrived; now is the time since the start of the process.
+// recordActivity records that data of a stream arrived from an engine; now is the time since the start of the process.
 func (p *prober) recordActivity(id string, now time.Duration) {
 	p.mu.Lock()
 	p.lastActivity[id] = now
 	p.mu.Unlock()
+	p.recordResponse(id, now)
+}
+
+// recordResponse records that an engine has responded to a probe or sent data, which ends the silence for which it was suspended.
+func (p *prober) recordResponse(id string, now time.Duration) {
+	p.mu.Lock()
+	since, suspended := p.suspendedAt[id]
+	delete(p.suspendedAt, id)
+	p.mu.Unlock()
+	if !suspended {
+		return
+	}
+	p.relay.meter.scope.Counter("engine-silences-ended").Inc(1)
+	p.relay.Log.Info("engine-responds-again", zap.String("endpoint", id), zap.Duration("after", now-since))
 }
 
 // wasRecentlyActive reports whether the engine sent data on any stream within activityLifetime.
@@ -124,6 +141,7 @@
 		if now.Sub(old.startedAt) > probeLifetime {
 			delete(p.probes, id)
 			delete(p.lastActivity, id)
+			delete(p.suspendedAt, id)
 		}
 	}
 }
@@ -138,6 +156,7 @@
 	pr.alive = pr.err == nil || errors.Is(pr.err, ErrCallRefused)
 	p.relay.meter.countReason("engine-questions", pr.result())
 	if pr.alive {
+		p.recordResponse(e.ID, p.relay.uptime())
 		return
 	}
 	p.suspend(e, pr.result(), pr.err)
@@ -147,6 +166,11 @@
 func (p *prober) suspend(e place.Endpoint, result string, err error) {
 	var suspended time.Duration
 	p.relay.withTable(func(t *place.EndpointTable, now time.Time) { suspended = t.RecordFailure(e.ID, true, now) })
+	p.mu.Lock()
+	if _, ok := p.suspendedAt[e.ID]; !ok {
+		p.suspendedAt[e.ID] = p.relay.uptime()
+	}
+	p.mu.Unlock()
 	p.relay.pool.closeIdle(e.ID)
 	p.relay.Log.Info("engine-unresponsive", zap.String("endpoint", e.ID), zap.String("domain", e.Domain),
 		zap.String("result", result), zap.Duration("suspended", suspended), zap.Error(err))
