Give a silent engine up only if another one takes the stream

Callers whose stream was on an engine that was silent for a second got a stream cut in the middle (stream-aborted with endpoint-failed or retry-budget) or 502, although the engine went on. The watch closed the connection after one probe without a response, before it was known whether another attempt could follow.

An attempt is now given up only if the route and its attempts allow another one, an endpoint has responded since the silence began (the holder of the copy first), and the retry budget has been taken; it is not taken again afterwards. Otherwise the stream stays, the watch looks again, and attempt-kept says why.

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -86,6 +86,8 @@
 	backoffUntil        time.Time
 	consecutiveFailures int
 	lastFailure         time.Time
+	// silent is true if the latest failure was a silence, which may end, and not the certain end of the process.
+	silent bool
 	// fullUntil is the time up to which the endpoint counts as full after it refused a request.
 	fullUntil time.Time
 	// addressReusedUntil is the time up to which the endpoint gets no requests because another endpoint has its
@@ -439,7 +441,7 @@
 // full.
 func (t *EndpointTable) RecordSuccess(id string) {
 	if s := t.endpoints.Get(id); s != nil {
-		s.consecutiveFailures, s.backoffUntil, s.fullUntil = 0, time.Time{}, time.Time{}
+		s.consecutiveFailures, s.backoffUntil, s.fullUntil, s.silent = 0, time.Time{}, time.Time{}, false
 	}
 }
 
@@ -467,10 +469,39 @@
 		return s.backoffUntil.Sub(now)
 	}
 	s.consecutiveFailures++
-	s.lastFailure, s.backoffUntil = now, now.Add(backoff)
+	s.lastFailure, s.backoffUntil, s.silent = now, now.Add(backoff), false
 	return backoff
 }
 
+// RecordSilence records that the endpoint did not respond to a probe and returns the time for which it gets no requests, unless
+// it responds before that.
+func (t *EndpointTable) RecordSilence(id string, now time.Time) time.Duration {
+	backoff := t.RecordFailure(id, true, now)
+	if s := t.endpoints.Get(id); s != nil {
+		s.silent = true
+	}
+	return backoff
+}
+
+// RecordResponse records that the endpoint responded to a probe or went on with a response, which ends a backoff after a silence.
+func (t *EndpointTable) RecordResponse(id string) {
+	if s := t.endpoints.Get(id); s != nil && s.silent {
+		s.consecutiveFailures, s.backoffUntil, s.silent = 0, time.Time{}, false
+	}
+}
+
+// SilentEndpoints returns the endpoints of the service that would accept requests if they were not silent.
+func (t *EndpointTable) SilentEndpoints(service string, now time.Time) (out []Endpoint) {
+	t.endpoints.Each(func(_ string, s *endpointState) bool {
+		if s.Service == service && s.listed && s.silent && now.Before(s.backoffUntil) && !s.Draining && !s.announced.isLeaving() &&
+			s.announced.pauseLeft(now) == 0 {
+			out = append(out, s.Endpoint)
+		}
+		return true
+	})
+	return out
+}
+
 // RecordFull records that the endpoint refused a request because it is full, so that it gets no requests for the
 // backoff.
 func (t *EndpointTable) RecordFull(id string, backoff time.Duration, now time.Time) {
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -38,7 +38,7 @@
 // attempt fails.
 func (s *streamRequest) run(a streamAttempt) attemptResult {
 	start := s.relay.Clock.Now()
-	w := &silenceWatch{stream: s, attempt: a, mayLeaveSlow: s.attempts+reservedAttempts < s.route.MaxAttempts}
+	w := &silenceWatch{stream: s, attempt: a, mayLeaveSlow: s.attempts+reservedAttempts < s.route.MaxAttempts, move: s.moveFrom(a.endpoint)}
 	defer s.releaseAttempt(a, w)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
@@ -63,7 +63,7 @@
 	if result.outcome != completed {
 		c.abort()
 		if cause := w.closeCause.Load(); cause != nil {
-			result.cause, result.err = cause.reason, errors.New(cause.text)
+			result.cause, result.err, result.retrySpent = cause.reason, errors.New(cause.text), true
 		}
 	}
 	return result
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -61,6 +61,8 @@
 	unreadConn *endpointConn
 	// run is how far the endpoint got with a stream.
 	run runProgress
+	// retrySpent is true if the next attempt was taken from the retry budget before this one was given up.
+	retrySpent bool
 }
 
 // runProgress is how far an endpoint got with a stream in one attempt.
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
 )
 
@@ -63,6 +65,7 @@
 	if !suspended {
 		return
 	}
+	p.relay.withTable(func(t *place.EndpointTable, _ time.Time) { t.RecordResponse(id) })
 	p.relay.meter.scope.Counter("engine-silences-ended").Inc(1)
 	p.relay.Log.Info("engine-responds-again", zap.String("endpoint", id), zap.Duration("after", now-since))
 }
@@ -102,6 +105,29 @@
 		serve.Sleep(ctx, lossRecheckDelay) && p.isUnresponsive(ctx, e, since.Add(lossRecheckDelay))
 }
 
+// hasRespondedSince reports whether any of the engines responds to a liveness probe that started at the given time or later, or has
+// just sent data of a stream.
+func (p *prober) hasRespondedSince(ctx context.Context, engines []place.Endpoint, since time.Time) bool {
+	if slices.ContainsFunc(engines, func(e place.Endpoint) bool { return p.wasRecentlyActive(e.ID) }) {
+		return true
+	}
+	probes := make([]*livenessProbe, 0, len(engines))
+	for _, e := range engines {
+		probes = append(probes, p.startProbeSince(e, since))
+	}
+	for _, pr := range probes {
+		select {
+		case <-pr.done:
+			if pr.alive {
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
 // isUnresponsive reports whether the engine does not respond to a liveness probe that started at the given time or
 // later.
 func (p *prober) isUnresponsive(ctx context.Context, e place.Endpoint, since time.Time) bool {
@@ -165,7 +191,14 @@
 // suspend suspends an engine that did not respond to a probe.
 func (p *prober) suspend(e place.Endpoint, result string, err error) {
 	var suspended time.Duration
-	p.relay.withTable(func(t *place.EndpointTable, now time.Time) { suspended = t.RecordFailure(e.ID, true, now) })
+	silent := lossProbeResult(p.relay.ctx, err) == poison.ProbeSilent
+	p.relay.withTable(func(t *place.EndpointTable, now time.Time) {
+		if silent {
+			suspended = t.RecordSilence(e.ID, now)
+		} else {
+			suspended = t.RecordFailure(e.ID, true, now)
+		}
+	})
 	p.mu.Lock()
 	if _, ok := p.suspendedAt[e.ID]; !ok {
 		p.suspendedAt[e.ID] = p.relay.uptime()
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"wasabiweir/core/common"
+	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
 )
@@ -67,6 +71,10 @@
 	forwardingSince atomic.Int64
 	// mayLeaveSlow is true if enough attempts are left to leave an engine that is only slow.
 	mayLeaveSlow bool
+	// move is what may follow if the watch gives the attempt up.
+	move place.Move
+	// keptFor is why the watch last kept an attempt whose endpoint is silent: the reason that no other may follow.
+	keptFor atomic.Pointer[common.Reason]
 	// closeCause is why the watch closed the connection; nil if it did not.
 	closeCause atomic.Pointer[closeCause]
 	// firstEventSeen is true once the first event has arrived; only the goroutine that reads the stream uses it.
@@ -95,6 +103,9 @@
 // recordProgress records that data arrived that continues the stream.
 func (w *silenceWatch) recordProgress() {
 	w.recordActivity()
+	if w.keptFor.Swap(nil) != nil {
+		w.stream.log.Info("attempt-goes-on", zap.String("endpoint", w.attempt.endpoint.ID), zap.Duration("silence", w.silentFor()))
+	}
 	w.lastActivity.Store(int64(w.stream.relay.uptime()))
 	w.received.Add(1)
 }
@@ -141,7 +152,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if cause := w.closeReason(ctx, p); cause != nil {
+		if cause := w.closeReason(ctx, p); cause != nil && w.takeRetry(ctx, p.alive) {
 			w.closeCause.Store(cause)
 			w.conn.closeUse(w.use)
 			return
@@ -188,8 +199,7 @@
 	return max(minStallTimeout, stallPauses*route.MaxPause, stallObjectives*route.LatencyObjective)
 }
 
-// closeReason returns why the connection to the stream's engine must be closed after a liveness probe, or nil if it
-// need not be.
+// closeReason returns why the stream should leave its engine after a liveness probe, or nil if it should not.
 func (w *silenceWatch) closeReason(ctx context.Context, p *livenessProbe) *closeCause {
 	silence := w.silentFor()
 	if silence < maxEventSilence {
@@ -220,9 +230,86 @@
 // crashed may still be in the list of endpoints, or may have restarted without its copies.
 func (w *silenceWatch) holderResponds(ctx context.Context) bool {
 	c := w.stream.copies.get()
-	if !c.exists || !w.stream.relay.isEndpointUp(c.holder.ID) {
+	if !c.exists || !w.stream.acceptsResumed(c.holder.ID) {
 		return false
 	}
 	p := w.stream.relay.prober.awaitProbe(ctx, c.holder)
 	return ctx.Err() == nil && p.alive && p.report.Copies > 0
 }
+
+// moveFrom returns what may follow if the stream leaves the endpoint. The move must not change any more: the watch of the attempt
+// reads it while the stream goes on.
+func (s *streamRequest) moveFrom(e place.Endpoint) place.Move {
+	m := place.Move{
+		Requirements: s.requirements(), From: e.ID, Arrived: s.startedAt, Begun: s.headerSent,
+		Repeatable:   s.route.Repeatable() && s.bodyReader == nil,
+		AttemptsLeft: max(1, s.route.MaxAttempts) - s.attempts - 1,
+	}
+	m.Requirements.Exclude, m.Requirements.LostDomain = maps.Clone(s.tried), e.Domain
+	return m
+}
+
+// takeRetry reports whether the attempt may be given up because another one may follow at once, and takes that one from the retry
+// budget. fromResponds is true if the stream's own engine responds to probes.
+func (w *silenceWatch) takeRetry(ctx context.Context, fromResponds bool) bool {
+	s := w.stream
+	reason := w.findTarget(ctx, fromResponds)
+	if ctx.Err() != nil || w.silentFor() < maxEventSilence {
+		return false
+	}
+	if reason == "" && s.relay.spendRetryOnLoss(s.service) {
+		return true
+	}
+	if reason == "" {
+		reason = common.ReasonRetryBudget
+	}
+	if old := w.keptFor.Swap(&reason); old == nil || *old != reason {
+		s.relay.meter.countReason("attempts-kept", string(reason))
+		s.log.Info("attempt-kept", zap.String("endpoint", w.attempt.endpoint.ID), zap.String("reason", string(reason)),
+			zap.Bool("responds", fromResponds), zap.Duration("silence", w.silentFor()))
+	}
+	return false
+}
+
+// findTarget looks for an endpoint that could take the stream, and returns the reason if there is none. The endpoint must have
+// responded since the silence began, so that the stream does not pass through engines that are all silent.
+func (w *silenceWatch) findTarget(ctx context.Context, fromResponds bool) common.Reason {
+	s := w.stream
+	if !s.relay.crashes.MayRetry(s.id) || s.relay.crashes.RetryAfter(s.parts) > 0 {
+		return common.ReasonCrashesEngines
+	}
+	m := w.move
+	m.FromResponds = fromResponds
+	m.Begun = m.Begun || w.received.Load() > 1
+	if c := s.copies.get(); c.exists {
+		m.Holder = c.holder.ID
+	}
+	silentSince := s.relay.Clock.Now().Add(-w.silentFor())
+	// A holder that does not respond is suspended, so that the second round is about the other engines.
+	for range 2 {
+		var targets []place.Endpoint
+		var reason common.Reason
+		s.relay.withTable(func(t *place.EndpointTable, now time.Time) { targets, reason = t.MoveTargets(m, now) })
+		if reason == common.ReasonNoEndpoint {
+			s.relay.probeSilent(s.service)
+		}
+		if reason != "" {
+			return reason
+		}
+		if s.relay.prober.hasRespondedSince(ctx, targets, silentSince) {
+			return ""
+		}
+	}
+	return common.ReasonNoEndpoint
+}
+
+// probeSilent probes the silent engines of a service, so that they are used again as soon as they respond, and reports whether
+// there are any.
+func (r *Relay) probeSilent(service string) bool {
+	var silent []place.Endpoint
+	r.withTable(func(t *place.EndpointTable, now time.Time) { silent = t.SilentEndpoints(service, now) })
+	for _, e := range silent {
+		r.prober.startProbe(e)
+	}
+	return len(silent) > 0
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -11,6 +11,7 @@
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
 )
 
 const (
@@ -19,6 +20,9 @@
 	// maxStartWait bounds how long a stream without an event waits for an endpoint before it is refused. It is an
 	// eighth of the usual latency objective, so a caller that waits this long still meets the objective.
 	maxStartWait = 500 * time.Millisecond
+	// maxSilenceWait bounds how long a stream waits for an endpoint while some are silent and may go on: a sound one is silent
+	// for a second or so.
+	maxSilenceWait = poison.MaxSoundSilence
 	// resetBackoff is the pause before a stream is sent again to the holder of its KV cache copy after a reset
 	// response; it doubles each time.
 	resetBackoff = 10 * time.Millisecond
@@ -138,7 +142,7 @@
 			return common.ReasonEndpointFailed, false
 		}
 		if result.cause != common.RetryRefused {
-			return common.ReasonRetryBudget, s.relay.spendRetryOnLoss(s.service)
+			return common.ReasonRetryBudget, result.retrySpent || s.relay.spendRetryOnLoss(s.service)
 		}
 	case result.cause == common.RetryConnect:
 		// Nothing has reached an endpoint, so the next attempt does not count against the retry budget.
@@ -151,7 +155,7 @@
 			return common.ReasonOverloaded, false
 		}
 	}
-	return common.ReasonRetryBudget, s.relay.spendRetryOnRefusal(s.service)
+	return common.ReasonRetryBudget, result.retrySpent || s.relay.spendRetryOnRefusal(s.service)
 }
 
 // nextAttempt chooses the next endpoint for a stream: the holder of its KV cache copy if there is one, otherwise the
@@ -162,7 +166,8 @@
 	if s.headerSent {
 		wait = maxResumeWait
 	}
-	until := s.relay.Clock.Now().Add(wait)
+	began := s.relay.Clock.Now()
+	until := began.Add(wait)
 	if s.headerSent && !s.hasUsableCopy() {
 		// An engine whose response was lost may still have the prompt in its KV cache.
 		s.findCachedPrompt()
@@ -175,6 +180,9 @@
 			return a, ""
 		}
 		now := s.relay.Clock.Now()
+		if s.relay.probeSilent(s.service) {
+			until = began.Add(max(wait, maxSilenceWait))
+		}
 		if turn, limited := s.firstTurn(); limited && !s.headerSent && now.Add(turn).After(until) {
 			return streamAttempt{}, common.ReasonEndpointLimit
 		}
