Give up a silent attempt only if another may follow

A sound engine may be silent for a second or so and then goes on. A router gave each attempt up after 0.4 to 0.9 s without output, whatever could follow. Generations that had begun were whole, after needless prefills.

The table now reserves a replacement first: an endpoint that accepts the request and is sending tokens, or an idle one, which gets a single stream until it sends a token. The retry budget of a generation without output is taken at the same time. Otherwise the attempt stays, for 1.6 s beyond its timeout, so that output still continues within 4 s if the engine is lost. Resumes avoid engines on which tokens are overdue.

--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -47,7 +47,12 @@
 	health    healthTracker
 	backoff   failureBackoff
 	// pausedUntil is the end of the pause that the endpoint has asked for.
-	pausedUntil  time.Time
+	pausedUntil time.Time
+	// trialAt is when a stream was last moved here to find out whether the endpoint is sound.
+	trialAt time.Time
+	// lastSign is when the last token arrived, and quietEnd when the last one arrived after the endpoint had been quiet.
+	lastSign     time.Time
+	quietEnd     time.Time
 	cachedBlocks cachedBlocks
 	// streams holds this router's streams on the endpoint in no particular order; Stream.endpointIndex is the index.
 	streams []*Stream
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -58,6 +58,7 @@
 // RecordTokens records that n tokens of the stream arrived together.
 func (t *Table) RecordTokens(s *Stream, n int, now time.Time) {
 	e := s.Endpoint
+	e.recordSign(now)
 	if s.generatedTokens == 0 {
 		t.recordFirstToken(s, now)
 	} else {
--- a/core/stream/stall.go
+++ b/core/stream/stall.go
@@ -18,6 +18,10 @@
 	DefaultMinFirstTimeout = 300 * time.Millisecond
 	// DefaultMaxFirstTimeout is the default of StallDetector.MaxFirstTimeout.
 	DefaultMaxFirstTimeout = 900 * time.Millisecond
+
+	// maxSoundSilence is the longest silence of a sound engine, which goes on afterwards. With the maximum timeout before it and
+	// the first output of the next attempt, output still continues within 4 s if the engine was lost.
+	maxSoundSilence = 1600 * time.Millisecond
 )
 
 const (
@@ -99,12 +103,19 @@
 	return min(timeout, durationOr(s.MaxTimeout, DefaultMaxTimeout))
 }
 
-// Deadline returns the time at which the attempt counts as lost if there is no further output.
+// Deadline returns the time at which the attempt counts as stalled if there is no further output.
 func (s *StallDetector) Deadline() time.Time { return s.lastOutput.Add(s.Timeout()) }
 
-// Stalled reports whether the attempt counts as lost at the time now.
+// Stalled reports whether the attempt counts as stalled at the time now. It is given up if another one may follow at once.
 func (s *StallDetector) Stalled(now time.Time) bool { return !now.Before(s.Deadline()) }
 
+// Lost reports whether the attempt counts as lost at the time now, even if no other one may follow: a silence of a sound engine
+// that began when the output was due would be over.
+func (s *StallDetector) Lost(now time.Time) bool { return s.Stalled(now.Add(-maxSoundSilence)) }
+
+// Silence returns the time since the last output, or since the start of the attempt before the first one.
+func (s *StallDetector) Silence(now time.Time) time.Duration { return now.Sub(s.lastOutput) }
+
 // MeanGap returns the moving average of the time between two outputs.
 func (s *StallDetector) MeanGap() time.Duration { return s.meanGap }
 
--- a/io/router/attempt.go
+++ b/io/router/attempt.go
@@ -30,7 +30,11 @@
 	lastOutput  time.Time
 	// soundMarked is true once the attempt has shown that the prompt does not crash engines.
 	soundMarked bool
-	router      *Router
+	// restartPaid is true once the retry budget was charged for the attempt that follows this one.
+	restartPaid bool
+	// silenceLogged is true once it was logged that the attempt goes on although its engine is silent.
+	silenceLogged bool
+	router        *Router
 }
 
 // attemptEvent is a chunk of an engine's output for a streaming attempt, or the attempt's failure if err is set.
@@ -63,6 +67,11 @@
 	return t
 }
 
+// restartWork returns the work, in tokens, that starting the generation over after this attempt repeats.
+func (t *streamAttempt) restartWork() float64 {
+	return float64(t.stream.PrefillTokens) * route.PrefillWeight
+}
+
 // hasOutput reports whether the engine has returned output for this attempt.
 func (t *streamAttempt) hasOutput() bool { return !t.firstOutput.IsZero() }
 
--- a/io/router/dispatch.go
+++ b/io/router/dispatch.go
@@ -256,6 +256,18 @@
 	return d.budget.Spend(work)
 }
 
+// reserveReplacement reports whether the attempt, whose engine is silent, is to be given up because another one may follow, and
+// takes the work of that, in tokens, from the retry budget. It takes nothing otherwise.
+func (d *dispatcher) reserveReplacement(a *attempt, work float64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	if work > d.budget.Available() || !d.table.ReserveReplacement(a.stream, d.recentlyLost(now), now) {
+		return false
+	}
+	return d.budget.Spend(work)
+}
+
 // recordTokens records that an engine returned n output tokens in an attempt of the generation request.
 func (d *dispatcher) recordTokens(j *job, a *attempt, n int) {
 	d.mu.Lock()
--- a/io/router/dispatch_test.go
+++ b/io/router/dispatch_test.go
@@ -12,17 +12,27 @@
 	"wasabiweir/core/object"
 	"wasabiweir/core/route"
 	"wasabiweir/io/engine"
+	"wasabiweir/io/metric"
 )
 
 // modelService is the only service of the tests' configuration.
 const modelService = "dente-llm"
 
-// newDispatcher returns a dispatcher with the named engines, of 8 slots each, and its clock.
+// newDispatcher returns the dispatcher of newRouter and its clock.
 func newDispatcher(t *testing.T, engines ...string) (*dispatcher, *clock.Manual) {
+	t.Helper()
+	r, c := newRouter(t, engines...)
+	return &r.dispatcher, c
+}
+
+// newRouter returns a router whose dispatcher has the named engines, of 8 slots each, and its clock.
+func newRouter(t *testing.T, engines ...string) (*Router, *clock.Manual) {
 	t.Helper()
 	c := &clock.Manual{}
 	c.Advance(time.Hour)
-	d := &dispatcher{Clock: c}
+	r := &Router{Clock: c, Metrics: metric.New("router")}
+	d := &r.dispatcher
+	d.Clock = c
 	d.initTables()
 	g := &object.Graph{
 		Services:  map[string]object.Service{modelService: {Name: modelService, Type: object.ServiceModel}},
@@ -32,7 +42,7 @@
 		g.Endpoints[name] = object.Endpoint{Name: name, Service: modelService, Slots: 8}
 	}
 	d.applyConfig(g)
-	return d, c
+	return r, c
 }
 
 // mustPick starts an attempt on an endpoint outside the exclude list and fails the test if there is none.
--- a/io/router/resumequeue.go
+++ b/io/router/resumequeue.go
@@ -82,20 +82,31 @@
 	return e
 }
 
-// excludeLostEndpoints adds recently lost endpoints to the excluded ones if the request is a resume. Only new
-// requests test whether an endpoint has recovered, because the caller of a resume is already waiting for output.
+// excludeLostEndpoints adds recently lost endpoints, and those that seem silent, to the excluded ones if the request is a
+// resume. Only new requests test whether an endpoint has recovered, because the caller of a resume is already waiting for output.
 func (d *dispatcher) excludeLostEndpoints(req *route.Request, exclude route.NameSet, now time.Time) route.NameSet {
-	if !req.Resume || len(d.lostEndpoints) == 0 {
+	if !req.Resume {
 		return exclude
 	}
-	all := route.NameSet{}
+	all := d.recentlyLost(now)
 	maps.Copy(all, exclude)
+	for _, e := range d.table.Endpoints() {
+		if d.table.SeemsSilent(e, now) {
+			all[e.Name] = struct{}{}
+		}
+	}
+	return all
+}
+
+// recentlyLost returns the names of the endpoints that were lost recently and have returned no token since.
+func (d *dispatcher) recentlyLost(now time.Time) route.NameSet {
+	out := route.NameSet{}
 	for name, at := range d.lostEndpoints {
 		if now.Sub(at) < stream.ResumeWithin {
-			all[name] = struct{}{}
+			out[name] = struct{}{}
 		}
 	}
-	return all
+	return out
 }
 
 // recordFirstToken updates the engine's prefill rate with an attempt's time to the first token.
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -296,10 +296,34 @@
 // lost engines cause no retry storm at peak load. Engines that can't be reached or refuse work have done none, so
 // retrying after them is free.
 func (s *session) chargeRestart(t *streamAttempt, reason common.Reason) bool {
-	if reason != common.RetryReset && reason != common.RetrySilent {
+	if reason != common.RetryReset && reason != common.RetrySilent || t.restartPaid {
 		return true
 	}
-	return s.router.dispatcher.spendRetryBudget(float64(t.stream.PrefillTokens) * route.PrefillWeight)
+	return s.router.dispatcher.spendRetryBudget(t.restartWork())
+}
+
+// mustLeaveSilent reports whether the current attempt, whose engine is silent, is to be given up: another one may follow at once,
+// or the silence has been too long for a sound engine. Otherwise the attempt goes on by itself when the engine does.
+func (s *session) mustLeaveSilent(now time.Time) bool {
+	t := s.current
+	work := 0.0
+	if s.owner.Tokens() == 0 {
+		work = t.restartWork()
+	}
+	if s.router.dispatcher.reserveReplacement(t.attempt, work) {
+		t.restartPaid = work > 0
+		return true
+	}
+	if s.stallDetector.Lost(now) {
+		return true
+	}
+	if !t.silenceLogged {
+		t.silenceLogged = true
+		s.router.Metrics.Counter("attempts-retained").Inc(1)
+		s.log.Info("attempt-retained", zap.Int("attempt", t.number), zap.String("endpoint", t.name),
+			zap.Duration("silence", s.stallDetector.Silence(now)), zap.Int("tokens", s.owner.Tokens()))
+	}
+	return false
 }
 
 // scheduleAttempt starts the next attempt of the generation. Without output, it starts at once, because the prefill
@@ -409,7 +433,7 @@
 		// This process was paused for the duration late, so missing output says nothing about the engine.
 		s.stallDetector.PostponeDeadline(late)
 	}
-	if s.current != nil && s.stallDetector.Stalled(now) {
+	if s.current != nil && s.stallDetector.Stalled(now) && s.mustLeaveSilent(now) {
 		s.loseAttempt(ctx, common.RetrySilent)
 	}
 	if s.current == nil && !s.retryAt.IsZero() && !now.Before(s.retryAt) {
