Don't take an engine's silence for its prefill time

A silence before the first tokens counted as prefill: 1.5 s for a prompt of 14 tokens made a router predict 2.8 s for one of 1,000.

A first token counts no more if its endpoint sent nothing for a second while streams waited and the time is over four times the predicted one. A busy engine sends tokens meanwhile, and counts as before.

TestSilenceIsNoMeasureOfPrefill failed before (2.8 s).

--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -7,6 +7,9 @@
 	trialInterval = time.Second
 	// minQuiet is the time without any token from which on an endpoint that should send some may have been silent.
 	minQuiet = time.Second
+	// quietFactor is the ratio of the time to the first token to the predicted one from which on a silence explains it better than
+	// the prefill.
+	quietFactor = 4
 )
 
 // ReserveReplacement reports whether the stream, whose endpoint is silent, is to be given up because another attempt may follow: an
@@ -65,3 +68,9 @@
 	}
 	e.lastSign = now
 }
+
+// waitedInSilence reports whether the stream, whose first token arrives now, has waited for its endpoint's silence rather than for
+// its prefill.
+func (t *Table) waitedInSilence(s *Stream, now time.Time) bool {
+	return !s.Endpoint.quietEnd.Before(s.startedAt) && now.Sub(s.startedAt) > quietFactor*t.PredictTimeToFirstTokenIdle(&s.Request)
+}
--- a/core/route/silence_test.go
+++ b/core/route/silence_test.go
@@ -66,3 +66,32 @@
 	tb.RecordTokens(s, 1, at)
 	return s
 }
+
+// Guards against requests that are refused because an endpoint was silent for a moment before its first tokens: it predicted
+// seconds for each prefill, and without admitted requests nothing corrected that.
+func TestSilenceIsNoMeasureOfPrefill(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		tb := &Table{}
+		tb.Configure([]EndpointSpec{{Name: "a", Service: "llm"}})
+		now := time.Unix(1000, 0)
+		var list []*Stream
+		for i := range 6 {
+			list = append(list, prefillSince(tb, "a", now.Add(time.Duration(i)*200*time.Millisecond)))
+		}
+		if !silent {
+			// The engine is so busy that the first token takes as long.
+			busy := tokenAt(tb, "a", now)
+			for i := range 15 {
+				tb.RecordTokens(busy, 1, now.Add(time.Duration(i)*100*time.Millisecond))
+			}
+		}
+		now = now.Add(1500 * time.Millisecond)
+		for i, s := range list {
+			tb.RecordTokens(s, 1, now.Add(time.Duration(i)*10*time.Millisecond))
+		}
+		got := tb.PredictTimeToFirstTokenIdle(&Request{Service: "llm", PrefillTokens: 1000})
+		if slow := got > time.Second; slow == silent {
+			t.Errorf("after a silence %t, the predicted time to the first token is %s", silent, got)
+		}
+	}
+}
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -78,7 +78,7 @@
 	e.backoff.clearFailures()
 	s.probe = false
 	uncached := float64(s.PrefillTokens - s.cachedTokens)
-	if !t.PausedSince(s.startedAt, now) {
+	if !t.PausedSince(s.startedAt, now) && !t.waitedInSilence(s, now) {
 		t.secondsPerPrefillToken.addSample(now.Sub(s.startedAt).Seconds()*e.health.score, uncached+firstTokenOverhead)
 	}
 	t.Budget.Earn(uncached * PrefillWeight)
