Test calls to plain services that fall silent

Calls hold without a change: with 1 of 1, 1 of 2 and 3 of 3 endpoints stopped for 1.5 s, beside a change or a planned stop of a router, all 24 calls a case, idempotent or not, are answered and each has run once. A router waits for an answer until the call's deadline.

--- a/io/itest/silence_test.go
+++ b/io/itest/silence_test.go
@@ -1,6 +1,7 @@
 package itest
 
 import (
+	"net/http"
 	"strconv"
 	"strings"
 	"syscall"
@@ -98,3 +99,48 @@
 	lost, _ := s.lostAttempts()
 	s.t.Logf("%s: %d attempts lost, longest gap %s", x.name, lost-before, quantile(c.longestGaps(), 1))
 }
+
+// Guards against calls that fail or run twice because endpoints fall silent for a second or so and then go on.
+func TestSilentServices(t *testing.T) {
+	for endpoints, x := range map[int]silenceCase{
+		1: {"a change", 1, 200 * time.Millisecond, 1500 * time.Millisecond, 0, (*system).changeConfiguration},
+		2: {"one silent", 1, 200 * time.Millisecond, 1500 * time.Millisecond, 0, nil},
+		3: {"all silent, a planned stop", 3, 200 * time.Millisecond, 1500 * time.Millisecond, 0, (*system).stopFirstRouter},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			s := newCallSystem(t, systemSpec{controls: 1, routers: 3, engines: 1}, endpoints)
+			for _, a := range s.addresses {
+				injectFault(t, a, `{"slow-ms":400}`)
+			}
+			var calls []*asyncCall
+			var keys []string
+			send := func() {
+				for i := range 12 {
+					b, key := &asyncCall{done: make(chan struct{})}, newIdempotencyKey(t)
+					calls, keys = append(calls, b), append(keys, key)
+					method := []string{http.MethodGet, http.MethodPost}[i/2%2]
+					go b.runRequest(method, s.routerAddresses[1+i%2], callPath, "", "Idempotency-Key", key)
+				}
+			}
+			send()
+			x.run(s.system, s.services, send)
+			for i, b := range calls {
+				if !b.answerContains(answerDone) || b.status != http.StatusOK {
+					t.Errorf("call %d got status %d, %s, error %v", i, b.status, b.body, b.err)
+				}
+			}
+			runs := map[string]int{}
+			for _, a := range s.addresses {
+				for key, n := range readExecutions(t, a).Keys {
+					runs[key] += n
+				}
+			}
+			for i, key := range keys {
+				if runs[key] != 1 {
+					t.Errorf("call %d ran %d times, want once", i, runs[key])
+				}
+			}
+		})
+	}
+}
