--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -58,6 +58,7 @@
 // RecordTokens records that n tokens of the stream arrived together.
 func (t *Table) RecordTokens(s *Stream, n int, now time.Time) {
 	e := s.Endpoint
+	e.recordSign(now)
 	if s.generatedTokens == 0 {
 		t.recordFirstToken(s, now)
 	} else {
@@ -77,7 +78,7 @@
 	e.backoff.clearFailures()
 	s.probe = false
 	uncached := float64(s.PrefillTokens - s.cachedTokens)
-	if !t.PausedSince(s.startedAt, now) {
+	if !t.PausedSince(s.startedAt, now) && !t.waitedInSilence(s, now) {
 		t.secondsPerPrefillToken.addSample(now.Sub(s.startedAt).Seconds()*e.health.score, uncached+firstTokenOverhead)
 	}
 	t.Budget.Earn(uncached * PrefillWeight)
