Leave an engine that responds again without its stream

An engine that is lost without a reset and restarted at its address answers probes in place of the lost one. Since the first probe without a response no longer ends the attempt by itself, its stream waited for the stall timeout. Its report shows that it does not run the stream; an engine that was only silent still does.

--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -75,6 +75,9 @@
 	move place.Move
 	// keptFor is why the watch last kept an attempt whose endpoint is silent: the reason that no other may follow.
 	keptFor atomic.Pointer[common.Reason]
+	// unresponsiveAt is one more than the number of received items at the last probe without a response; 0 if there was none. An
+	// engine that responds again without data may have been restarted. Only the goroutine of the watch uses it.
+	unresponsiveAt int64
 	// closeCause is why the watch closed the connection; nil if it did not.
 	closeCause atomic.Pointer[closeCause]
 	// firstEventSeen is true once the first event has arrived; only the goroutine that reads the stream uses it.
@@ -206,8 +209,13 @@
 		return nil
 	}
 	if !p.alive {
+		w.unresponsiveAt = w.received.Load() + 1
 		return &closeCause{common.RetrySilent, "the engine does not respond"}
 	}
+	if _, runs := p.report.Events[w.stream.id]; !runs && p.err == nil && w.unresponsiveAt == w.received.Load()+1 &&
+		silence > maxEventSilence+probeInterval {
+		return &closeCause{common.RetrySilent, "the engine responds again but does not run the stream"}
+	}
 	if silence >= w.noProgressTimeout() {
 		return &closeCause{common.RetryStalled, "the engine responds but the stream makes no progress"}
 	}
