Let a stream go on only at its software version

The cause: the version in the platform's list was decoded and dropped, so that each choice of an engine ignored it: the next attempt, the survey, engines with the prompt, and holders of copies, which can't be used at another version anyway.

Streams that callers take up again are not covered yet.

--- a/core/place/endpoint.go
+++ b/core/place/endpoint.go
@@ -18,6 +18,8 @@
 	Draining bool `cbor:"5,keyasint,omitempty"`
 	// Slots is the number of requests that the endpoint runs at the same time.
 	Slots int `cbor:"6,keyasint,omitempty"`
+	// Version is the version of the endpoint's software. What two versions generate for one request does not fit together.
+	Version string `cbor:"7,keyasint,omitempty"`
 }
 
 // EndpointList is the platform's endpoint list as it was read at one time.
@@ -36,7 +38,7 @@
 	h := fnv.New64a()
 	for i := range endpoints {
 		e := &endpoints[i]
-		fmt.Fprintf(h, "%q %q %q %q %v %d\n", e.ID, e.Service, e.Address, e.Domain, e.Draining, e.Slots)
+		fmt.Fprintf(h, "%q %q %q %q %v %d %q\n", e.ID, e.Service, e.Address, e.Domain, e.Draining, e.Slots, e.Version)
 	}
 	return EndpointList{Endpoints: endpoints, ContentHash: h.Sum64(), Age: age}
 }
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -214,6 +214,13 @@
 	LostDomain string
 	// IgnoreLimits means that the endpoint gets no request now, so that its limit does not matter yet.
 	IgnoreLimits bool
+	// Version is the software version that the endpoint must have; empty if any will do.
+	Version string
+}
+
+// allows reports whether the endpoint has the software version that the request needs.
+func (r *EndpointRequirements) allows(e *Endpoint) bool {
+	return r.Version == "" || e.Version == r.Version
 }
 
 // ChooseEndpoint returns the endpoint with the lowest cost that meets the request's requirements, or false if none
@@ -256,9 +263,10 @@
 
 // ChooseCopyHolder returns the endpoint that should hold the copy of the KV cache of a request that runs on the
 // endpoint primary. The holder is in another failure domain than primary; if no such endpoint is available,
-// ChooseCopyHolder returns false. The domain lostDomain is avoided too, unless it is empty.
+// ChooseCopyHolder returns false. The domain lostDomain is avoided too, unless it is empty. The holder has the software
+// version of primary, since the stream cannot go on at another one.
 func (t *EndpointTable) ChooseCopyHolder(primary Endpoint, lostDomain string, now time.Time) (Endpoint, bool) {
-	req := EndpointRequirements{Service: primary.Service, ModelEngines: true, Exclude: map[string]bool{primary.ID: true}, AvoidDomain: primary.Domain, LostDomain: lostDomain, IgnoreLimits: true}
+	req := EndpointRequirements{Service: primary.Service, ModelEngines: true, Exclude: map[string]bool{primary.ID: true}, AvoidDomain: primary.Domain, LostDomain: lostDomain, IgnoreLimits: true, Version: primary.Version}
 	e, ok := t.ChooseEndpoint(req, now)
 	if !ok || e.Domain == primary.Domain {
 		return Endpoint{}, false
@@ -274,7 +282,7 @@
 // isSuitable reports whether the endpoint meets the requirements of a request and accepts requests, apart from its
 // limit and a pause that it has asked for.
 func (s *endpointState) isSuitable(req EndpointRequirements, now time.Time) bool {
-	return s.Service == req.Service && !req.Exclude[s.ID] && s.takesNew(now) &&
+	return s.Service == req.Service && req.allows(&s.Endpoint) && !req.Exclude[s.ID] && s.takesNew(now) &&
 		(!now.Before(s.fullUntil) || s.announced.pauseLeft(now) > 0)
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -38,6 +38,8 @@
 	resumedByCaller bool
 	// headerSent is true once the response header was sent to the caller.
 	headerSent bool
+	// version is the software version of the endpoint that began the stream; empty until an event has arrived.
+	version string
 	// copies records which engine holds the latest copy of the stream's KV cache.
 	copies copyTracker
 	// ended is true once the stream has ended or its caller has disconnected, so that its copy can be freed.
@@ -68,13 +70,18 @@
 	for len(s.promptEndpoints) > 0 {
 		id := s.promptEndpoints[0]
 		s.promptEndpoints = s.promptEndpoints[1:]
-		if t.AcceptsCached(id, now) {
-			return t.Get(id)
+		if e, ok := t.Get(id); ok && s.mayGoOnAt(e) && t.AcceptsCached(id, now) {
+			return e, true
 		}
 	}
 	return place.Endpoint{}, false
 }
 
+// mayGoOnAt reports whether what the endpoint writes fits to the events that the caller has.
+func (s *streamRequest) mayGoOnAt(e place.Endpoint) bool {
+	return s.version == "" || e.Version == s.version
+}
+
 // serveStream forwards a stream event by event and resumes it at another endpoint when one fails.
 func (q *request) serveStream() {
 	s := &streamRequest{request: q}
@@ -195,7 +202,7 @@
 // stream.
 func (s *streamRequest) hasUsableCopy() bool {
 	c := s.copies.get()
-	return c.exists && !s.tried[c.holder.ID] && s.acceptsResumed(c.holder.ID)
+	return c.exists && s.mayGoOnAt(c.holder) && !s.tried[c.holder.ID] && s.acceptsResumed(c.holder.ID)
 }
 
 // requirements returns which endpoints are suitable for the stream's prompt.
@@ -203,6 +210,7 @@
 	n := &s.relay.Names
 	return place.EndpointRequirements{
 		Service: s.service, ModelEngines: true, Tokens: n.ParseTokenCount(s.header.Get(n.TokenCount)), Exclude: s.tried, LostDomain: s.lostDomain,
+		Version: s.version,
 	}
 }
 
@@ -210,7 +218,7 @@
 // of both to the table of endpoints. A survey of candidates decides among them if there is one.
 func (s *streamRequest) chooseAttempt(v *survey) (a streamAttempt, ok bool) {
 	s.relay.withTable(func(t *place.EndpointTable, now time.Time) {
-		if c := s.copies.get(); c.exists && !s.tried[c.holder.ID] && t.AcceptsResumed(c.holder.ID, s.startedAt, now) {
+		if c := s.copies.get(); c.exists && s.mayGoOnAt(c.holder) && !s.tried[c.holder.ID] && t.AcceptsResumed(c.holder.ID, s.startedAt, now) {
 			a.endpoint, a.resumeFrom, ok = c.holder, c.resumeFrom, true
 		} else if a.endpoint, ok = s.nextPromptEndpoint(t, now); ok {
 			a.promptCached = true
