Record at which software version a stream began

Engines of several software versions may serve one service, and what two versions generate does not fit together. A stream that its caller takes up may arrive at a relay that has never seen it, so the version that began it must be recorded where other processes find it. The new package core/origin holds such records without a socket or a clock: a bounded table that never changes the version of a record, is merged in any order, and may lose records but names no wrong version (property test), and the versions listed lately, which tell whether a stream of unknown origin can go on.

--- /dev/null
+++ b/core/origin/origin_test.go
@@ -0,0 +1,121 @@
+package origin
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wasabiweir/core/place"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against a stream that goes on at a version which did not begin it because records were merged in another order, came
+// twice or were lost: each table must name a version that was recorded for the attempt, and never change it.
+func TestMergedOriginsNameNoOtherVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := make([]Table, 3)
+		recorded := map[Attempt]map[Origin]bool{}
+		named := make([]map[Attempt]Origin, len(tables))
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			to := rapid.IntRange(0, len(tables)-1).Draw(t, "to")
+			if from := rapid.IntRange(0, 2*len(tables)).Draw(t, "from"); from < len(tables) {
+				list := tables[from].All(now)
+				kept := rapid.Permutation(list).Draw(t, "order")
+				tables[to].Add(kept[:rapid.IntRange(0, len(kept)).Draw(t, "kept")], now)
+			} else {
+				a := NewAttempt("", strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "attempt")))
+				o := Origin{Service: "m", Version: rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")}
+				if recorded[a] == nil {
+					recorded[a] = map[Origin]bool{}
+				}
+				recorded[a][o] = true
+				tables[to].Add([]Record{{Attempt: a, Origin: o}}, now)
+			}
+			for i := range tables {
+				if named[i] == nil {
+					named[i] = map[Attempt]Origin{}
+				}
+				for a := range recorded {
+					o, ok := tables[i].Find(a, now)
+					if ok && !recorded[a][o] {
+						t.Fatalf("table %d names %v, which was not recorded", i, o)
+					}
+					if before, was := named[i][a]; was && (!ok || o != before) {
+						t.Fatalf("table %d named %v and now %v, %v", i, before, o, ok)
+					}
+					if ok {
+						named[i][a] = o
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against a table that grows without bound, or gives up records that callers still need before old ones.
+func TestOldestOriginsGoFirst(t *testing.T) {
+	var x Table
+	o := Origin{Service: "m", Version: "v1"}
+	for i := range maxRecords + 1 {
+		x.Add([]Record{{Attempt: NewAttempt("", strconv.Itoa(i)), Origin: o}}, start.Add(time.Duration(i)*time.Millisecond))
+	}
+	now := start.Add(maxRecords * time.Millisecond)
+	if _, ok := x.Find(NewAttempt("", "0"), now); ok || len(x.entries) > maxRecords {
+		t.Errorf("%d records, with the oldest: %v", len(x.entries), ok)
+	}
+	if _, ok := x.Find(NewAttempt("", strconv.Itoa(maxRecords/4)), now); !ok {
+		t.Error("a record was lost that is younger than three quarters of all")
+	}
+	if list := x.All(now.Add(Lifetime)); len(list) != 0 {
+		t.Errorf("%d records outlive their lifetime", len(list))
+	}
+}
+
+// Guards against a record that lapses while its stream is taken up again and again, against messages about each renewal, and
+// against records of one client account that name the streams of another.
+func TestTakingUpRenewsOrigin(t *testing.T) {
+	var x Table
+	r := Record{Attempt: NewAttempt("vets", "a"), Origin: Origin{Service: "m", Version: "v1"}}
+	told := 0
+	for i := range 20 {
+		told += len(x.Add([]Record{r}, start.Add(time.Duration(i)*10*time.Second)))
+	}
+	if _, ok := x.Find(r.Attempt, start.Add(4*time.Minute)); !ok || told == 0 || told > 7 {
+		t.Errorf("found: %v, told %d times", ok, told)
+	}
+	if _, ok := x.Find(NewAttempt("cats", "a"), start); ok {
+		t.Error("an attempt of another account has the same record")
+	}
+}
+
+// Guards against a stream of unknown origin that goes on shortly after a release, and against one that is refused on a day without.
+func TestVersionsSeenLately(t *testing.T) {
+	list := func(versions ...string) (out []place.Endpoint) {
+		for _, v := range versions {
+			out = append(out, place.Endpoint{ID: v, Service: "m", Version: v})
+		}
+		return append(out, place.Endpoint{ID: "p", Service: "p", Version: "other"})
+	}
+	var x, started Versions
+	x.Observe(list("v1"), start)
+	if x.AreSeveral("m", start.Add(time.Hour)) {
+		t.Error("one version counts as several")
+	}
+	x.Observe(list("v1", "v2"), start.Add(time.Second))
+	x.Observe(list("v2"), start.Add(2*time.Second))
+	started.Observe(list("v2"), start.Add(3*time.Second))
+	started.Merge(x.All(start.Add(3*time.Second)), start.Add(3*time.Second))
+	for name, v := range map[string]*Versions{"process": &x, "process that was told": &started} {
+		if now := start.Add(time.Second + Lifetime); !v.AreSeveral("m", now) || v.AreSeveral("p", now) || v.AreSeveral("m", now.Add(2*time.Second)) {
+			t.Errorf("%s: several versions count wrongly", name)
+		}
+		if v.IsListed(Origin{Service: "m", Version: "v1"}) || !v.IsListed(Origin{Service: "m", Version: "v2"}) {
+			t.Errorf("%s: listed versions are wrong", name)
+		}
+	}
+}
--- /dev/null
+++ b/core/origin/versions.go
@@ -0,0 +1,102 @@
+package origin
+
+import (
+	"maps"
+	"time"
+
+	"wasabiweir/core/place"
+)
+
+// maxSightings bounds the versions that are remembered.
+const maxSightings = 4096
+
+// Sighting is a software version of a service that has been listed.
+type Sighting struct {
+	Origin
+	// Age is the time from the latest list with an endpoint of that version to the sending of this record.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// Versions holds which software versions of each service are listed now, and which were within Lifetime. It is not safe for
+// concurrent use.
+type Versions struct {
+	listed map[Origin]bool
+	// lastListed holds when versions were listed last that are no longer, or that other processes have seen.
+	lastListed map[Origin]time.Time
+}
+
+// Observe records the platform's latest list of endpoints.
+func (v *Versions) Observe(endpoints []place.Endpoint, now time.Time) {
+	listed := map[Origin]bool{}
+	for i := range endpoints {
+		listed[Origin{Service: endpoints[i].Service, Version: endpoints[i].Version}] = true
+	}
+	for o := range v.listed {
+		if !listed[o] {
+			v.remember(o, now, now)
+		}
+	}
+	v.listed = listed
+}
+
+// remember records that the version was listed at the given time.
+func (v *Versions) remember(o Origin, at, now time.Time) {
+	if v.lastListed == nil {
+		v.lastListed = map[Origin]time.Time{}
+	}
+	if len(v.lastListed) >= maxSightings {
+		maps.DeleteFunc(v.lastListed, func(_ Origin, at time.Time) bool { return now.Sub(at) >= Lifetime })
+	}
+	if len(v.lastListed) < maxSightings && at.After(v.lastListed[o]) {
+		v.lastListed[o] = at
+	}
+}
+
+// Merge adds what another process has seen.
+func (v *Versions) Merge(list []Sighting, now time.Time) {
+	for _, s := range list {
+		if s.Age >= 0 && s.Age < Lifetime && s.isValid() {
+			v.remember(s.Origin, now.Add(-s.Age), now)
+		}
+	}
+}
+
+// All returns the versions that are listed or were within Lifetime.
+func (v *Versions) All(now time.Time) (out []Sighting) {
+	for o := range v.listed {
+		out = append(out, Sighting{Origin: o})
+	}
+	for o, at := range v.lastListed {
+		if age := now.Sub(at); !v.listed[o] && age < Lifetime {
+			out = append(out, Sighting{Origin: o, Age: max(0, age)})
+		}
+	}
+	return out
+}
+
+// Of returns the sightings of one service among all.
+func (v *Versions) Of(service string, now time.Time) (out []Sighting) {
+	for _, s := range v.All(now) {
+		if s.Service == service {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// IsListed reports whether the latest list has an endpoint of that version.
+func (v *Versions) IsListed(o Origin) bool { return v.listed[o] }
+
+// IsServiceListed reports whether the latest list has an endpoint of the service.
+func (v *Versions) IsServiceListed(service string) bool {
+	for o := range v.listed {
+		if o.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// AreSeveral reports whether several versions of the service are listed, or were within Lifetime. A process that has just started
+// knows only what others have told it.
+func (v *Versions) AreSeveral(service string, now time.Time) bool { return len(v.Of(service, now)) > 1 }
