Let a stream that its caller takes up go on at its software version

The cause: the relay that gets the take-up has not seen the stream, and the field Resumes, which names the attempt that got its first event, was read nowhere.

The relay that forwards the first event now records the version under the attempt's id and tells its keeper, which passes it on to the other keepers within 20 ms. The relay of a take-up looks in its own table, asks its keeper, and then the engines for requests that they still run. If the origin is not known and several versions are listed or were within two minutes, it refuses the stream (503, origin-unknown); if no engine of the version is listed, too (503, version-gone), and a stream in the middle of its answer ends at once for that reason. With one version all goes on as before.

--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -41,6 +41,11 @@
 	ReasonEndpointLimit Reason = "endpoint-limit"
 	// ReasonCrashesEngines means that the request, or a part of its prompt, crashes engines.
 	ReasonCrashesEngines Reason = "crashes-engines"
+	// ReasonOriginUnknown means that the caller takes up a stream of which nobody knows the software version that began it, while
+	// several versions serve or did lately. The caller can only begin anew.
+	ReasonOriginUnknown Reason = "origin-unknown"
+	// ReasonVersionGone means that no endpoint of the software version that began the stream is listed any more.
+	ReasonVersionGone Reason = "version-gone"
 	// ReasonJournalLost means that the journal of a generation is lost; the generation cannot be resumed safely.
 	ReasonJournalLost Reason = "journal-lost"
 	// ReasonJournalUnavailable means that the journal of a generation cannot be reached; a retry may succeed.
@@ -97,8 +102,8 @@
 var RefusalReasons = []Reason{
 	ReasonBadRequest, ReasonBodyTooLarge, ReasonUnknownAccount, ReasonUnknownModel, ReasonUnknownService,
 	ReasonNotAllowed, ReasonNoConfiguration, ReasonDraining, ReasonOverloaded, ReasonAccountLimit, ReasonDeadline,
-	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonJournalLost, ReasonJournalUnavailable,
-	ReasonSuperseded, ReasonBadCursor, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused,
+	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonOriginUnknown, ReasonVersionGone,
+	ReasonJournalLost, ReasonJournalUnavailable, ReasonSuperseded, ReasonBadCursor, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused,
 	ReasonLedgerUnavailable, ReasonOutcomeUnknown, ReasonAnswerTooLarge, ReasonInternal,
 }
 
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -410,6 +410,18 @@
 	return out
 }
 
+// AskableEndpoints returns the endpoints of the service that are up and want no pause; they may be draining or full.
+func (t *EndpointTable) AskableEndpoints(service string, now time.Time) []Endpoint {
+	var out []Endpoint
+	t.endpoints.Each(func(_ string, s *endpointState) bool {
+		if s.Service == service && s.isUp(now) && s.announced.pauseLeft(now) == 0 {
+			out = append(out, s.Endpoint)
+		}
+		return true
+	})
+	return out
+}
+
 // RequestStarted counts a request that is sent to the endpoint; prompt means that the endpoint first has to process a
 // prompt. It uses a turn of the endpoint's limit.
 func (t *EndpointTable) RequestStarted(id string, prompt bool, now time.Time) {
--- a/core/state/index.go
+++ b/core/state/index.go
@@ -64,6 +64,11 @@
 // NeedsKey reports whether requests on the route must carry the API key of a client account.
 func (x *ConfigIndex) NeedsKey(r *Route) bool { return x.State.KeysRequired && !r.Public }
 
+// HasService reports whether the route leads to the service, for some requests at least.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.Shares, func(s ServiceShare) bool { return s.Service == name })
+}
+
 // PickService chooses the service for a request by the weights of the route's services; draw is a uniform random
 // number in [0, 1).
 func (r *Route) PickService(draw float64) string {
--- a/io/keeper/exchange.go
+++ b/io/keeper/exchange.go
@@ -134,7 +134,7 @@
 // a leader knows what a quorum knew when it was elected, and a keeper that confirms a state knows what its leader
 // does, also if it has lost its disk.
 func (k *Keeper) sendKnown(l *wire.Link) {
-	if err := k.sendExchanges(l); err != nil {
+	if err := errors.Join(k.sendExchanges(l), k.origins.sendAllTo(l)); err != nil {
 		k.Log.Debug("peer-message-lost", zap.String("peer", l.Name), zap.Error(err))
 	}
 }
--- a/io/keeper/frames.go
+++ b/io/keeper/frames.go
@@ -49,7 +49,12 @@
 		if list, err = wire.Decode[[]place.LimitNotice](f); err == nil {
 			k.limits.merge(list)
 		}
-	case wire.KindConfigUpdateRequest, wire.KindJoin:
+	case wire.KindOrigins:
+		var o wire.Origins
+		if o, err = wire.Decode[wire.Origins](f); err == nil {
+			k.origins.merge(o)
+		}
+	case wire.KindConfigUpdateRequest, wire.KindJoin, wire.KindFindOrigin:
 		k.requests.Add(1)
 		go k.runRequest(l, f)
 	default:
@@ -60,7 +65,7 @@
 	}
 }
 
-// runRequest handles a peer's request that waits for a quorum in its own goroutine, so that it does not block the
+// runRequest handles a peer's request that waits, mostly for a quorum, in its own goroutine, so that it does not block the
 // link's other frames.
 func (k *Keeper) runRequest(l *wire.Link, f wire.Frame) {
 	defer k.requests.Done()
@@ -73,7 +78,8 @@
 	}
 }
 
-// handleRequest returns the reply to a peer's request to join the Raft group or to confirm the configuration state.
+// handleRequest returns the reply to a peer's request to join the Raft group, to confirm the configuration state, or for the origin of a
+// stream.
 func (k *Keeper) handleRequest(ctx context.Context, l *wire.Link, f wire.Frame) (any, error) {
 	switch f.Kind {
 	case wire.KindJoin:
@@ -88,6 +94,12 @@
 			return nil, err
 		}
 		return k.feeds.confirmState(ctx, l, p)
+	case wire.KindFindOrigin:
+		p, err := wire.Decode[wire.OriginRequest](f)
+		if err != nil {
+			return nil, err
+		}
+		return k.origins.find(ctx, p.Attempt), nil
 	}
 	return nil, errUnknownKind
 }
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -69,7 +69,9 @@
 	crashes   *exchange[poison.Crash]
 	limits    *exchange[place.LimitNotice]
 	crashFile crashFile
-	guard     serve.PanicGuard
+	// origins knows the software versions at which streams began.
+	origins originExchange
+	guard   serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
 	ctx context.Context
 	// operators ends, by endOperators, when the operators' requests that still run must be answered because the process stops.
@@ -117,6 +119,7 @@
 	k.roster.initRoster(k)
 	k.crashes = newExchange[poison.Crash](k, wire.KindCrashes, &poison.Table{}, crashResendInterval)
 	k.limits = newExchange[place.LimitNotice](k, wire.KindLimits, &place.LimitTable{}, limitResendInterval)
+	k.origins.initOrigins(k)
 	k.crashFile.keeper = k
 	k.crashFile.load()
 	k.group.initReplica()
@@ -143,6 +146,7 @@
 	serve.AddLoop(ctx, &g, k.lists.loop)
 	serve.AddLoop(ctx, &g, k.crashes.loop)
 	serve.AddLoop(ctx, &g, k.limits.loop)
+	serve.AddLoop(ctx, &g, k.origins.loop)
 	serve.AddLoop(ctx, &g, k.crashFile.loop)
 	err := g.Run()
 	cancel()
--- a/io/keeper/lists.go
+++ b/io/keeper/lists.go
@@ -113,6 +113,7 @@
 	if !newer {
 		return
 	}
+	s.keeper.origins.observe(list.Endpoints)
 	s.keeper.feeds.forEachRelay(func(l *wire.Link, _ *relayFeed) error { return s.sendListTo(l) })
 }
 
--- /dev/null
+++ b/io/keeper/origins.go
@@ -0,0 +1,119 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiweir/core/common"
+	"wasabiweir/core/origin"
+	"wasabiweir/core/place"
+	"wasabiweir/io/serve"
+	"wasabiweir/io/wire"
+)
+
+const (
+	// originNewsInterval is the least time between two messages with origins to the other keepers. It is below the time in which a
+	// caller notices a broken connection and comes to another relay.
+	originNewsInterval = 20 * time.Millisecond
+	// originWait is how long a request for an origin that is not known waits for a record that is on its way from another keeper.
+	originWait = 2 * originNewsInterval
+)
+
+// originExchange knows at which software versions streams began, and which versions were listed lately. Each keeper gets the records of
+// the relays that follow it, passes them on to the other keepers, and answers the questions of relays. Relays are not sent records,
+// since most streams are never taken up.
+type originExchange struct {
+	keeper *Keeper
+
+	mu       sync.Mutex
+	table    origin.Table
+	versions origin.Versions
+	// news holds the records that the other keepers have not been sent.
+	news common.Batch[origin.Record]
+}
+
+// initOrigins initialises the origins of a keeper, which knows none yet.
+func (s *originExchange) initOrigins(k *Keeper) {
+	s.keeper = k
+	s.news.Interval = originNewsInterval
+}
+
+// observe records the platform's latest list of endpoints.
+func (s *originExchange) observe(endpoints []place.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions.Observe(endpoints, s.keeper.Clock.Now())
+}
+
+// merge adds what a relay or another keeper has sent, and passes on what comes from a relay.
+func (s *originExchange) merge(o wire.Origins) {
+	s.mu.Lock()
+	now := s.keeper.Clock.Now()
+	s.versions.Merge(o.Versions, now)
+	news := s.table.Add(o.Records, now)
+	var due []origin.Record
+	if !o.PassedOn {
+		due = s.news.Add(news, now)
+	}
+	s.mu.Unlock()
+	if !o.PassedOn {
+		s.passOn(due, o.Versions)
+	}
+}
+
+// passOn sends records and sightings of versions to the other keepers.
+func (s *originExchange) passOn(records []origin.Record, versions []origin.Sighting) {
+	if len(records)+len(versions) == 0 {
+		return
+	}
+	s.keeper.peers.broadcast(wire.KindOrigins, wire.Origins{Records: records, Versions: versions, PassedOn: true})
+	if s.keeper.Metrics != nil {
+		s.keeper.Metrics.Tagged(map[string]string{"kind": string(wire.KindOrigins)}).Counter("news-messages").Inc(1)
+	}
+}
+
+// loop passes on the records that are due until ctx ends.
+func (s *originExchange) loop(ctx context.Context) error {
+	for serve.Sleep(ctx, originNewsInterval) {
+		s.mu.Lock()
+		due := s.news.Take(s.keeper.Clock.Now())
+		s.mu.Unlock()
+		s.passOn(due, nil)
+	}
+	return ctx.Err()
+}
+
+// sendAllTo sends everything that is known to another keeper that has just connected.
+func (s *originExchange) sendAllTo(l *wire.Link) error {
+	s.mu.Lock()
+	now := s.keeper.Clock.Now()
+	o := wire.Origins{Records: s.table.All(now), Versions: s.versions.All(now), PassedOn: true}
+	s.mu.Unlock()
+	if len(o.Records)+len(o.Versions) == 0 {
+		return nil
+	}
+	return l.Post(wire.KindOrigins, "", o)
+}
+
+// find returns the reply to a relay that asks for the origin of the attempt's stream.
+func (s *originExchange) find(ctx context.Context, a origin.Attempt) wire.OriginReply {
+	reply := s.lookUp(a)
+	if !reply.Known && serve.Sleep(ctx, originWait) {
+		reply = s.lookUp(a)
+	}
+	s.keeper.Log.Debug("origin-asked", zap.Bool("known", reply.Known), zap.String("version", reply.Origin.Version))
+	return reply
+}
+
+// lookUp returns what is known now of the origin of the attempt's stream.
+func (s *originExchange) lookUp(a origin.Attempt) (reply wire.OriginReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.keeper.Clock.Now()
+	reply.Origin, reply.Known = s.table.Find(a, now)
+	reply.Versions = s.versions.All(now)
+	return reply
+}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -178,6 +178,7 @@
 		if !w.firstEventSeen {
 			w.firstEventSeen = true
 			s.version = a.endpoint.Version
+			s.recordOrigin()
 			s.logResumed(a)
 			s.relay.withTable(func(t *place.EndpointTable, _ time.Time) {
 				if a.needsPrefill() {
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -169,6 +169,9 @@
 		}
 		turn, _ := s.nextTurn(s.requirements())
 		return max(retryElsewhere, turn)
+	case common.ReasonOriginUnknown, common.ReasonVersionGone:
+		// The caller can only begin anew, which it may do at once.
+		return 0
 	}
 	return retryAfterCrash
 }
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -286,6 +286,7 @@
 		return
 	}
 	f.relay.withTable(func(t *place.EndpointTable, now time.Time) { t.Update(list.Endpoints, now) })
+	f.relay.origins.observe(list.Endpoints)
 	f.closeInitialisedWhenReady()
 }
 
--- a/io/relay/keeperlink.go
+++ b/io/relay/keeperlink.go
@@ -141,6 +141,7 @@
 	// The keeper may have missed what was sent to another one.
 	f.relay.crashes.SendAll()
 	f.sendLimits(f.relay.allLimits())
+	f.relay.origins.sendAll()
 }
 
 // abandonKeeper logs the failure of a keeper and closes the connection to it.
--- /dev/null
+++ b/io/relay/origins.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiweir/core/common"
+	"wasabiweir/core/origin"
+	"wasabiweir/core/place"
+	"wasabiweir/io/serve"
+	"wasabiweir/io/wire"
+)
+
+const (
+	// originTimeout bounds the time in which a keeper is asked for the origin of a stream, including the wait for a first connection
+	// to a keeper after a start.
+	originTimeout = 300 * time.Millisecond
+	// keeperPollInterval is the time between two checks whether the relay follows a keeper.
+	keeperPollInterval = 10 * time.Millisecond
+)
+
+// streamOrigins knows at which software versions streams began that this relay has forwarded, and finds out the origins of others when
+// their callers take them up.
+type streamOrigins struct {
+	relay *Relay
+
+	mu       sync.Mutex
+	table    origin.Table
+	versions origin.Versions
+	// searches holds the latest search among the engines of each service for requests that still run.
+	searches map[string]*runSearch
+}
+
+// initOrigins initialises the origins of a relay, which knows none yet.
+func (o *streamOrigins) initOrigins(r *Relay) {
+	o.relay = r
+	o.searches = map[string]*runSearch{}
+}
+
+// observe records the platform's latest list of endpoints.
+func (o *streamOrigins) observe(endpoints []place.Endpoint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions.Observe(endpoints, o.relay.Clock.Now())
+}
+
+// record records where a stream began and tells the followed keeper, which passes it on.
+func (o *streamOrigins) record(list []origin.Record) {
+	o.mu.Lock()
+	news := o.table.Add(list, o.relay.Clock.Now())
+	o.mu.Unlock()
+	if len(news) > 0 {
+		o.relay.feed.postNews(wire.KindOrigins, wire.Origins{Records: news})
+	}
+}
+
+// sendAll tells a keeper that this relay has not followed until now everything that it knows, since the keepers may have restarted.
+func (o *streamOrigins) sendAll() {
+	o.mu.Lock()
+	now := o.relay.Clock.Now()
+	all := wire.Origins{Records: o.table.All(now), Versions: o.versions.All(now)}
+	o.mu.Unlock()
+	if len(all.Records)+len(all.Versions) > 0 {
+		o.relay.feed.postNews(wire.KindOrigins, all)
+	}
+}
+
+// areSeveral reports whether several versions of the service are listed or were lately, as far as this relay knows.
+func (o *streamOrigins) areSeveral(service string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.AreSeveral(service, o.relay.Clock.Now())
+}
+
+// isGone reports whether no endpoint of that version is listed while others of the service are.
+func (o *streamOrigins) isGone(x origin.Origin) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.versions.IsListed(x) && o.versions.IsServiceListed(x.Service)
+}
+
+// find returns the origin of the stream of a caller's attempt as this relay or its keeper knows it.
+func (o *streamOrigins) find(ctx context.Context, a origin.Attempt) (found origin.Origin, source string) {
+	o.mu.Lock()
+	found, known := o.table.Find(a, o.relay.Clock.Now())
+	o.mu.Unlock()
+	if known {
+		return found, "relay"
+	}
+	reply, err := o.askKeeper(ctx, a)
+	if err != nil {
+		o.relay.Log.Info("origin-not-asked", zap.Error(err))
+		return found, ""
+	}
+	o.mu.Lock()
+	o.versions.Merge(reply.Versions, o.relay.Clock.Now())
+	o.mu.Unlock()
+	if reply.Known {
+		return reply.Origin, "keeper"
+	}
+	return found, ""
+}
+
+// askKeeper asks the followed keeper for the origin of a stream, and waits for a first keeper after a start.
+func (o *streamOrigins) askKeeper(ctx context.Context, a origin.Attempt) (reply wire.OriginReply, err error) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	l := o.relay.feed.followedLink()
+	for l == nil && serve.Sleep(ctx, keeperPollInterval) {
+		l = o.relay.feed.followedLink()
+	}
+	if l == nil {
+		return reply, errNotConfirmed
+	}
+	return reply, l.Call(ctx, wire.KindFindOrigin, "", wire.OriginRequest{Attempt: a}, &reply)
+}
+
+// followedLink returns the link to the followed keeper, or nil if there is none.
+func (f *keeperFeed) followedLink() *wire.Link {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.link
+}
+
+// findOrigin finds out at which service and software version a stream began that the caller takes up. It returns the reason if the
+// stream must be refused: what another version generates does not fit to the events that the caller has.
+func (s *streamRequest) findOrigin() common.Reason {
+	if s.lastEventID <= 0 {
+		return ""
+	}
+	id := cmp.Or(s.r.Header.Get(s.relay.Names.ResumedRequest), s.id)
+	s.resumedAttempt = origin.NewAttempt(s.account, id)
+	began := s.relay.Clock.Now()
+	o := &s.relay.origins
+	found, source := o.find(s.ctx, s.resumedAttempt)
+	if source == "" && o.areSeveral(s.service) {
+		if found.Version = o.findRun(s.ctx, s.service, id); found.Version != "" {
+			found.Service, source = s.service, "engine"
+		}
+	}
+	switch {
+	case source != "" && s.route.HasService(found.Service):
+		s.service, s.version = found.Service, found.Version
+	case o.areSeveral(s.service):
+		source = "unknown"
+	default:
+		source = "only-version"
+	}
+	s.relay.meter.countReason("origins", source)
+	s.log.Info("origin-sought", zap.String("source", source), zap.String("resumes", id), zap.String("service", s.service),
+		zap.String("version", s.version), zap.Duration("took", s.relay.Clock.Now().Sub(began)))
+	switch {
+	case source == "unknown":
+		return common.ReasonOriginUnknown
+	case s.isVersionGone():
+		return common.ReasonVersionGone
+	}
+	return ""
+}
+
+// isVersionGone reports whether the stream can not go on because no endpoint of its version is listed any more.
+func (s *streamRequest) isVersionGone() bool {
+	return s.version != "" && s.relay.origins.isGone(origin.Origin{Service: s.service, Version: s.version})
+}
+
+// recordOrigin records at which version the stream has begun or gone on, under the id of this attempt and of the one that the caller has
+// taken up, if any.
+func (s *streamRequest) recordOrigin() {
+	if s.id == "" || s.originRecorded {
+		return
+	}
+	s.originRecorded = true
+	o := origin.Origin{Service: s.service, Version: s.version}
+	list := []origin.Record{{Attempt: origin.NewAttempt(s.account, s.id), Origin: o}}
+	if s.lastEventID > 0 {
+		list = append(list, origin.Record{Attempt: s.resumedAttempt, Origin: o})
+	}
+	s.relay.origins.record(list)
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -78,6 +78,8 @@
 	NotExecuted string
 	// LastEvent carries the id of the last event that the receiver got.
 	LastEvent string
+	// ResumedRequest carries the request id of the caller's attempt that got the first event of a stream that the caller takes up.
+	ResumedRequest string
 	// CopyTarget carries the address of the endpoint that gets copies of the KV cache; ResumeFrom names the copy to
 	// resume from.
 	CopyTarget string
@@ -149,11 +151,13 @@
 	// identities confirms the ends of responses without a length.
 	identities identityChecker
 	finder     promptFinder
-	drain      drain
-	callers    callerConns
-	meter      relayMetrics
-	guard      serve.PanicGuard
-	buffers    bufferBudget
+	// origins knows the software versions at which streams began.
+	origins streamOrigins
+	drain   drain
+	callers callerConns
+	meter   relayMetrics
+	guard   serve.PanicGuard
+	buffers bufferBudget
 	// crashes keeps requests whose prompt crashes engines away from them.
 	crashes guard.Guard
 	// ctx ends when the process stops, after the graceful shutdown.
@@ -202,6 +206,7 @@
 	r.losses.initLossChecker(r)
 	r.identities.initIdentityChecker(r)
 	r.finder.initFinder(r)
+	r.origins.initOrigins(r)
 	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope, Send: r.feed.sendCrashes}
 	r.feed.initFeed(r)
 	r.drain.setRelay(r)
--- a/io/relay/rig_test.go
+++ b/io/relay/rig_test.go
@@ -47,6 +47,7 @@
 	r.losses.initLossChecker(r)
 	r.identities.initIdentityChecker(r)
 	r.finder.initFinder(r)
+	r.origins.initOrigins(r)
 	r.feed.initFeed(r)
 	close(r.feed.initialised)
 	r.drain.setRelay(r)
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/common"
+	"wasabiweir/core/origin"
 	"wasabiweir/core/place"
 )
 
@@ -38,8 +40,16 @@
 	resumedByCaller bool
 	// headerSent is true once the response header was sent to the caller.
 	headerSent bool
-	// version is the software version of the endpoint that began the stream; empty until an event has arrived.
+	// version is the software version of the endpoint that began the stream; empty until an event has arrived, or until the origin of a
+	// stream that the caller takes up is known.
 	version string
+	// firstVersion is the software version of the first endpoint that may have run the request. Until an event has arrived, further
+	// attempts go there if they can, so that a run which still goes on shows the version that the caller has seen.
+	firstVersion string
+	// resumedAttempt is the caller's attempt that got the first event of a stream that the caller takes up.
+	resumedAttempt origin.Attempt
+	// originRecorded is true once this attempt has told the keepers where the stream began.
+	originRecorded bool
 	// copies records which engine holds the latest copy of the stream's KV cache.
 	copies copyTracker
 	// ended is true once the stream has ended or its caller has disconnected, so that its copy can be freed.
@@ -79,14 +89,22 @@
 
 // mayGoOnAt reports whether what the endpoint writes fits to the events that the caller has.
 func (s *streamRequest) mayGoOnAt(e place.Endpoint) bool {
-	return s.version == "" || e.Version == s.version
+	required := s.requiredVersion()
+	return required == "" || e.Version == required
 }
 
+// requiredVersion returns the software version that an endpoint must have for the next attempt; empty if any will do.
+func (s *streamRequest) requiredVersion() string { return cmp.Or(s.version, s.firstVersion) }
+
 // serveStream forwards a stream event by event and resumes it at another endpoint when one fails.
 func (q *request) serveStream() {
 	s := &streamRequest{request: q}
 	if id, err := strconv.ParseInt(q.r.Header.Get(q.relay.Names.LastEvent), 10, 64); err == nil {
 		s.lastEventID, s.resumedByCaller = id, true
+		if reason := s.findOrigin(); reason != "" {
+			s.abortStream(reason)
+			return
+		}
 		s.findCachedPrompt()
 		q.log.Info("stream-resumed-by-caller", zap.Int64("last-event", id), zap.Strings("prompt-endpoints", s.promptEndpoints))
 	}
@@ -102,6 +120,7 @@
 		s.allowHolderRetry(a, result)
 		if result.outcome == outcomeUnknown {
 			s.lostDomain = a.endpoint.Domain
+			s.firstVersion = cmp.Or(s.firstVersion, a.endpoint.Version)
 		}
 		if result.outcome == completed {
 			s.finishStream(a, result)
@@ -181,6 +200,13 @@
 		if a, ok := s.chooseAttempt(s.surveyCandidates()); ok {
 			return a, ""
 		}
+		if s.isVersionGone() {
+			return streamAttempt{}, common.ReasonVersionGone
+		}
+		if s.version == "" && s.firstVersion != "" {
+			s.firstVersion = ""
+			continue
+		}
 		now := s.relay.Clock.Now()
 		if turn, limited := s.firstTurn(); limited && !s.headerSent && now.Add(turn).After(until) {
 			return streamAttempt{}, common.ReasonEndpointLimit
@@ -210,7 +236,7 @@
 	n := &s.relay.Names
 	return place.EndpointRequirements{
 		Service: s.service, ModelEngines: true, Tokens: n.ParseTokenCount(s.header.Get(n.TokenCount)), Exclude: s.tried, LostDomain: s.lostDomain,
-		Version: s.version,
+		Version: s.requiredVersion(),
 	}
 }
 
--- a/io/wire/frame.go
+++ b/io/wire/frame.go
@@ -52,6 +52,10 @@
 	KindCrashes Kind = "crashes"
 	// KindLimits carries a list of place.LimitNotice, limits that endpoints have named, between relays and keepers.
 	KindLimits Kind = "limits"
+	// KindOrigins carries Origins, the software versions at which streams began, from relays to keepers and between keepers.
+	KindOrigins Kind = "origins"
+	// KindFindOrigin carries an OriginRequest of a relay to a keeper, which replies with an OriginReply.
+	KindFindOrigin Kind = "find-origin"
 	// KindKeepers carries Keepers, the addresses of the keepers and relays, to a relay.
 	KindKeepers Kind = "keepers"
 
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -3,6 +3,7 @@
 import (
 	"wasabiweir/core/member"
 	"wasabiweir/core/object"
+	"wasabiweir/core/origin"
 )
 
 // Report describes the state of a router or relay. Routers send it to a control process and relays to a keeper, on
@@ -101,3 +102,26 @@
 	// Draining are the addresses of relays that callers may no longer use but that may still serve requests, sorted.
 	Draining []string `cbor:"3,keyasint,omitempty"`
 }
+
+// Origins tells a keeper at which software versions streams began.
+type Origins struct {
+	Records []origin.Record `cbor:"1,keyasint,omitempty"`
+	// Versions are the software versions that the sender has seen listed lately.
+	Versions []origin.Sighting `cbor:"2,keyasint,omitempty"`
+	// PassedOn is set by keepers: all other keepers get the same, so the receiver does not pass it on.
+	PassedOn bool `cbor:"3,keyasint,omitempty"`
+}
+
+// OriginRequest asks a keeper where the stream of a caller's attempt began.
+type OriginRequest struct {
+	Attempt origin.Attempt `cbor:"1,keyasint"`
+}
+
+// OriginReply is a keeper's reply to an OriginRequest.
+type OriginReply struct {
+	// Known is true if the keeper knows the origin.
+	Known  bool          `cbor:"1,keyasint,omitempty"`
+	Origin origin.Origin `cbor:"2,keyasint"`
+	// Versions are the software versions of all services that the keeper has seen listed lately.
+	Versions []origin.Sighting `cbor:"3,keyasint,omitempty"`
+}
