Keep the origins of streams when all machines lose power

Callers that took a stream up after all keepers and relays had restarted during a release were refused (origin-unknown), since records and the versions seen lately were in memory only. A full disk costs records on that disk and nothing else.

TestOriginsOutliveLossOfPower covers a cut-off block, a full disk, two losses in a row and a clock that was set back.

--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -70,8 +70,9 @@
 	limits    *exchange[place.LimitNotice]
 	crashFile crashFile
 	// origins knows the software versions at which streams began.
-	origins originExchange
-	guard   serve.PanicGuard
+	origins    originExchange
+	originFile originFile
+	guard      serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
 	ctx context.Context
 	// operators ends, by endOperators, when the operators' requests that still run must be answered because the process stops.
@@ -120,6 +121,8 @@
 	k.crashes = newExchange[poison.Crash](k, wire.KindCrashes, &poison.Table{}, crashResendInterval)
 	k.limits = newExchange[place.LimitNotice](k, wire.KindLimits, &place.LimitTable{}, limitResendInterval)
 	k.origins.initOrigins(k)
+	k.originFile.keeper = k
+	k.originFile.load()
 	k.crashFile.keeper = k
 	k.crashFile.load()
 	k.group.initReplica()
@@ -147,6 +150,7 @@
 	serve.AddLoop(ctx, &g, k.crashes.loop)
 	serve.AddLoop(ctx, &g, k.limits.loop)
 	serve.AddLoop(ctx, &g, k.origins.loop)
+	serve.AddLoop(ctx, &g, k.originFile.loop)
 	serve.AddLoop(ctx, &g, k.crashFile.loop)
 	err := g.Run()
 	cancel()
--- a/io/keeper/origins.go
+++ b/io/keeper/origins.go
@@ -20,6 +20,8 @@
 	originNewsInterval = 20 * time.Millisecond
 	// originWait is how long a request for an origin that is not known waits for a record that is on its way from another keeper.
 	originWait = 2 * originNewsInterval
+	// maxUnsaved bounds the records that wait for the disk; further ones are not saved. One block of them fits into a file.
+	maxUnsaved = 4096
 )
 
 // originExchange knows at which software versions streams began, and which versions were listed lately. Each keeper gets the records of
@@ -33,6 +35,8 @@
 	versions origin.Versions
 	// news holds the records that the other keepers have not been sent.
 	news common.Batch[origin.Record]
+	// unsaved holds the records that are not on disk.
+	unsaved []origin.Record
 }
 
 // initOrigins initialises the origins of a keeper, which knows none yet.
@@ -54,6 +58,9 @@
 	now := s.keeper.Clock.Now()
 	s.versions.Merge(o.Versions, now)
 	news := s.table.Add(o.Records, now)
+	if len(s.unsaved)+len(news) <= maxUnsaved {
+		s.unsaved = append(s.unsaved, news...)
+	}
 	var due []origin.Record
 	if !o.PassedOn {
 		due = s.news.Add(news, now)
@@ -64,6 +71,32 @@
 	}
 }
 
+// restore adds what was read from the disk.
+func (s *originExchange) restore(records []origin.Record, versions []origin.Sighting) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.keeper.Clock.Now()
+	s.table.Add(records, now)
+	s.versions.Merge(versions, now)
+}
+
+// markUnsaved marks the newest of all records as not on disk.
+func (s *originExchange) markUnsaved() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := s.table.All(s.keeper.Clock.Now())
+	s.unsaved = all[max(0, len(all)-maxUnsaved):]
+}
+
+// takeUnsaved returns the records that are not on disk yet, which count as saved from now on, and all versions.
+func (s *originExchange) takeUnsaved() ([]origin.Record, []origin.Sighting) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := s.unsaved
+	s.unsaved = nil
+	return records, s.versions.All(s.keeper.Clock.Now())
+}
+
 // passOn sends records and sightings of versions to the other keepers.
 func (s *originExchange) passOn(records []origin.Record, versions []origin.Sighting) {
 	if len(records)+len(versions) == 0 {
