Read the file of origins also when the time of day has jumped

A keeper that restarted with a clock far ahead dropped all origins on its disk as lapsed. Ages now count from the newest block, and the time since that one counts only if it is within the lifetime. TestOriginsOutliveLossOfPower failed for a clock that is an hour ahead (0 of 24 origins known), and passes.

--- a/io/keeper/originfile.go
+++ b/io/keeper/originfile.go
@@ -68,6 +68,7 @@
 
 // load adds what the files hold to what is known.
 func (f *originFile) load() {
+	var blocks []savedOrigins
 	for _, path := range []string{f.path() + formerSuffix, f.path()} {
 		data, err := os.ReadFile(path)
 		if errors.Is(err, fs.ErrNotExist) {
@@ -80,17 +81,15 @@
 			f.keeper.Log.Warn("origins-not-read", zap.String("path", path), zap.Error(err))
 			continue
 		}
-		records, rest := f.loadBlocks(data)
-		f.keeper.Log.Info("origins-read", zap.String("path", path), zap.Int("records", records), zap.Int("unreadable-bytes", rest))
+		list, rest := readBlocks(data)
+		blocks = append(blocks, list...)
+		f.keeper.Log.Info("origins-read", zap.String("path", path), zap.Int("blocks", len(list)), zap.Int("unreadable-bytes", rest))
 	}
-	// The next file replaces the former one, so it must hold what is in both.
-	f.keeper.origins.markUnsaved()
+	f.restore(blocks)
 }
 
-// loadBlocks adds the blocks to what is known, up to the first that is incomplete or damaged. It returns the number of records in them
-// and of the bytes after them.
-func (f *originFile) loadBlocks(data []byte) (records, rest int) {
-	now := f.keeper.Clock.Now()
+// readBlocks returns the blocks up to the first that is incomplete or damaged, and the number of bytes after them.
+func readBlocks(data []byte) (list []savedOrigins, rest int) {
 	for len(data) >= blockHeaderBytes {
 		n := int64(binary.BigEndian.Uint32(data))
 		if int64(len(data)) < blockHeaderBytes+n {
@@ -101,19 +100,35 @@
 		if crc32.Checksum(body, crcTable) != binary.BigEndian.Uint32(data[4:]) || codec.Decode(body, &content) != nil {
 			break
 		}
-		// The time of day may have been set back; then the block counts as a recent one.
-		since := max(0, now.Sub(time.UnixMilli(content.SavedMS)))
-		for i := range content.Records {
-			content.Records[i].Age += since
+		list = append(list, content)
+		data = data[blockHeaderBytes+n:]
+	}
+	return list, len(data)
+}
+
+// restore adds the blocks to what is known, with the ages that they have by now.
+func (f *originFile) restore(blocks []savedOrigins) {
+	if len(blocks) == 0 {
+		return
+	}
+	newest := blocks[len(blocks)-1].SavedMS
+	since := f.keeper.Clock.Now().Sub(time.UnixMilli(newest))
+	if since < 0 || since > origin.Lifetime {
+		// The time of day may have jumped; then the newest block counts as a recent one.
+		since = 0
+	}
+	for _, b := range blocks {
+		age := since + time.Duration(max(0, newest-b.SavedMS))*time.Millisecond
+		for i := range b.Records {
+			b.Records[i].Age += age
 		}
-		for i := range content.Versions {
-			content.Versions[i].Age += since
+		for i := range b.Versions {
+			b.Versions[i].Age += age
 		}
-		f.keeper.origins.restore(content.Records, content.Versions)
-		records += len(content.Records)
-		data = data[blockHeaderBytes+n:]
+		f.keeper.origins.restore(b.Records, b.Versions)
 	}
-	return records, len(data)
+	// The next file replaces the former one, so it must hold what is in both.
+	f.keeper.origins.markUnsaved()
 }
 
 // loop writes what is new until ctx ends.
