--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -105,18 +106,24 @@
 	return found, ""
 }
 
-// askKeeper asks the followed keeper for the origin of a stream, and waits for a first keeper after a start.
+// askKeeper asks the followed keeper for the origin of a stream. It waits for a keeper after a start, and asks again while the link fails:
+// what breaks the connections of callers often breaks that to the keeper too.
 func (o *streamOrigins) askKeeper(ctx context.Context, a origin.Attempt) (reply wire.OriginReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	l := o.relay.feed.followedLink()
-	for l == nil && serve.Sleep(ctx, keeperPollInterval) {
-		l = o.relay.feed.followedLink()
-	}
-	if l == nil {
-		return reply, errNotConfirmed
+	err = errNotConfirmed
+	for {
+		if l := o.relay.feed.followedLink(); l != nil {
+			err = l.Call(ctx, wire.KindFindOrigin, "", wire.OriginRequest{Attempt: a}, &reply)
+			var refused *wire.RemoteError
+			if err == nil || errors.As(err, &refused) {
+				return reply, err
+			}
+		}
+		if !serve.Sleep(ctx, keeperPollInterval) {
+			return reply, err
+		}
 	}
-	return reply, l.Call(ctx, wire.KindFindOrigin, "", wire.OriginRequest{Attempt: a}, &reply)
 }
 
 // followedLink returns the link to the followed keeper, or nil if there is none.
