--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -49,7 +49,7 @@
 	defer stop()
 	if s.headerSent {
 		s.resumeCount++
-		s.log.Info("stream-resumed", zap.String("endpoint", a.endpoint.ID), zap.String("domain", a.endpoint.Domain),
+		s.log.Info("stream-resumed", zap.String("endpoint", a.endpoint.ID), zap.String("domain", a.endpoint.Domain), zap.String("version", a.endpoint.Version),
 			zap.Bool("from-copy", a.resumeFrom != ""), zap.Int64("last-event", s.lastEventID),
 			zap.Duration("pause", start.Sub(s.lastEventAt)))
 	}
@@ -234,7 +234,7 @@
 // logResumed logs the pause between the last event that the caller got and the first event of this stream attempt.
 func (s *streamRequest) logResumed(a streamAttempt) {
 	if s.eventCount > 0 {
-		s.log.Info("stream-goes-on", zap.String("endpoint", a.endpoint.ID), zap.Bool("from-copy", a.resumeFrom != ""),
+		s.log.Info("stream-goes-on", zap.String("endpoint", a.endpoint.ID), zap.String("version", a.endpoint.Version), zap.Bool("from-copy", a.resumeFrom != ""),
 			zap.Duration("pause", s.relay.Clock.Now().Sub(s.lastEventAt)))
 	}
 }
