Take a version for the only one only if the time before the list is known

A relay or keeper that had just started took the one version in its list for the only one, so that a stream of unknown origin went on there although a release had just ended.

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -103,8 +103,8 @@
 	}
 	var x, started Versions
 	x.Observe(list("v1"), start)
-	if x.AreSeveral("m", start.Add(time.Hour)) {
-		t.Error("one version counts as several")
+	if x.AreSeveral("m", start.Add(time.Hour)) || !x.MayBeSeveral("m", start) || x.MayBeSeveral("m", start.Add(Lifetime)) {
+		t.Error("one version counts as several, or as the only one before others could have been seen")
 	}
 	x.Observe(list("v1", "v2"), start.Add(time.Second))
 	x.Observe(list("v2"), start.Add(2*time.Second))
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -23,10 +23,16 @@
 	listed map[Origin]bool
 	// lastListed holds when versions were listed last that are no longer, or that other processes have seen.
 	lastListed map[Origin]time.Time
+	// observedFrom is the time of the first list, and complete is true if another source made up for the time before it.
+	observedFrom time.Time
+	complete     bool
 }
 
 // Observe records the platform's latest list of endpoints.
 func (v *Versions) Observe(endpoints []place.Endpoint, now time.Time) {
+	if v.observedFrom.IsZero() {
+		v.observedFrom = now
+	}
 	listed := map[Origin]bool{}
 	for i := range endpoints {
 		listed[Origin{Service: endpoints[i].Service, Version: endpoints[i].Version}] = true
@@ -61,6 +67,16 @@
 	}
 }
 
+// MarkComplete records that everything is known that was listed within Lifetime, as a process knows it that has merged all of one
+// that does.
+func (v *Versions) MarkComplete() { v.complete = true }
+
+// IsComplete reports whether everything is known that was listed within Lifetime. If not, a single version may only look like the only
+// one.
+func (v *Versions) IsComplete(now time.Time) bool {
+	return v.complete || !v.observedFrom.IsZero() && now.Sub(v.observedFrom) >= Lifetime
+}
+
 // All returns the versions that are listed or were within Lifetime.
 func (v *Versions) All(now time.Time) (out []Sighting) {
 	for o := range v.listed {
@@ -84,6 +100,11 @@
 	return out
 }
 
+// MayBeSeveral reports whether several versions of the service are listed or were within Lifetime, or may have been.
+func (v *Versions) MayBeSeveral(service string, now time.Time) bool {
+	return v.AreSeveral(service, now) || !v.IsComplete(now)
+}
+
 // IsListed reports whether the latest list has an endpoint of that version.
 func (v *Versions) IsListed(o Origin) bool { return v.listed[o] }
 
@@ -97,6 +118,5 @@
 	return false
 }
 
-// AreSeveral reports whether several versions of the service are listed, or were within Lifetime. A process that has just started
-// knows only what others have told it.
+// AreSeveral reports whether several versions of the service are known to be listed, or to have been within Lifetime.
 func (v *Versions) AreSeveral(service string, now time.Time) bool { return len(v.Of(service, now)) > 1 }
--- a/io/keeper/originfile.go
+++ b/io/keeper/originfile.go
@@ -108,6 +108,10 @@
 
 // restore adds the blocks to what is known, with the ages that they have by now.
 func (f *originFile) restore(blocks []savedOrigins) {
+	if len(blocks) > 0 || f.keeper.Bootstrap {
+		// The versions are written while the keeper runs, and on the first start of the whole system there was nothing before.
+		f.keeper.origins.markComplete()
+	}
 	if len(blocks) == 0 {
 		return
 	}
--- a/io/keeper/origins.go
+++ b/io/keeper/origins.go
@@ -57,6 +57,9 @@
 	s.mu.Lock()
 	now := s.keeper.Clock.Now()
 	s.versions.Merge(o.Versions, now)
+	if o.Complete {
+		s.versions.MarkComplete()
+	}
 	news := s.table.Add(o.Records, now)
 	if len(s.unsaved)+len(news) <= maxUnsaved {
 		s.unsaved = append(s.unsaved, news...)
@@ -71,6 +74,13 @@
 	}
 }
 
+// markComplete records that all versions are known that were listed lately.
+func (s *originExchange) markComplete() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions.MarkComplete()
+}
+
 // restore adds what was read from the disk.
 func (s *originExchange) restore(records []origin.Record, versions []origin.Sighting) {
 	s.mu.Lock()
@@ -123,7 +133,7 @@
 func (s *originExchange) sendAllTo(l *wire.Link) error {
 	s.mu.Lock()
 	now := s.keeper.Clock.Now()
-	o := wire.Origins{Records: s.table.All(now), Versions: s.versions.All(now), PassedOn: true}
+	o := wire.Origins{Records: s.table.All(now), Versions: s.versions.All(now), PassedOn: true, Complete: s.versions.IsComplete(now)}
 	s.mu.Unlock()
 	if len(o.Records)+len(o.Versions) == 0 {
 		return nil
@@ -147,6 +157,6 @@
 	defer s.mu.Unlock()
 	now := s.keeper.Clock.Now()
 	reply.Origin, reply.Known = s.table.Find(a, now)
-	reply.Versions = s.versions.All(now)
+	reply.Versions, reply.Complete = s.versions.All(now), s.versions.IsComplete(now)
 	return reply
 }
--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -63,18 +63,18 @@
 func (o *streamOrigins) sendAll() {
 	o.mu.Lock()
 	now := o.relay.Clock.Now()
-	all := wire.Origins{Records: o.table.All(now), Versions: o.versions.All(now)}
+	all := wire.Origins{Records: o.table.All(now), Versions: o.versions.All(now), Complete: o.versions.IsComplete(now)}
 	o.mu.Unlock()
 	if len(all.Records)+len(all.Versions) > 0 {
 		o.relay.feed.postNews(wire.KindOrigins, all)
 	}
 }
 
-// areSeveral reports whether several versions of the service are listed or were lately, as far as this relay knows.
-func (o *streamOrigins) areSeveral(service string) bool {
+// mayBeSeveral reports whether several versions of the service are listed or were lately, or may have been for all that this relay knows.
+func (o *streamOrigins) mayBeSeveral(service string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.versions.AreSeveral(service, o.relay.Clock.Now())
+	return o.versions.MayBeSeveral(service, o.relay.Clock.Now())
 }
 
 // isGone reports whether no endpoint of that version is listed while others of the service are.
@@ -99,6 +99,9 @@
 	}
 	o.mu.Lock()
 	o.versions.Merge(reply.Versions, o.relay.Clock.Now())
+	if reply.Complete {
+		o.versions.MarkComplete()
+	}
 	o.mu.Unlock()
 	if reply.Known {
 		return reply.Origin, "keeper"
@@ -144,7 +147,7 @@
 	began := s.relay.Clock.Now()
 	o := &s.relay.origins
 	found, source := o.find(s.ctx, s.resumedAttempt)
-	if source == "" && o.areSeveral(s.service) {
+	if source == "" && o.mayBeSeveral(s.service) {
 		if found.Version = o.findRun(s.ctx, s.service, id); found.Version != "" {
 			found.Service, source = s.service, "engine"
 		}
@@ -152,7 +155,7 @@
 	switch {
 	case source != "" && s.route.HasService(found.Service):
 		s.service, s.version = found.Service, found.Version
-	case o.areSeveral(s.service):
+	case o.mayBeSeveral(s.service):
 		source = "unknown"
 	default:
 		source = "only-version"
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -110,6 +110,8 @@
 	Versions []origin.Sighting `cbor:"2,keyasint,omitempty"`
 	// PassedOn is set by keepers: all other keepers get the same, so the receiver does not pass it on.
 	PassedOn bool `cbor:"3,keyasint,omitempty"`
+	// Complete is set if Versions holds all that were listed within origin.Lifetime.
+	Complete bool `cbor:"4,keyasint,omitempty"`
 }
 
 // OriginRequest asks a keeper where the stream of a caller's attempt began.
@@ -124,4 +126,6 @@
 	Origin origin.Origin `cbor:"2,keyasint"`
 	// Versions are the software versions of all services that the keeper has seen listed lately.
 	Versions []origin.Sighting `cbor:"3,keyasint,omitempty"`
+	// Complete is set if Versions holds all that were listed within origin.Lifetime.
+	Complete bool `cbor:"4,keyasint,omitempty"`
 }
