Refuse a stream at once whose version is only draining

Draining engines take no new work, so such a version counts as gone once neither a copy nor a cached prompt can be used: version-gone at once.

--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -44,7 +44,7 @@
 	// ReasonOriginUnknown means that the caller takes up a stream of which nobody knows the software version that began it, while
 	// several versions serve or did lately. The caller can only begin anew.
 	ReasonOriginUnknown Reason = "origin-unknown"
-	// ReasonVersionGone means that no endpoint of the software version that began the stream is listed any more.
+	// ReasonVersionGone means that all endpoints of the software version that began the stream have left or are leaving.
 	ReasonVersionGone Reason = "version-gone"
 	// ReasonJournalLost means that the journal of a generation is lost; the generation cannot be resumed safely.
 	ReasonJournalLost Reason = "journal-lost"
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -107,6 +107,12 @@
 		t.Error("one version counts as several, or as the only one before others could have been seen")
 	}
 	x.Observe(list("v1", "v2"), start.Add(time.Second))
+	draining := list("v1", "v2")
+	draining[0].Draining = true
+	x.Observe(draining, start.Add(1500*time.Millisecond))
+	if o := (Origin{Service: "m", Version: "v1"}); x.IsServing(o) || !x.IsServiceServing("m") || !x.AreSeveral("m", start.Add(1500*time.Millisecond)) {
+		t.Error("a version whose endpoints drain serves, or does not count as listed")
+	}
 	x.Observe(list("v2"), start.Add(2*time.Second))
 	started.Observe(list("v2"), start.Add(3*time.Second))
 	started.Merge(x.All(start.Add(3*time.Second)), start.Add(3*time.Second))
@@ -114,7 +120,7 @@
 		if now := start.Add(time.Second + Lifetime); !v.AreSeveral("m", now) || v.AreSeveral("p", now) || v.AreSeveral("m", now.Add(2*time.Second)) {
 			t.Errorf("%s: several versions count wrongly", name)
 		}
-		if v.IsListed(Origin{Service: "m", Version: "v1"}) || !v.IsListed(Origin{Service: "m", Version: "v2"}) {
+		if v.IsServing(Origin{Service: "m", Version: "v1"}) || !v.IsServing(Origin{Service: "m", Version: "v2"}) {
 			t.Errorf("%s: listed versions are wrong", name)
 		}
 	}
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -20,6 +20,7 @@
 // Versions holds which software versions of each service are listed now, and which were within Lifetime. It is not safe for
 // concurrent use.
 type Versions struct {
+	// listed holds whether an endpoint of a listed version is not draining.
 	listed map[Origin]bool
 	// lastListed holds when versions were listed last that are no longer, or that other processes have seen.
 	lastListed map[Origin]time.Time
@@ -35,10 +36,11 @@
 	}
 	listed := map[Origin]bool{}
 	for i := range endpoints {
-		listed[Origin{Service: endpoints[i].Service, Version: endpoints[i].Version}] = true
+		o := Origin{Service: endpoints[i].Service, Version: endpoints[i].Version}
+		listed[o] = listed[o] || !endpoints[i].Draining
 	}
 	for o := range v.listed {
-		if !listed[o] {
+		if _, ok := listed[o]; !ok {
 			v.remember(o, now, now)
 		}
 	}
@@ -83,7 +85,10 @@
 		out = append(out, Sighting{Origin: o})
 	}
 	for o, at := range v.lastListed {
-		if age := now.Sub(at); !v.listed[o] && age < Lifetime {
+		if _, ok := v.listed[o]; ok {
+			continue
+		}
+		if age := now.Sub(at); age < Lifetime {
 			out = append(out, Sighting{Origin: o, Age: max(0, age)})
 		}
 	}
@@ -105,13 +110,13 @@
 	return v.AreSeveral(service, now) || !v.IsComplete(now)
 }
 
-// IsListed reports whether the latest list has an endpoint of that version.
-func (v *Versions) IsListed(o Origin) bool { return v.listed[o] }
+// IsServing reports whether the latest list has an endpoint of that version that is not draining.
+func (v *Versions) IsServing(o Origin) bool { return v.listed[o] }
 
-// IsServiceListed reports whether the latest list has an endpoint of the service.
-func (v *Versions) IsServiceListed(service string) bool {
-	for o := range v.listed {
-		if o.Service == service {
+// IsServiceServing reports whether the latest list has an endpoint of the service that is not draining.
+func (v *Versions) IsServiceServing(service string) bool {
+	for o, serving := range v.listed {
+		if o.Service == service && serving {
 			return true
 		}
 	}
--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -77,11 +77,12 @@
 	return o.versions.MayBeSeveral(service, o.relay.Clock.Now())
 }
 
-// isGone reports whether no endpoint of that version is listed while others of the service are.
+// isGone reports whether no endpoint of that version is listed that is not draining, while others of the service are. A crashed one stays
+// listed until its restart shows.
 func (o *streamOrigins) isGone(x origin.Origin) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.versions.IsListed(x) && o.versions.IsServiceListed(x.Service)
+	return !o.versions.IsServing(x) && o.versions.IsServiceServing(x.Service)
 }
 
 // find returns the origin of the stream of a caller's attempt as this relay or its keeper knows it.
@@ -163,16 +164,13 @@
 	s.relay.meter.countReason("origins", source)
 	s.log.Info("origin-sought", zap.String("source", source), zap.String("resumes", id), zap.String("service", s.service),
 		zap.String("version", s.version), zap.Duration("took", s.relay.Clock.Now().Sub(began)))
-	switch {
-	case source == "unknown":
+	if source == "unknown" {
 		return common.ReasonOriginUnknown
-	case s.isVersionGone():
-		return common.ReasonVersionGone
 	}
 	return ""
 }
 
-// isVersionGone reports whether the stream can not go on because no endpoint of its version is listed any more.
+// isVersionGone reports whether the stream can not go on because all endpoints of its version have left or are leaving.
 func (s *streamRequest) isVersionGone() bool {
 	return s.version != "" && s.relay.origins.isGone(origin.Origin{Service: s.service, Version: s.version})
 }
