--- a/core/stream/epoch.go
+++ b/core/stream/epoch.go
@@ -94,4 +94,7 @@
 	Text string  `cbor:"2,keyasint,omitempty"`
 	// Finish is the finish reason in the last batch of an answer and empty in all others.
 	Finish string `cbor:"3,keyasint,omitempty"`
+	// Software is the software version of the engine that began the answer. Only the first batch has it; it is empty if
+	// the version is unknown.
+	Software string `cbor:"4,keyasint,omitempty"`
 }
--- a/core/stream/example_test.go
+++ b/core/stream/example_test.go
@@ -37,7 +37,7 @@
 	first.Output(req.Attempt, stream.Output{IDs: []stream.Token{21, 22}, Text: "Float the"})
 	exchange(first.Handle, first.Flush(now))
 	released := first.Release()
-	fmt.Println(released)
+	fmt.Println(released[0].Offset, released[0].IDs, released[0].Text)
 
 	holders["petrolina"] = &stream.Holder{Router: "petrolina", Incarnation: 2}
 	cursor, _ := stream.ParseCursor(first.Cursor(released[0]).String())
@@ -48,9 +48,10 @@
 	fmt.Println("prompt", req.Prompt, "remaining", req.MaxTokens)
 	second.Output(req.Attempt, stream.Output{IDs: []stream.Token{23}, Text: " molars."})
 	exchange(second.Handle, second.Flush(now))
-	fmt.Println(second.Release())
+	last := second.Release()[0]
+	fmt.Println(last.Offset, last.IDs, last.Text, last.Finish)
 	// Output:
-	// [{0 {[21 22] Float the }}]
+	// 0 [21 22] Float the
 	// prompt [11 12 21 22] remaining 1
-	// [{2 {[23]  molars. length}}]
+	// 2 [23]  molars. length
 }
--- a/core/stream/journal.go
+++ b/core/stream/journal.go
@@ -17,6 +17,8 @@
 	ends []batchEnd
 	// finish is the finish reason, or empty if the last batch has not been added yet.
 	finish string
+	// software is the software version of the engine that began the answer, or empty if it is unknown.
+	software string
 }
 
 // Sizes in bytes of a Token and of a batchEnd.
@@ -27,7 +29,7 @@
 
 // sizeBytes returns the bytes that the slices of the journal take, unused capacity included.
 func (j *journal) sizeBytes() int {
-	return cap(j.ids)*tokenBytes + cap(j.text) + cap(j.ends)*batchEndBytes
+	return cap(j.ids)*tokenBytes + cap(j.text) + cap(j.ends)*batchEndBytes + len(j.software)
 }
 
 func (j *journal) numBatches() int { return len(j.ends) }
@@ -38,6 +40,9 @@
 
 // addBatch appends a batch to the journal; callers add none after the batch with the finish reason.
 func (j *journal) addBatch(b Batch) {
+	if len(j.ends) == 0 {
+		j.software = b.Software
+	}
 	j.ids = append(j.ids, b.IDs...)
 	j.text = append(j.text, b.Text...)
 	j.ends = append(j.ends, batchEnd{ids: uint32(len(j.ids)), text: uint32(len(j.text))})
@@ -60,6 +65,9 @@
 	if i == len(j.ends)-1 {
 		out.Finish = j.finish
 	}
+	if i == 0 {
+		out.Software = j.software
+	}
 	return out
 }
 
--- a/core/stream/owner.go
+++ b/core/stream/owner.go
@@ -89,6 +89,8 @@
 	Prompt []Token
 	// Finish is the finish reason in the last output of an attempt and empty in all others.
 	Finish string
+	// Software is the software version of the engine, or empty if it is unknown.
+	Software string
 }
 
 // AttemptAction tells the router what to do with an attempt after an output.
@@ -105,6 +107,10 @@
 	AttemptComplete
 	// AttemptLost means that the engine gave the attempt up, so that the router has to start the next one.
 	AttemptLost
+	// AttemptMismatch means that the engine runs another software version than the one that began the answer. The output
+	// was dropped, and the router has to start the next attempt on an engine with the version that Owner.Software
+	// returns.
+	AttemptMismatch
 )
 
 // AttemptRequest has the parameters of the engine request for the next attempt of a generation.
@@ -193,6 +199,11 @@
 		o.stats.Dropped += len(out.IDs)
 		return AttemptCancel
 	}
+	if !o.acceptsSoftware(out.Software) {
+		o.stats.Dropped += len(out.IDs)
+		o.attemptRunning = false
+		return AttemptMismatch
+	}
 	if len(o.Record.Prompt) == 0 {
 		o.Record.Prompt = out.Prompt
 	}
@@ -202,6 +213,9 @@
 		o.attemptRunning = false
 		return AttemptLost
 	}
+	if o.Tokens() == 0 {
+		o.pending.Software = out.Software
+	}
 	o.pending.IDs = append(o.pending.IDs, out.IDs...)
 	o.pending.Text += out.Text
 	o.pending.Finish = out.Finish
@@ -360,6 +374,25 @@
 // Tokens returns the number of answer tokens collected so far, released to the caller or not.
 func (o *Owner) Tokens() int { return o.journal.numTokens() + len(o.pending.IDs) }
 
+// Software returns the software version of the engine that gave the first token of the answer. It is empty if there is
+// no token yet or if the version is unknown; engines of any version may then continue the generation.
+func (o *Owner) Software() string {
+	switch {
+	case o.Tokens() == 0:
+		return ""
+	case o.journal.numBatches() > 0:
+		return o.journal.software
+	}
+	return o.pending.Software
+}
+
+// acceptsSoftware reports whether an engine of the software version may continue the answer. What two versions generate
+// does not fit together.
+func (o *Owner) acceptsSoftware(version string) bool {
+	began := o.Software()
+	return began == "" || began == version
+}
+
 // Stats returns the counts of attempts, tokens and messages since the Owner was created.
 func (o *Owner) Stats() OwnerStats { return o.stats }
 
--- a/core/stream/prop_test.go
+++ b/core/stream/prop_test.go
@@ -15,8 +15,8 @@
 // init sets the default number of cases, which the flag -rapid.checks overrides.
 func init() { _ = flag.Set("rapid.checks", "4000") }
 
-// Guards against a caller that receives an answer with missing, repeated or foreign tokens, against output released by
-// a fenced owner, and against a generation that does not complete although a quorum of its holders and an engine are
+// Guards against a caller that receives an answer with missing, repeated or foreign tokens or with tokens of two software
+// versions, against output released by a fenced owner, and against a generation that does not complete although a quorum of its holders and an engine are
 // alive.
 func TestAnswerStaysConsistentUnderFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/stream/sim_test.go
+++ b/core/stream/sim_test.go
@@ -159,6 +159,9 @@
 	s.inFlight = append(s.inFlight, packet{from: p.to, to: p.from, reply: &reply})
 }
 
+// simSoftware returns the software version of an engine: engine 0 has one of its own, the others share one.
+func simSoftware(engine int) string { return []string{"1.0", "1.1", "1.1"}[engine] }
+
 // simToken returns the token that an engine generates after a prefix: a hash of the prefix in the upper bits and the
 // number of the engine in the lower bits.
 func simToken(prefix []Token, engine int) Token {
@@ -173,7 +176,7 @@
 		return
 	}
 	id := simToken(x.prefix, x.engine)
-	out := Output{IDs: []Token{id}, Text: fmt.Sprint(id), Prompt: s.prompt}
+	out := Output{IDs: []Token{id}, Text: fmt.Sprint(id), Prompt: s.prompt, Software: simSoftware(x.engine)}
 	x.prefix = append(x.prefix, id)
 	x.remaining--
 	if x.remaining == 0 {
@@ -199,7 +202,11 @@
 			running = !g.EndAttempt(attempt)
 		}
 	}
+	// The router may not know the version of the engine that it selects.
 	engine := s.drawInt(0, simEngines-1, "engine")
+	if s.healing && !g.acceptsSoftware(simSoftware(engine)) {
+		engine = 0
+	}
 	if running || s.engines[engine].dead {
 		return
 	}
@@ -291,6 +298,9 @@
 		if at == len(s.answer) && !s.answerFinal && id>>saltBits == simToken(slices.Concat(s.prompt, s.answer), 0)>>saltBits {
 			s.answer = append(s.answer, id)
 		}
+		if engine := int(id & (1<<saltBits - 1)); simSoftware(engine) != simSoftware(int(s.answer[0]&(1<<saltBits-1))) {
+			s.t.Fatalf("%v released a token of engine %d at %d, which has not the version that began the answer", o.Epoch, engine, at)
+		}
 		if at >= len(s.answer) || s.answer[at] != id {
 			s.t.Fatalf("%v released token %d at %d, which contradicts the answer %v", o.Epoch, id, at, s.answer)
 		}
