Select endpoints by the software version that began a generation

A generation with output could be continued by an endpoint of any software version, and a stream was moved off a slowed endpoint even if no other one runs its version.

Request.Software restricts the choice. The version of an endpoint is the one that it reports, else the declared one: a report shows what runs after a restart in place. If no configured endpoint may run the version, the refusal is software-gone (410), so that callers need not wait in vain. An endpoint with only the declared mark of leaving is the last choice for such a generation: no other can serve it during a drain of a whole version.

Without the filter in PickEndpoint, TestResumesKeepToTheSoftwareVersion fails in its first case; without the check for another endpoint, TestMovesStayWithinTheSoftwareVersion sees 1 move, want 0.

--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -41,6 +41,8 @@
 	ReasonEndpointLimit Reason = "endpoint-limit"
 	// ReasonCrashesEngines means that the request, or a part of its prompt, crashes engines.
 	ReasonCrashesEngines Reason = "crashes-engines"
+	// ReasonSoftwareGone means that no endpoint runs the software version that began the generation any more.
+	ReasonSoftwareGone Reason = "software-gone"
 	// ReasonJournalLost means that the journal of a generation is lost; the generation cannot be resumed safely.
 	ReasonJournalLost Reason = "journal-lost"
 	// ReasonJournalUnavailable means that the journal of a generation cannot be reached; a retry may succeed.
@@ -91,13 +93,15 @@
 	RetryStalled Reason = "stalled"
 	// RetryForeign means that the endpoint sent something that is no part of the stream.
 	RetryForeign Reason = "foreign"
+	// RetrySoftware means that the endpoint runs another software version than the one that began the generation.
+	RetrySoftware Reason = "software"
 )
 
 // RefusalReasons lists all reasons for refusing a request, that is, all that a Refusal may have.
 var RefusalReasons = []Reason{
 	ReasonBadRequest, ReasonBodyTooLarge, ReasonUnknownAccount, ReasonUnknownModel, ReasonUnknownService,
 	ReasonNotAllowed, ReasonNoConfiguration, ReasonDraining, ReasonOverloaded, ReasonAccountLimit, ReasonDeadline,
-	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonJournalLost, ReasonJournalUnavailable,
+	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonSoftwareGone, ReasonJournalLost, ReasonJournalUnavailable,
 	ReasonSuperseded, ReasonBadCursor, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused,
 	ReasonLedgerUnavailable, ReasonOutcomeUnknown, ReasonAnswerTooLarge, ReasonInternal,
 }
@@ -105,5 +109,5 @@
 // RetryReasons lists all reasons for retrying a request or resuming a generation.
 var RetryReasons = []Reason{
 	RetryConnect, RetryReset, RetrySilent, RetryRefused, RetrySlow, RetryHedge, RetryLeaving, RetryTransferred,
-	RetryOversized, RetryStalled, RetryForeign,
+	RetryOversized, RetryStalled, RetryForeign, RetrySoftware,
 }
--- a/core/common/refusal.go
+++ b/core/common/refusal.go
@@ -76,6 +76,7 @@
 	ReasonEndpointFailed:     http.StatusBadGateway,
 	ReasonCrashesEngines:     http.StatusServiceUnavailable,
 	ReasonEndpointLimit:      http.StatusServiceUnavailable,
+	ReasonSoftwareGone:       http.StatusGone,
 	ReasonJournalLost:        http.StatusGone,
 	ReasonSuperseded:         http.StatusConflict,
 	ReasonBadCursor:          http.StatusBadRequest,
--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -14,6 +14,8 @@
 	Slots int
 	// Leaving says that the endpoint is being drained and receives no new requests.
 	Leaving bool
+	// Software is the declared software version, which counts while the endpoint reports none; empty means unknown.
+	Software string
 }
 
 // DefaultSlots is the number of slots of an endpoint whose configuration sets none.
@@ -51,6 +53,10 @@
 	cachedBlocks cachedBlocks
 	// streams holds this router's streams on the endpoint in no particular order; Stream.endpointIndex is the index.
 	streams []*Stream
+	// reportedSoftware is the software version that the endpoint reports; it may be empty. softwareReported is true once
+	// it has been asked.
+	reportedSoftware string
+	softwareReported bool
 	// models is the set of models and adapters that the endpoint serves; nil means unknown.
 	models NameSet
 }
@@ -66,7 +72,11 @@
 
 // Unavailable reports whether the endpoint must not receive new requests, because it is leaving or no longer
 // configured.
-func (e *Endpoint) Unavailable() bool { return e.Leaving || e.reportedLeaving || e.removed }
+func (e *Endpoint) Unavailable() bool { return e.Leaving || e.closed() }
+
+// closed reports whether the endpoint is no longer configured or leaving by its own announcement or the instance list, so that it
+// would refuse also the rest of a generation.
+func (e *Endpoint) closed() bool { return e.reportedLeaving || e.removed }
 
 // Streams returns the predicted number of requests in flight on the endpoint from all routers.
 func (e *Endpoint) Streams() int { return e.Own.Streams + e.peerLoad.total.Streams }
--- a/core/route/moves.go
+++ b/core/route/moves.go
@@ -24,7 +24,7 @@
 func (t *Table) ProposeMoves(now time.Time) []StreamMove {
 	var moves []StreamMove
 	for _, e := range t.ordered {
-		if !e.health.slowed || e.health.smoothedGap <= t.medianGap {
+		if !e.health.slowed || e.health.smoothedGap <= t.medianGap || !t.hasMoveTarget(e, now) {
 			continue
 		}
 		for _, s := range e.streams {
@@ -50,6 +50,18 @@
 	return affordable
 }
 
+// hasMoveTarget reports whether another endpoint of the slowed endpoint's software version may take its streams. Without
+// one, a move would only interrupt them. During a release, all endpoints of the slower version may count as slowed.
+func (t *Table) hasMoveTarget(from *Endpoint, now time.Time) bool {
+	version := from.SoftwareVersion()
+	if version == "" {
+		return true
+	}
+	return slices.ContainsFunc(t.ordered, func(e *Endpoint) bool {
+		return e != from && e.Service == from.Service && !e.Unavailable() && !e.health.slowed && e.acceptsRequest(now) && e.runsSoftware(version)
+	})
+}
+
 // proposeMove returns the move of a stream off its slowed endpoint, or false if the stream cannot be moved, was already
 // proposed or would gain too little.
 func (t *Table) proposeMove(s *Stream, _ time.Time) (StreamMove, bool) {
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -33,6 +33,8 @@
 	Resume bool
 	// Idempotent says that the request may be sent to an endpoint more than once.
 	Idempotent bool
+	// Software is the software version that began the generation, the only one that may continue it; empty means any.
+	Software string
 }
 
 // NameSet is a set of names, of endpoints or of models.
@@ -143,6 +145,7 @@
 			e.cachedBlocks.lastSeq = 0
 			e.backoff.clearFailures()
 			e.reportedLeaving, e.pausedUntil = false, time.Time{}
+			e.reportedSoftware, e.softwareReported = "", false
 		}
 		e.EndpointSpec = s
 		e.removed = false
@@ -204,17 +207,44 @@
 }
 
 // PickEndpoint selects an endpoint for the request, leaving out those whose names are in the set exclude. If there is
-// none, the error is a *common.Refusal with reason no-endpoint.
+// none, the error is a *common.Refusal with reason no-endpoint, or software-gone if none is configured that may run the
+// software version which the request needs.
 func (t *Table) PickEndpoint(req *Request, exclude NameSet, now time.Time) (*Endpoint, error) {
 	if req.Short {
 		t.shortWorkUntil, t.shortWorkActive = now.Add(shortWorkTimeout), true
 	}
 	t.refreshPeerLoads(now)
+	retryAfter := t.collectCandidates(req, exclude, now, (*Endpoint).Unavailable)
+	if len(t.candidates) == 0 && req.Software != "" {
+		// An endpoint that is being drained still serves the generations of its software version that no other can go on with.
+		retryAfter = t.collectCandidates(req, exclude, now, (*Endpoint).closed)
+	}
+	if len(t.candidates) == 0 && t.softwareGone(req) {
+		return nil, common.NewNotRunRefusal(common.ReasonSoftwareGone, "service",
+			"no endpoint has software version "+req.Software+" any more, which began the generation")
+	}
+	if len(t.candidates) == 0 {
+		r := common.NewNotRunRefusal(common.ReasonNoEndpoint, "service", "no endpoint of the service accepts work")
+		r.RetryAfter = retryAfter
+		if retryAfter == 0 {
+			r.RetryAfter = maxBackoff
+		}
+		return nil, r
+	}
+	if req.Resume {
+		return t.ResumePolicy.Select(t.candidates, req, now), nil
+	}
+	return t.Policy.Select(t.candidates, req, now), nil
+}
+
+// collectCandidates makes the endpoints eligible that accept the request now, without the excluded and the unavailable ones. It
+// returns the shortest time after which another one accepts it, or zero.
+func (t *Table) collectCandidates(req *Request, exclude NameSet, now time.Time, unavailable func(*Endpoint) bool) time.Duration {
 	t.candidates = t.candidates[:0]
 	clear(t.eligible)
 	var retryAfter time.Duration
 	for _, e := range t.ordered {
-		if e.Service != req.Service || e.Unavailable() || exclude.Has(e.Name) || e.lacksModel(req.Model) {
+		if e.Service != req.Service || unavailable(e) || exclude.Has(e.Name) || e.lacksModel(req.Model) || !e.runsSoftware(req.Software) {
 			continue
 		}
 		if !e.acceptsRequest(now) {
@@ -226,16 +256,5 @@
 		t.candidates = append(t.candidates, e)
 		t.eligible[e.listIndex] = true
 	}
-	if len(t.candidates) == 0 {
-		r := common.NewNotRunRefusal(common.ReasonNoEndpoint, "service", "no endpoint of the service accepts work")
-		r.RetryAfter = retryAfter
-		if retryAfter == 0 {
-			r.RetryAfter = maxBackoff
-		}
-		return nil, r
-	}
-	if req.Resume {
-		return t.ResumePolicy.Select(t.candidates, req, now), nil
-	}
-	return t.Policy.Select(t.candidates, req, now), nil
+	return retryAfter
 }
--- a/io/load/complete.go
+++ b/io/load/complete.go
@@ -160,7 +160,7 @@
 // is pointless.
 var finalRefusalReasons = []common.Reason{
 	common.ReasonBadCursor, common.ReasonBadRequest, common.ReasonUnknownAccount, common.ReasonNotAllowed,
-	common.ReasonJournalLost,
+	common.ReasonJournalLost, common.ReasonSoftwareGone,
 }
 
 // mayRetryAfter reports whether another attempt to send the generation is allowed and may succeed after the error.
