Continue generations only at engines of their software version

After the loss of an engine or a router during a release, callers of our own interface got answers joined from two software versions.

Engines report their version in the header Engine-Software of all replies, and operators may declare it in the field software of endpoints whose engines report none. Routers learn it from the load reports and check it again at each attempt's reply, because an engine may have been restarted since.

--- a/core/object/graph_test.go
+++ b/core/object/graph_test.go
@@ -32,6 +32,8 @@
 	{`"domain":"petrolina"`, `"domain":""`, `endpoint/e1: domain: ""`},
 	{`"slots":8`, `"slots":-1`, `endpoint/e1: slots: -1`},
 	{`"leaving":true`, `"checks-fencing":true`, `endpoint/p1: checks-fencing`},
+	{`"leaving":true`, `"software":"2.3.1"`, `endpoint/p1: software: is set`},
+	{`"slots":8`, `"software":"2.3 1"`, `endpoint/e1: software: "2.3 1" is not`},
 	{`["9f86`, `["abc","9f86`, `account/vets: token-hashes: "abc" is not`},
 	{`["9f86`, `["` + HashToken("test") + `","9f86`, `account/vets: token-hashes: "` + HashToken("test") + `" is also`},
 	{`"tokens-per-second":900.5`, `"tokens-per-second":-1`, `account/vets: tokens-per-second: -1`},
--- a/core/object/object.go
+++ b/core/object/object.go
@@ -112,6 +112,9 @@
 	Role string `json:"role,omitempty" cbor:"role,omitempty"`
 	// Leaving says that the endpoint is being drained and receives no new requests.
 	Leaving bool `json:"leaving,omitempty" cbor:"leaving,omitempty"`
+	// Software is the version of the engine's software, not of its models; empty means unknown. A version that the
+	// engine reports itself goes before it.
+	Software string `json:"software,omitempty" cbor:"software,omitempty"`
 }
 
 // Graph is a complete set of configuration objects, in one map by name for each kind; the objects refer to each other
--- a/core/object/validate.go
+++ b/core/object/validate.go
@@ -12,7 +12,7 @@
 const (
 	// MaxNameBytes is the maximum length of a configuration object's name in bytes, the same as of a DNS label.
 	MaxNameBytes = 63
-	// MaxVersionBytes is the maximum length of the version of a model or adapter in bytes.
+	// MaxVersionBytes is the maximum length of the version of a model, an adapter or an engine's software in bytes.
 	MaxVersionBytes = 128
 	// MaxTokenHashes is the maximum number of access tokens of one client account; several are needed to rotate tokens.
 	MaxTokenHashes = 32
@@ -98,10 +98,10 @@
 	}
 }
 
-// checkVersion checks the version of a model or adapter.
-func (v *graphValidator) checkVersion(value string) {
+// checkVersion checks the version in a field, of a model, an adapter or an engine's software.
+func (v *graphValidator) checkVersion(field, value string) {
 	if !versionPattern.MatchString(value) {
-		v.addFinding("version", fmt.Sprintf("%.80q is not a valid version", value), allowedVersion)
+		v.addFinding(field, fmt.Sprintf("%.80q is not a valid version", value), allowedVersion)
 	}
 }
 
@@ -168,7 +168,7 @@
 }
 
 func (v *graphValidator) checkModel(m Model) {
-	v.checkVersion(m.Version)
+	v.checkVersion("version", m.Version)
 	checkRange(v, "bytes", m.Bytes, 0, MaxWeightBytes)
 	checkRange(v, "context-tokens", m.ContextTokens, 0, MaxTokens)
 	if !v.checkExists("service", Ref{KindService, m.Service}) {
@@ -180,7 +180,7 @@
 }
 
 func (v *graphValidator) checkAdapter(a Adapter) {
-	v.checkVersion(a.Version)
+	v.checkVersion("version", a.Version)
 	checkRange(v, "bytes", a.Bytes, 0, MaxWeightBytes)
 	v.checkExists("model", Ref{KindModel, a.Model})
 }
@@ -249,6 +249,9 @@
 	if e.Role != "" {
 		v.checkName("role", e.Role)
 	}
+	if e.Software != "" {
+		v.checkVersion("software", e.Software)
+	}
 	v.checkAddress(e.Address)
 	if !v.checkExists("service", Ref{KindService, e.Service}) {
 		return
@@ -259,6 +262,9 @@
 	if e.Role != "" && v.graph.Services[e.Service].Type == ServicePlain {
 		v.addFinding("role", "is set for a plain service", "only endpoints of model services")
 	}
+	if e.Software != "" && v.graph.Services[e.Service].Type == ServicePlain {
+		v.addFinding("software", "is set for a plain service", "only endpoints of model services")
+	}
 }
 
 // checkAddress checks that an endpoint's address is a unicast IP address with a port, and that no other endpoint has
--- a/io/cmds/standin.go
+++ b/io/cmds/standin.go
@@ -24,6 +24,7 @@
 	set.Float64Var(&engine.PrefillTokensPerSecond, "prefill-tokens-per-second", 8000, "rate at which uncached prompt tokens are processed")
 	set.IntVar(&engine.PrefixCacheTokens, "prefix-cache-tokens", 1<<17, "size of the prefix cache")
 	set.UintVar(&salt, "salt", 0, "value in the low 6 bits of each token id")
+	set.StringVar(&engine.Software, "software", "", "software version that the engine reports; empty means that it reports none")
 	set.DurationVar(&engine.ReportLag, "report-lag", 500*time.Millisecond, "age of the load report")
 	set.DurationVar(&engine.CacheEventLag, "cache-event-lag", 500*time.Millisecond, "delay of cache events")
 	set.Float64Var(&engine.CacheEventLoss, "cache-event-loss", 0.01, "share of cache events that are lost")
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -206,7 +206,7 @@
 		}
 		body = b
 	}
-	b, err := c.readReply(ctx, method, path, body)
+	b, _, err := c.readReply(ctx, method, path, body)
 	if err != nil {
 		return err
 	}
@@ -219,27 +219,27 @@
 	return nil
 }
 
-// readReply sends an HTTP request to the engine and returns the body of the reply. A status other than 200 is an
-// error. The error is an *Error.
-func (c *Client) readReply(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+// readReply sends an HTTP request to the engine and returns the body and the header of the reply. A status other
+// than 200 is an error. The error is an *Error.
+func (c *Client) readReply(ctx context.Context, method, path string, body []byte) ([]byte, http.Header, error) {
 	r, t, err := c.sendRequest(ctx, method, path, body)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer func() { _ = r.Body.Close() }()
 	if r.StatusCode != http.StatusOK {
-		return nil, refusalError(r)
+		return nil, nil, refusalError(r)
 	}
 	b, err := io.ReadAll(io.LimitReader(r.Body, maxReplyBytes+1))
 	if err != nil {
-		return nil, classifyError(ctx, err, t)
+		return nil, nil, classifyError(ctx, err, t)
 	}
 	if len(b) > maxReplyBytes {
-		return nil, &Error{Kind: KindProtocol, Sent: true, Err: eris.Errorf("reply above %d bytes", maxReplyBytes)}
+		return nil, nil, &Error{Kind: KindProtocol, Sent: true, Err: eris.Errorf("reply above %d bytes", maxReplyBytes)}
 	}
 	// A JSON object shows its own end; the first lines of a metrics page look like a page.
 	if err := serve.ConfirmEnd(r, func() bool { return json.Valid(b) }); err != nil {
-		return nil, &Error{Kind: KindReset, Sent: true, Err: err}
+		return nil, nil, &Error{Kind: KindReset, Sent: true, Err: err}
 	}
-	return b, nil
+	return b, r.Header, nil
 }
--- a/io/engine/state.go
+++ b/io/engine/state.go
@@ -20,16 +20,18 @@
 )
 
 // LoadReport is an engine's load: the numbers of running and waiting requests, and the used share of the KV cache from
-// 0 to 1.
+// 0 to 1. Software is the engine's software version, empty if it reports none.
 type LoadReport struct {
 	Running int
 	Waiting int
 	Usage   float64
+
+	Software string
 }
 
 // Metrics reads the engine's load from GET /metrics. The error is an *Error.
 func (c *Client) Metrics(ctx context.Context) (LoadReport, error) {
-	body, err := c.readReply(ctx, http.MethodGet, "/metrics", nil)
+	body, header, err := c.readReply(ctx, http.MethodGet, "/metrics", nil)
 	if err != nil {
 		return LoadReport{}, err
 	}
@@ -37,7 +39,7 @@
 	if err != nil {
 		return LoadReport{}, &Error{Kind: KindProtocol, Sent: true, Err: err}
 	}
-	return LoadReport{Running: int(sums[metricRunning]), Waiting: int(sums[metricWaiting]), Usage: sums[metricUsage]}, nil
+	return LoadReport{Running: int(sums[metricRunning]), Waiting: int(sums[metricWaiting]), Usage: sums[metricUsage], Software: reportedSoftware(header)}, nil
 }
 
 // parseMetrics parses an engine's page in the Prometheus text format and returns the metrics that the load report
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -53,6 +53,9 @@
 
 // Stream receives the output of a running generation. Close may be called while Recv blocks.
 type Stream struct {
+	// Software is the software version that the engine has reported with the reply, empty if it has reported none.
+	Software string
+
 	ctx      context.Context
 	cancel   context.CancelFunc
 	body     io.ReadCloser
@@ -107,6 +110,7 @@
 		return nil, err
 	}
 	s := &Stream{ctx: ctx, cancel: cancel, body: reply.Body, events: EventReader{R: reply.Body, MaxEvent: r.maxEventBytes()}, trace: t}
+	s.Software = reportedSoftware(reply.Header)
 	if reply.StatusCode != http.StatusOK {
 		defer s.Close()
 		return nil, refusalError(reply)
--- a/io/router/attempt.go
+++ b/io/router/attempt.go
@@ -39,7 +39,9 @@
 	// number is the number of the streaming attempt among those of its generation, from 1.
 	number int
 	chunk  engine.Chunk
-	err    error
+	// software is the software version that the engine reported with the output; empty if it reported none.
+	software string
+	err      error
 }
 
 // newStreamAttempt returns the next attempt of the session's generation with its engine request. The request is sent
@@ -118,7 +120,7 @@
 			return err
 		}
 		select {
-		case out <- attemptEvent{from: t, number: t.number, chunk: chunk}:
+		case out <- attemptEvent{from: t, number: t.number, chunk: chunk, software: s.Software}:
 		case <-t.ctx.Done():
 			return t.ctx.Err()
 		}
--- a/io/router/dispatch.go
+++ b/io/router/dispatch.go
@@ -52,8 +52,8 @@
 	// announcedLeaving holds, by endpoint name, the time at which the endpoint refused work because it is shutting
 	// down.
 	announcedLeaving map[string]time.Time
-	// resumeQueues holds the interrupted generations of each service that wait to continue.
-	resumeQueues map[string]*resumeQueue
+	// resumeQueues holds the interrupted generations of each service and software version that wait to continue.
+	resumeQueues map[resumeQueueKey]*resumeQueue
 	// routerCount is the number of live routers, this one included.
 	routerCount int
 	// prefillEstimators holds the estimator of the prompt processing time of each engine, by endpoint name.
@@ -87,6 +87,8 @@
 	name    string
 	domain  string // failure domain of the endpoint
 	address string
+	// declaredSoftware is the software version with which the endpoint was declared at the start of the attempt.
+	declaredSoftware string
 	// interrupt receives the reason why the session should continue on another endpoint.
 	interrupt chan common.Reason
 }
@@ -98,7 +100,7 @@
 	d.jobs = map[*admit.Ticket]*job{}
 	d.attempts = map[*route.Stream]*attempt{}
 	d.announcedLeaving = map[string]time.Time{}
-	d.resumeQueues = map[string]*resumeQueue{}
+	d.resumeQueues = map[resumeQueueKey]*resumeQueue{}
 	d.prefillEstimators = map[string]*stream.PrefillEstimator{}
 	d.lostEndpoints = map[string]time.Time{}
 	d.table.Budget = &d.budget
@@ -118,7 +120,7 @@
 	specs := make([]route.EndpointSpec, 0, len(g.Endpoints))
 	for _, e := range g.Endpoints {
 		specs = append(specs, route.EndpointSpec{
-			Name: e.Name, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots, Leaving: e.Leaving,
+			Name: e.Name, Service: e.Service, Address: e.Address, Domain: e.Domain, Slots: e.Slots, Leaving: e.Leaving, Software: e.Software,
 		})
 	}
 	d.table.Configure(specs)
@@ -238,11 +240,13 @@
 		return nil, fmt.Errorf("select endpoint: %w", err)
 	}
 	a := &attempt{
-		stream:    d.table.StartStream(req, e, now),
-		name:      e.Name,
-		domain:    e.Domain,
-		address:   e.Address,
-		interrupt: make(chan common.Reason, 1),
+		stream:  d.table.StartStream(req, e, now),
+		name:    e.Name,
+		domain:  e.Domain,
+		address: e.Address,
+
+		declaredSoftware: e.Software,
+		interrupt:        make(chan common.Reason, 1),
 	}
 	d.attempts[a.stream] = a
 	return a, nil
@@ -388,6 +392,15 @@
 	d.table.SetModels(name, models)
 }
 
+// setSoftware records the software version that an engine reports, empty if it reports none.
+func (d *dispatcher) setSoftware(name, version string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.table.SetSoftware(name, version) {
+		d.Log.Info("engine-software-changed", zap.String("endpoint", name), zap.String("reported", version))
+	}
+}
+
 // applyCacheEvents updates the index of an engine's cached prompt blocks.
 func (d *dispatcher) applyCacheEvents(name string, events []route.CacheEvent) {
 	d.mu.Lock()
@@ -438,8 +451,8 @@
 	d.table.Tick(now)
 	d.expireLeavingMarks(now)
 	d.interruptSlowStreams(now)
-	for service, p := range d.resumeQueues {
-		d.startDueResumes(service, p, now)
+	for key, p := range d.resumeQueues {
+		d.startDueResumes(key, p, now)
 	}
 	for _, q := range d.queues {
 		for _, x := range q.Expire(now) {
--- a/io/router/resumequeue.go
+++ b/io/router/resumequeue.go
@@ -15,8 +15,14 @@
 	maxResumeWait = 1500 * time.Millisecond
 )
 
-// resumeQueue limits the rate at which interrupted generations of one service resume, because each of them prefills
-// its prompt and output again.
+// resumeQueueKey identifies a resume queue: generations of different software versions continue on different engines.
+type resumeQueueKey struct {
+	service  string
+	software string // version that began the generations; empty if it is unknown
+}
+
+// resumeQueue limits the rate at which interrupted generations of one service and software version resume, because
+// each of them prefills its prompt and output again.
 type resumeQueue struct {
 	// pacer orders the sessions of the waiting generations and releases them at a limited rate.
 	pacer route.Pacer[*session]
@@ -30,19 +36,20 @@
 func (d *dispatcher) queueResume(s *session, due time.Time, tokens int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	p := d.resumeQueues[s.service]
+	key := resumeQueueKey{service: s.service, software: s.owner.Software()}
+	p := d.resumeQueues[key]
 	if p == nil {
 		p = &resumeQueue{}
-		d.resumeQueues[s.service] = p
+		d.resumeQueues[key] = p
 	}
 	p.pacer.Push(s, due, tokens)
 	p.queuedTokens += tokens
-	d.startDueResumes(s.service, p, d.Clock.Now())
+	d.startDueResumes(key, p, d.Clock.Now())
 }
 
-// startDueResumes lets the queued sessions continue that the service's resume rate allows at the time now.
-func (d *dispatcher) startDueResumes(service string, p *resumeQueue, now time.Time) {
-	rate := max(d.servicePrefillRate(service)*route.ResumePrefillFraction/float64(max(1, d.routerCount)), float64(p.queuedTokens)/maxResumeWait.Seconds())
+// startDueResumes lets the queued sessions continue that the resume rate of the queue's engines allows at the time now.
+func (d *dispatcher) startDueResumes(key resumeQueueKey, p *resumeQueue, now time.Time) {
+	rate := max(d.prefillRate(key)*route.ResumePrefillFraction/float64(max(1, d.routerCount)), float64(p.queuedTokens)/maxResumeWait.Seconds())
 	p.pacer.Bucket.Rate = rate
 	p.pacer.Bucket.Burst = rate * route.ResumeBurst.Seconds()
 	for {
@@ -60,12 +67,12 @@
 	}
 }
 
-// servicePrefillRate returns the estimated number of tokens that all available engines of a service prefill per
-// second.
-func (d *dispatcher) servicePrefillRate(service string) float64 {
+// prefillRate returns the estimated number of tokens that all available engines of a service, or of one software version
+// of it, prefill per second.
+func (d *dispatcher) prefillRate(key resumeQueueKey) float64 {
 	rate := 0.0
 	for _, e := range d.table.Endpoints() {
-		if e.Service == service && !e.Unavailable() {
+		if e.Service == key.service && !e.Unavailable() && (key.software == "" || e.SoftwareVersion() == key.software) {
 			rate += d.prefillEstimator(e.Name).Rate()
 		}
 	}
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -202,7 +202,10 @@
 		s.handleAttemptFailure(ctx, e)
 		return
 	}
-	out := stream.Output{IDs: e.chunk.TokenIDs, Text: e.chunk.Text, Prompt: e.chunk.PromptIDs, Finish: e.chunk.FinishReason}
+	out := stream.Output{
+		IDs: e.chunk.TokenIDs, Text: e.chunk.Text, Prompt: e.chunk.PromptIDs, Finish: e.chunk.FinishReason,
+		Software: cmp.Or(e.software, e.from.declaredSoftware),
+	}
 	if len(e.chunk.PromptIDs) > 0 && s.params.Text != "" {
 		s.router.prefixes.recordTokenIDs(s.owner.Record.Model, s.params.Text, e.chunk.PromptIDs)
 	}
@@ -211,7 +214,7 @@
 		e.from.cancel()
 		return
 	}
-	if len(e.chunk.TokenIDs) > 0 && action != stream.AttemptLost {
+	if len(e.chunk.TokenIDs) > 0 && action != stream.AttemptLost && action != stream.AttemptMismatch {
 		s.lastProgress = s.now()
 		s.stallDetector.Output(s.now())
 		if first := e.from.recordOutput(s.now()); first > 0 {
@@ -227,6 +230,10 @@
 		s.finishAttempt()
 	case stream.AttemptLost:
 		s.loseAttempt(ctx, common.RetryRefused)
+	case stream.AttemptMismatch:
+		s.log.Warn("software-mismatch", zap.String("endpoint", e.from.name), zap.String("began", s.owner.Software()), zap.String("engine", out.Software))
+		s.router.dispatcher.setSoftware(e.from.name, e.software)
+		s.loseAttempt(ctx, common.RetrySoftware)
 	case stream.AttemptContinue, stream.AttemptCancel:
 	}
 }
@@ -338,9 +345,9 @@
 	}
 	if err != nil {
 		s.retryAt = s.now().Add(endpointRetryDelay)
-		if s.endpointWaitExpired() {
-			f := *common.AsRefusal(err)
+		if f := *common.AsRefusal(err); f.Reason == common.ReasonSoftwareGone || s.endpointWaitExpired() {
 			f.Outcome = s.outcome()
+			s.log.Info("generation-refused", zap.String("reason", string(f.Reason)), zap.String("software", s.owner.Software()), zap.Int("tokens", s.owner.Tokens()))
 			s.failGeneration(&f)
 		}
 		return
@@ -382,6 +389,7 @@
 		MayUseReserved: s.job.ticket.MayUseReserved,
 		Resume:         done > 0,
 		Idempotent:     true,
+		Software:       s.owner.Software(),
 	}
 }
 
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -163,6 +163,7 @@
 	defer cancel()
 	client := engine.Client{Address: address}
 	if load, err := client.Metrics(ctx); err == nil {
+		r.dispatcher.setSoftware(name, load.Software)
 		r.dispatcher.recordLoadReport(name, route.LoadReport{Running: load.Running, Waiting: load.Waiting, At: r.Clock.Now()})
 	}
 	models, err := client.Models(ctx)
--- a/io/stand/engine.go
+++ b/io/stand/engine.go
@@ -24,6 +24,9 @@
 	defaultKVTokens               = 1 << 18
 )
 
+// headerSoftware is the header in which the simulated engine reports its software version.
+const headerSoftware = "Engine-Software"
+
 // Engine simulates a model engine with continuous batching, a prefix cache, priorities and delayed load reports. An
 // Engine can be run only once.
 type Engine struct {
@@ -49,6 +52,9 @@
 	ContextTokens int
 	// Salt is encoded in the low bits of each generated token id.
 	Salt uint32
+	// Software is the software version that the engine reports in a header of all replies; empty means that it reports
+	// none. Engines of different versions should have a different Salt.
+	Software string
 	// ReportLag is the age of the load values that GET /metrics returns.
 	ReportLag time.Duration
 	// CacheEventLag is the delay before a prefix cache event is published.
@@ -177,6 +183,9 @@
 		if r.URL.Path != "/faults" && !e.waitWhilePaused(r.Context()) {
 			return
 		}
+		if e.Software != "" {
+			w.Header().Set(headerSoftware, e.Software)
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
