--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -46,6 +46,8 @@
 	ReasonOriginUnknown Reason = "origin-unknown"
 	// ReasonVersionGone means that all endpoints of the software version that began the stream have left or are leaving.
 	ReasonVersionGone Reason = "version-gone"
+	// ReasonSoftwareGone means that no endpoint runs the software version that began the generation any more.
+	ReasonSoftwareGone Reason = "software-gone"
 	// ReasonJournalLost means that the journal of a generation is lost; the generation cannot be resumed safely.
 	ReasonJournalLost Reason = "journal-lost"
 	// ReasonJournalUnavailable means that the journal of a generation cannot be reached; a retry may succeed.
@@ -96,13 +98,15 @@
 	RetryStalled Reason = "stalled"
 	// RetryForeign means that the endpoint sent something that is no part of the stream.
 	RetryForeign Reason = "foreign"
+	// RetrySoftware means that the endpoint runs another software version than the one that began the generation.
+	RetrySoftware Reason = "software"
 )
 
 // RefusalReasons lists all reasons for refusing a request, that is, all that a Refusal may have.
 var RefusalReasons = []Reason{
 	ReasonBadRequest, ReasonBodyTooLarge, ReasonUnknownAccount, ReasonUnknownModel, ReasonUnknownService,
 	ReasonNotAllowed, ReasonNoConfiguration, ReasonDraining, ReasonOverloaded, ReasonAccountLimit, ReasonDeadline,
-	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonOriginUnknown, ReasonVersionGone,
+	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonOriginUnknown, ReasonVersionGone, ReasonSoftwareGone,
 	ReasonJournalLost, ReasonJournalUnavailable, ReasonSuperseded, ReasonBadCursor, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused,
 	ReasonLedgerUnavailable, ReasonOutcomeUnknown, ReasonAnswerTooLarge, ReasonInternal,
 }
@@ -110,5 +114,5 @@
 // RetryReasons lists all reasons for retrying a request or resuming a generation.
 var RetryReasons = []Reason{
 	RetryConnect, RetryReset, RetrySilent, RetryRefused, RetrySlow, RetryHedge, RetryLeaving, RetryTransferred,
-	RetryOversized, RetryStalled, RetryForeign,
+	RetryOversized, RetryStalled, RetryForeign, RetrySoftware,
 }
