Take a generation from a silent engine only for one of its software version

A generation on a silent engine was given up when any other engine was free, also one of another software version, which may not go on with it: it then waited for its own engine all the same and was prefilled once more. TestSilentStreamStaysWithoutItsSoftwareVersion failed for an engine of the other version before.

--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -18,8 +18,9 @@
 // nothing. An endpoint on which no token is awaited takes only one stream until it sends one.
 func (t *Table) ReserveReplacement(s *Stream, exclude NameSet, now time.Time) bool {
 	var idle *Endpoint
+	version := s.beganAtSoftware()
 	for _, e := range t.ordered {
-		if e.Service != s.Service || e.Unavailable() || exclude.Has(e.Name) || e.lacksModel(s.Model) || !e.acceptsRequest(now) {
+		if e.Service != s.Service || e.Unavailable() || exclude.Has(e.Name) || e.lacksModel(s.Model) || !e.runsSoftware(version) || !e.acceptsRequest(now) {
 			continue
 		}
 		// After a silence, the other streams of the endpoint, and those of others that were silent with it, go on within moments.
@@ -37,6 +38,14 @@
 	return true
 }
 
+// beganAtSoftware returns the software version that began the stream's generation, or an empty string if any may go on with it.
+func (s *Stream) beganAtSoftware() string {
+	if s.Software == "" && s.generatedTokens > 0 {
+		return s.Endpoint.SoftwareVersion()
+	}
+	return s.Software
+}
+
 // isSending reports whether a token of a stream on the endpoint has arrived within aliveWindow.
 func (t *Table) isSending(e *Endpoint, now time.Time) bool {
 	for _, s := range e.streams {
--- a/core/route/software_test.go
+++ b/core/route/software_test.go
@@ -54,6 +54,26 @@
 	})
 }
 
+// Guards against a stream that is taken from a silent engine although no other engine runs its version: it would wait for the
+// silent one all the same, and be prefilled once more.
+func TestSilentStreamStaysWithoutItsSoftwareVersion(t *testing.T) {
+	for _, c := range []struct {
+		other  string
+		tokens int
+		want   bool
+	}{{"1", 1, true}, {"2", 1, false}, {"2", 0, true}} {
+		tab := Table{}
+		tab.Configure([]EndpointSpec{{Name: "a", Service: "llm", Software: "1"}, {Name: "b", Service: "llm", Software: c.other}})
+		s := tab.StartStream(&Request{Service: "llm", OutputTokens: 100}, tab.Endpoint("a"), epoch)
+		if c.tokens > 0 {
+			tab.RecordTokens(s, c.tokens, epoch)
+		}
+		if got := tab.ReserveReplacement(s, nil, epoch.Add(time.Second)); got != c.want {
+			t.Errorf("%d tokens, the other engine has version %s: given up %t, want %t", c.tokens, c.other, got, c.want)
+		}
+	}
+}
+
 // Guards against a move off a slowed engine whose version no other engine runs: it would only interrupt the stream.
 func TestMovesStayWithinTheSoftwareVersion(t *testing.T) {
 	for _, other := range []string{"1", "2"} {
