Log one engine-unresponsive line for each silence

Streams that stay at silent engines, or wait for them, have these probed several times a second, and each probe without a response wrote a line: 42 lines for six engines that were silent for 1.2 s, 18 for three. A probe that times out also suspends no engine any more that has sent data of a stream since the probe began.

--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -72,10 +72,15 @@
 
 // wasRecentlyActive reports whether the engine sent data on any stream within activityLifetime.
 func (p *prober) wasRecentlyActive(id string) bool {
+	return p.wasActiveSince(id, p.relay.uptime()-activityLifetime)
+}
+
+// wasActiveSince reports whether the engine sent data on any stream after the given time since the start of the process.
+func (p *prober) wasActiveSince(id string, since time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at, ok := p.lastActivity[id]
-	return ok && p.relay.uptime()-at < activityLifetime
+	return ok && at > since
 }
 
 // awaitProbe returns a liveness probe of the engine after the probe has completed or ctx has ended.
@@ -178,6 +183,7 @@
 	defer close(pr.done)
 	ctx, cancel := context.WithTimeout(p.relay.ctx, probeTimeout)
 	defer cancel()
+	startedAt := p.relay.uptime()
 	pr.report, pr.err = p.relay.Engines.Report(p.relay.withControlCall(ctx, e), e.Address)
 	pr.alive = pr.err == nil || errors.Is(pr.err, ErrCallRefused)
 	p.relay.meter.countReason("engine-questions", pr.result())
@@ -185,6 +191,10 @@
 		p.recordResponse(e.ID, p.relay.uptime())
 		return
 	}
+	if p.wasActiveSince(e.ID, startedAt) && lossProbeResult(p.relay.ctx, pr.err) == poison.ProbeSilent {
+		// The engine goes on; only its response to the probe is late.
+		return
+	}
 	p.suspend(e, pr.result(), pr.err)
 }
 
@@ -199,12 +209,17 @@
 			suspended = t.RecordFailure(e.ID, true, now)
 		}
 	})
+	p.relay.pool.closeIdle(e.ID)
 	p.mu.Lock()
-	if _, ok := p.suspendedAt[e.ID]; !ok {
+	_, known := p.suspendedAt[e.ID]
+	if !known {
 		p.suspendedAt[e.ID] = p.relay.uptime()
 	}
 	p.mu.Unlock()
-	p.relay.pool.closeIdle(e.ID)
+	if known {
+		// A silent engine is probed several times a second while streams wait for it.
+		return
+	}
 	p.relay.Log.Info("engine-unresponsive", zap.String("endpoint", e.ID), zap.String("domain", e.Domain),
 		zap.String("result", result), zap.Duration("suspended", suspended), zap.Error(err))
 }
