Write origins to the disk within 50 ms

A block is now written after at most 50 ms and synced after 200 ms: what is written outlives the end of the process.

--- a/io/keeper/originfile.go
+++ b/io/keeper/originfile.go
@@ -24,8 +24,10 @@
 	// name of the one before it.
 	originFileName = "origins.log"
 	formerSuffix   = ".former"
-	// originSaveInterval is the least time between two writes. What is not written yet is lost with the power of all machines.
-	originSaveInterval = 300 * time.Millisecond
+	// originSaveInterval is the least time between two writes, and originSyncInterval between two syncs. What is not written yet is lost
+	// with all processes, and what is not synced with the power of all machines.
+	originSaveInterval = 50 * time.Millisecond
+	originSyncInterval = 200 * time.Millisecond
 	// versionSaveInterval is the time between two writes of the listed versions while there are no new origins.
 	versionSaveInterval = 10 * time.Second
 	// maxOriginFileBytes bounds each of the two files; a record has about 40 bytes.
@@ -43,16 +45,19 @@
 var crcTable = crc32.MakeTable(crc32.Castagnoli)
 
 // originFile keeps the origins of streams and the versions that were listed on disk, so that they outlive the loss of power of all
-// machines. Origins come all the time, so they are appended in blocks that are synced together, and a new file is begun when the records
+// machines. Origins come all the time, so they are appended in blocks, several of which are synced together, and a new file is begun when the records
 // of the one before have lapsed. It is a copy of what the processes have in memory; a keeper that cannot read or write it goes on without.
 type originFile struct {
 	keeper *Keeper
 	// file is the current file; nil before the first write.
 	file *os.File
 	size int64
-	// openedAt is when the current file was begun, and savedAt when the last block was written.
+	// openedAt is when the current file was begun, savedAt when the last block was written, and syncedAt when the file was synced last.
 	openedAt time.Time
 	savedAt  time.Time
+	syncedAt time.Time
+	// unsynced is true if blocks were written since then.
+	unsynced bool
 }
 
 // savedOrigins is the content of a block.
@@ -139,7 +144,7 @@
 func (f *originFile) loop(ctx context.Context) error {
 	failing := false
 	for serve.Sleep(ctx, originSaveInterval) {
-		err := f.save()
+		err := errors.Join(f.save(), f.sync())
 		if err != nil && !failing {
 			f.keeper.Log.Warn("origins-not-saved", zap.Error(err))
 		}
@@ -171,7 +176,7 @@
 	return err
 }
 
-// append writes a block to the current file or to a new one, and syncs it.
+// append writes a block to the current file or to a new one.
 func (f *originFile) append(block []byte, now time.Time) error {
 	if len(block) > maxOriginFileBytes {
 		return errOriginFileSize
@@ -181,15 +186,25 @@
 			return err
 		}
 	}
-	_, err := f.keeper.disk().Write(f.file, block)
-	if err == nil {
-		err = f.file.Sync()
-	}
-	if err != nil {
+	if _, err := f.keeper.disk().Write(f.file, block); err != nil {
 		// Later blocks are only read if no incomplete one is before them.
 		return errors.Join(fmt.Errorf("write origins: %w", err), f.file.Truncate(f.size))
 	}
 	f.size += int64(len(block))
+	f.unsynced = true
+	return nil
+}
+
+// sync makes the blocks durable that were written, at most each originSyncInterval.
+func (f *originFile) sync() error {
+	now := f.keeper.Clock.Now()
+	if f.file == nil || !f.unsynced || now.Sub(f.syncedAt) < originSyncInterval {
+		return nil
+	}
+	f.unsynced, f.syncedAt = false, now
+	if err := f.file.Sync(); err != nil {
+		return fmt.Errorf("sync origins: %w", err)
+	}
 	return nil
 }
 
@@ -210,6 +225,7 @@
 // close closes the current file.
 func (f *originFile) close() {
 	if f.file != nil {
+		_ = f.file.Sync()
 		_ = f.file.Close()
 		f.file = nil
 	}
