Ask any keeper for the origin of a stream while none is followed

A keeper needs no quorum to answer this question, so a relay now asks any keeper over a link of its own while it follows none or that one is silent, and goes on for up to 2 s if the stream would be refused otherwise.

--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -110,6 +110,18 @@
 	return v.AreSeveral(service, now) || !v.IsComplete(now)
 }
 
+// MayBeSeveralAnywhere reports the same of any service.
+func (v *Versions) MayBeSeveralAnywhere(now time.Time) bool {
+	services := map[string]bool{}
+	for _, s := range v.All(now) {
+		if services[s.Service] {
+			return true
+		}
+		services[s.Service] = true
+	}
+	return !v.IsComplete(now)
+}
+
 // IsServing reports whether the latest list has an endpoint of that version that is not draining.
 func (v *Versions) IsServing(o Origin) bool { return v.listed[o] }
 
--- a/io/relay/keeperlink.go
+++ b/io/relay/keeperlink.go
@@ -142,6 +142,7 @@
 	f.relay.crashes.SendAll()
 	f.sendLimits(f.relay.allLimits())
 	f.relay.origins.sendAll()
+	f.relay.origins.closeSpare()
 }
 
 // abandonKeeper logs the failure of a keeper and closes the connection to it.
--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -17,11 +17,14 @@
 )
 
 const (
-	// originTimeout bounds the time in which a keeper is asked for the origin of a stream, including the wait for a first connection
-	// to a keeper after a start.
-	originTimeout = 300 * time.Millisecond
-	// keeperPollInterval is the time between two checks whether the relay follows a keeper.
+	// originTimeout bounds the time in which a keeper is asked for the origin of a stream, including the wait for a connection to one.
+	// If the stream would be refused otherwise, it is maxOriginTimeout, within which keepers that were all killed are back.
+	originTimeout    = 300 * time.Millisecond
+	maxOriginTimeout = 2 * time.Second
+	// keeperPollInterval is the time between two attempts to ask a keeper, and spareDialInterval between two dials of one that this
+	// relay does not follow.
 	keeperPollInterval = 10 * time.Millisecond
+	spareDialInterval  = 50 * time.Millisecond
 )
 
 // streamOrigins knows at which software versions streams began that this relay has forwarded, and finds out the origins of others when
@@ -32,6 +35,11 @@
 	mu       sync.Mutex
 	table    origin.Table
 	versions origin.Versions
+	// spare is a link to a keeper that is not followed, which answers questions while no followed one does: keepers need no quorum
+	// for that. spareMu guards it and is held during a dial, and spareTriedAt is the time of the last one.
+	spareMu      sync.Mutex
+	spare        *keeperLink
+	spareTriedAt time.Time
 	// searches holds the latest search among the engines of each service for requests that still run.
 	searches map[string]*runSearch
 }
@@ -77,6 +85,13 @@
 	return o.versions.MayBeSeveral(service, o.relay.Clock.Now())
 }
 
+// mayBeSeveralAnywhere reports whether several versions of any service are listed or were lately, or may have been.
+func (o *streamOrigins) mayBeSeveralAnywhere() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.MayBeSeveralAnywhere(o.relay.Clock.Now())
+}
+
 // isGone reports whether no endpoint of that version is listed that is not draining, while others of the service are. A crashed one stays
 // listed until its restart shows.
 func (o *streamOrigins) isGone(x origin.Origin) bool {
@@ -110,31 +125,86 @@
 	return found, ""
 }
 
-// askKeeper asks the followed keeper for the origin of a stream. It waits for a keeper after a start, and asks again while the link fails:
-// what breaks the connections of callers often breaks that to the keeper too.
+// askKeeper asks the followed keeper for the origin of a stream, or any other one that answers. It asks again while links fail: what breaks
+// the connections of callers often breaks those to keepers too.
 func (o *streamOrigins) askKeeper(ctx context.Context, a origin.Attempt) (reply wire.OriginReply, err error) {
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
-	defer cancel()
+	began := o.relay.Clock.Now()
 	err = errNotConfirmed
+	silent := false
 	for {
-		if l := o.relay.feed.followedLink(); l != nil {
-			err = l.Call(ctx, wire.KindFindOrigin, "", wire.OriginRequest{Attempt: a}, &reply)
+		l := o.relay.feed.followedLink()
+		if l == nil || silent {
+			l = o.spareLink(ctx)
+		}
+		if l != nil {
+			callCtx, cancel := context.WithTimeout(ctx, originTimeout)
+			err = l.Call(callCtx, wire.KindFindOrigin, "", wire.OriginRequest{Attempt: a}, &reply)
+			silent = callCtx.Err() != nil
+			cancel()
 			var refused *wire.RemoteError
 			if err == nil || errors.As(err, &refused) {
 				return reply, err
 			}
 		}
-		if !serve.Sleep(ctx, keeperPollInterval) {
+		waited := o.relay.Clock.Now().Sub(began)
+		if waited >= maxOriginTimeout || waited >= originTimeout && !o.mayBeSeveralAnywhere() || !serve.Sleep(ctx, keeperPollInterval) {
 			return reply, err
 		}
 	}
 }
 
-// followedLink returns the link to the followed keeper, or nil if there is none.
+// spareLink returns a link to a keeper that is not followed, or nil if there is none now.
+func (o *streamOrigins) spareLink(ctx context.Context) *wire.Link {
+	o.spareMu.Lock()
+	defer o.spareMu.Unlock()
+	if o.spare != nil {
+		select {
+		case <-o.spare.link.Done():
+			o.relay.feed.closeLink(o.spare)
+			o.spare = nil
+		default:
+			return o.spare.link
+		}
+	}
+	now := o.relay.Clock.Now()
+	addresses := o.relay.feed.otherKeeperAddresses(nil)
+	if len(addresses) == 0 || now.Sub(o.spareTriedAt) < spareDialInterval || ctx.Err() != nil {
+		return nil
+	}
+	o.spareTriedAt = now
+	kl, err := o.relay.feed.dialKeeper(ctx, addresses[0])
+	if err != nil {
+		o.relay.Log.Debug("spare-keeper-not-dialled", zap.String("keeper", addresses[0]), zap.Error(err))
+		return nil
+	}
+	o.spare = kl
+	return kl.link
+}
+
+// closeSpare closes the spare link, if any, once this relay follows a keeper.
+func (o *streamOrigins) closeSpare() {
+	// A dial holds the mutex, and the feed must not wait for that; the new link is used or closed later.
+	if !o.spareMu.TryLock() {
+		return
+	}
+	defer o.spareMu.Unlock()
+	o.relay.feed.closeLink(o.spare)
+	o.spare = nil
+}
+
+// followedLink returns the link to the followed keeper, or nil if there is none or it has failed.
 func (f *keeperFeed) followedLink() *wire.Link {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.link
+	if f.link == nil {
+		return nil
+	}
+	select {
+	case <-f.link.Done():
+		return nil
+	default:
+		return f.link
+	}
 }
 
 // findOrigin finds out at which service and software version a stream began that the caller takes up. It returns the reason if the
