Test declared software versions and a drained version

The version may come from the endpoint's declaration, and the only engines of a version may all be marked as leaving when one of them dies. Neither was played with processes.

Without the field in the router's endpoints, generations have tokens of two versions; without the last choice of endpoints with only the declared mark, the generations of the engine that died end with no-endpoint after 20 s.

--- a/io/itest/software_test.go
+++ b/io/itest/software_test.go
@@ -84,3 +84,34 @@
 		}
 	}
 }
+
+// Guards against declared versions that are ignored for engines which report none, and against generations that end when an engine
+// dies while all engines of their version are drained.
+func TestReleaseOfDeclaredSoftware(t *testing.T) {
+	t.Parallel()
+	const generations, tokens = 30, 100
+	s := newSystem(t, systemSpec{controls: 1, routers: 3, engines: 4, engineArgs: []string{"-tokens-per-second", strconv.Itoa(tokenRate), "-slots", "64"}})
+	var objects []map[string]any
+	for i, a := range s.engineAddresses {
+		version := strconv.Itoa(1 + i/2)
+		s.engines[i].kill()
+		s.engines[i].args = append(s.engines[i].args, "-salt", version)
+		s.engines[i].launch()
+		o := engineObject(i, a, true)
+		o["software"] = version
+		objects = append(objects, o)
+	}
+	s.apply(encodeChange(t, map[string]any{"objects": objects}), "-wait", "15s")
+	eventually(t, startTimeout, func() error { return s.checkAllServing() })
+	c := newWorkload(s)
+	c.startGenerations(0, generations, tokens)
+	time.Sleep(time.Second)
+	objects[0]["leaving"], objects[1]["leaving"] = true, true
+	s.apply(encodeChange(t, map[string]any{"objects": objects[:2]}), "-wait", "15s")
+	s.routers[0].kill()
+	s.engines[0].kill()
+	c.verifyGenerations(generations)
+	if got := c.countVersions(); got[1] == 0 || got[2] == 0 {
+		t.Errorf("generations by version: %v", got)
+	}
+}
