--- a/io/router/session.go
+++ b/io/router/session.go
@@ -326,8 +326,8 @@
 	}
 	if !t.silenceLogged {
 		t.silenceLogged = true
-		s.router.Metrics.Counter("attempts-retained").Inc(1)
-		s.log.Info("attempt-retained", zap.Int("attempt", t.number), zap.String("endpoint", t.name),
+		s.router.Metrics.Counter("attempts-kept").Inc(1)
+		s.log.Info("attempt-kept", zap.Int("attempt", t.number), zap.String("endpoint", t.name),
 			zap.Duration("silence", s.stallDetector.Silence(now)), zap.Int("tokens", s.owner.Tokens()))
 	}
 	return false
