Use one reason for streams and generations whose software version is gone

Relays refused with version-gone, routers with software-gone, for the same cause. Both say software-gone now, since a version without a further word is that of a model on our own interface.

--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -44,9 +44,7 @@
 	// ReasonOriginUnknown means that the caller takes up a stream of which nobody knows the software version that began it, while
 	// several versions serve or did lately. The caller can only begin anew.
 	ReasonOriginUnknown Reason = "origin-unknown"
-	// ReasonVersionGone means that all endpoints of the software version that began the stream have left or are leaving.
-	ReasonVersionGone Reason = "version-gone"
-	// ReasonSoftwareGone means that no endpoint runs the software version that began the generation any more.
+	// ReasonSoftwareGone means that no endpoint of the software version that began the stream or generation is left to go on with it.
 	ReasonSoftwareGone Reason = "software-gone"
 	// ReasonJournalLost means that the journal of a generation is lost; the generation cannot be resumed safely.
 	ReasonJournalLost Reason = "journal-lost"
@@ -106,7 +104,7 @@
 var RefusalReasons = []Reason{
 	ReasonBadRequest, ReasonBodyTooLarge, ReasonUnknownAccount, ReasonUnknownModel, ReasonUnknownService,
 	ReasonNotAllowed, ReasonNoConfiguration, ReasonDraining, ReasonOverloaded, ReasonAccountLimit, ReasonDeadline,
-	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonOriginUnknown, ReasonVersionGone, ReasonSoftwareGone,
+	ReasonNoEndpoint, ReasonEndpointFailed, ReasonRetryBudget, ReasonCrashesEngines, ReasonEndpointLimit, ReasonOriginUnknown, ReasonSoftwareGone,
 	ReasonJournalLost, ReasonJournalUnavailable, ReasonSuperseded, ReasonBadCursor, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused,
 	ReasonLedgerUnavailable, ReasonOutcomeUnknown, ReasonAnswerTooLarge, ReasonInternal,
 }
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -169,7 +169,7 @@
 		}
 		turn, _ := s.nextTurn(s.requirements())
 		return max(retryElsewhere, turn)
-	case common.ReasonOriginUnknown, common.ReasonVersionGone:
+	case common.ReasonOriginUnknown, common.ReasonSoftwareGone:
 		// The caller can only begin anew, which it may do at once.
 		return 0
 	}
--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -240,8 +240,8 @@
 	return ""
 }
 
-// isVersionGone reports whether the stream can not go on because all endpoints of its version have left or are leaving.
-func (s *streamRequest) isVersionGone() bool {
+// isSoftwareGone reports whether the stream can not go on because all endpoints of its version have left or are leaving.
+func (s *streamRequest) isSoftwareGone() bool {
 	return s.version != "" && s.relay.origins.isGone(origin.Origin{Service: s.service, Version: s.version})
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -205,8 +205,8 @@
 		if a, ok := s.chooseAttempt(s.surveyCandidates()); ok {
 			return a, ""
 		}
-		if s.isVersionGone() {
-			return streamAttempt{}, common.ReasonVersionGone
+		if s.isSoftwareGone() {
+			return streamAttempt{}, common.ReasonSoftwareGone
 		}
 		if s.version == "" && s.firstVersion != "" {
 			s.firstVersion = ""
