Learn the rate of slow prefills again

On our own interface, the prediction of the first token stayed at 0.85 s after 30 prefills of 7 s on an idle engine, since each time counted as a silence and was dropped; admission goes by that prediction. Found in the review. Two such times in a row, with no shorter one between them, now count as prefills. TestSlowPrefillIsLearned failed before; TestSilenceIsNoMeasureOfPrefill still passes.

--- a/core/route/endpoint.go
+++ b/core/route/endpoint.go
@@ -53,8 +53,10 @@
 	// trialAt is when a stream was last moved here to find out whether the endpoint is sound.
 	trialAt time.Time
 	// lastSign is when the last token arrived, and quietEnd when the last one arrived after the endpoint had been quiet.
-	lastSign     time.Time
-	quietEnd     time.Time
+	lastSign time.Time
+	quietEnd time.Time
+	// skippedQuiet is the quietEnd whose times to the first token were not used as measures of prefill; zero if one was used since.
+	skippedQuiet time.Time
 	cachedBlocks cachedBlocks
 	// streams holds this router's streams on the endpoint in no particular order; Stream.endpointIndex is the index.
 	streams []*Stream
--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -79,7 +79,14 @@
 }
 
 // waitedInSilence reports whether the stream, whose first token arrives now, has waited for its endpoint's silence rather than for
-// its prefill.
+// its prefill. Two silences in a row, with no shorter prefill between them, are taken for slow prefills.
 func (t *Table) waitedInSilence(s *Stream, now time.Time) bool {
-	return !s.Endpoint.quietEnd.Before(s.startedAt) && now.Sub(s.startedAt) > quietFactor*t.PredictTimeToFirstTokenIdle(&s.Request)
+	e := s.Endpoint
+	silent := !e.quietEnd.Before(s.startedAt) && now.Sub(s.startedAt) > quietFactor*t.PredictTimeToFirstTokenIdle(&s.Request) &&
+		(e.skippedQuiet.IsZero() || e.skippedQuiet.Equal(e.quietEnd))
+	e.skippedQuiet = time.Time{}
+	if silent {
+		e.skippedQuiet = e.quietEnd
+	}
+	return silent
 }
--- a/core/route/silence_test.go
+++ b/core/route/silence_test.go
@@ -95,3 +95,19 @@
 		}
 	}
 }
+
+// Guards against an engine with slow prefills whose times all count as silences, so that its prediction never rises.
+func TestSlowPrefillIsLearned(t *testing.T) {
+	tb := &Table{}
+	tb.Configure([]EndpointSpec{{Name: "a", Service: "llm"}})
+	req := &Request{Service: "llm", PrefillTokens: 8000, OutputTokens: 100}
+	for now, i := time.Unix(1000, 0), 0; i < 30; i++ {
+		s := tb.StartStream(req, tb.Endpoint("a"), now)
+		now = now.Add(7 * time.Second)
+		tb.RecordTokens(s, 1, now)
+		tb.FinishStream(s, now)
+	}
+	if got := tb.PredictTimeToFirstTokenIdle(req); got < 3*time.Second {
+		t.Errorf("after 30 prefills of 7 s, the prediction is %s", got)
+	}
+}
