Don't leave a silent engine for one of another software version

A stream that had begun was taken from its silent engine as soon as an engine of another version responded, which may not go on with it: the watch knew the requirements from before the first event, when no version was fixed. Found in the review. It takes the version of its own engine now once an event has arrived. TestSilentStreamIsNotLeftForAnotherVersion saw 2 runs instead of 1 before.

--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -288,7 +288,9 @@
 	}
 	m := w.move
 	m.FromResponds = fromResponds
-	m.Begun = m.Begun || w.received.Load() > 1
+	if w.received.Load() > 1 {
+		m.Begun, m.Requirements.Version = true, w.attempt.endpoint.Version
+	}
 	if c := s.copies.get(); c.exists {
 		m.Holder = c.holder.ID
 	}
