Ask an engine again whose probe has failed since the silence began

A stream on an engine that was lost without a reset could stay there until its deadline although another engine was up: the failed probe of that one, which had refused a connection and then restarted under its id, was taken for the answer for ever. Found in the review. TestFailedProbeIsNotReusedForever failed before.

--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -118,7 +118,12 @@
 	}
 	probes := make([]*livenessProbe, 0, len(engines))
 	for _, e := range engines {
-		probes = append(probes, p.startProbeSince(e, since))
+		pr := p.startProbeSince(e, since)
+		if pr.hasFailed() {
+			// An engine may have restarted under its id.
+			pr = p.startProbe(e)
+		}
+		probes = append(probes, pr)
 	}
 	for _, pr := range probes {
 		select {
@@ -224,6 +229,16 @@
 		zap.String("result", result), zap.Duration("suspended", suspended), zap.Error(err))
 }
 
+// hasFailed reports whether the probe has ended without a response.
+func (p *livenessProbe) hasFailed() bool {
+	select {
+	case <-p.done:
+		return !p.alive
+	default:
+		return false
+	}
+}
+
 // result returns the metric label of the result of an engine's liveness probe.
 func (p *livenessProbe) result() string {
 	if !p.alive && serve.FailureReason(p.err) == serve.ReadOversized {
--- a/io/relay/prober_test.go
+++ b/io/relay/prober_test.go
@@ -87,3 +87,19 @@
 		})
 	}
 }
+
+// An engine that has refused a connection since a silence began must be asked again: it may have restarted under its id.
+func TestFailedProbeIsNotReusedForever(t *testing.T) {
+	r := newTestRelay(t)
+	x := &pausedEngine{err: syscall.ECONNREFUSED}
+	r.Engines = x
+	e, since := []place.Endpoint{{ID: "e"}}, time.Now()
+	if r.prober.hasRespondedSince(t.Context(), e, since) {
+		t.Error("an engine that refuses connections counts as sound")
+	}
+	x.err = nil
+	time.Sleep(probeInterval)
+	if !r.prober.hasRespondedSince(t.Context(), e, since) {
+		t.Error("an engine that responds again counts as silent")
+	}
+}
