Tell a stream of another service from one of unknown origin in the logs

A stream whose origin was known, but at a service to which the route no longer leads, was logged and counted as unknown, without the version. origin-sought now says other-service, with the version that was found.

--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -223,21 +223,21 @@
 			found.Service, source = s.service, "engine"
 		}
 	}
+	var refusal common.Reason
 	switch {
 	case source != "" && s.route.HasService(found.Service):
 		s.service, s.version = found.Service, found.Version
-	case o.mayBeSeveral(s.service):
-		source = "unknown"
-	default:
+	case !o.mayBeSeveral(s.service):
 		source = "only-version"
+	case source != "":
+		source, refusal = "other-service", common.ReasonOriginUnknown
+	default:
+		source, refusal = "unknown", common.ReasonOriginUnknown
 	}
 	s.relay.meter.countReason("origins", source)
 	s.log.Info("origin-sought", zap.String("source", source), zap.String("resumes", id), zap.String("service", s.service),
-		zap.String("version", s.version), zap.Duration("took", s.relay.Clock.Now().Sub(began)))
-	if source == "unknown" {
-		return common.ReasonOriginUnknown
-	}
-	return ""
+		zap.String("version", found.Version), zap.Duration("took", s.relay.Clock.Now().Sub(began)))
+	return refusal
 }
 
 // isVersionGone reports whether the stream can not go on because all endpoints of its version have left or are leaving.
