Keep a taken-up stream at the only version that was listed

A stream of unknown origin that its caller took up while one version was known could go on at another one, if that was listed before the next event (ORDER; found in the review): it was bound to no version until an event had arrived. It is bound to the only known one now. TestTakenUpStreamKeepsTheOnlyVersion got events 11 to 80 from the other version before.

--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -110,6 +110,18 @@
 	return v.AreSeveral(service, now) || !v.IsComplete(now)
 }
 
+// Only returns the only version of the service that is listed or was within Lifetime, or false if there may be several. It is empty
+// if none was.
+func (v *Versions) Only(service string, now time.Time) (version string, ok bool) {
+	if v.MayBeSeveral(service, now) {
+		return "", false
+	}
+	for _, s := range v.Of(service, now) {
+		version = s.Version
+	}
+	return version, true
+}
+
 // MayBeSeveralAnywhere reports the same of any service.
 func (v *Versions) MayBeSeveralAnywhere(now time.Time) bool {
 	services := map[string]bool{}
--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -85,6 +85,13 @@
 	return o.versions.MayBeSeveral(service, o.relay.Clock.Now())
 }
 
+// onlyVersion returns the only version of the service that is listed or was lately, or false if there may be several.
+func (o *streamOrigins) onlyVersion(service string) (version string, ok bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Only(service, o.relay.Clock.Now())
+}
+
 // mayBeSeveralAnywhere reports whether several versions of any service are listed or were lately, or may have been.
 func (o *streamOrigins) mayBeSeveralAnywhere() bool {
 	o.mu.Lock()
@@ -224,11 +231,13 @@
 		}
 	}
 	var refusal common.Reason
+	only, isOnly := o.onlyVersion(s.service)
 	switch {
 	case source != "" && s.route.HasService(found.Service):
 		s.service, s.version = found.Service, found.Version
-	case !o.mayBeSeveral(s.service):
-		source = "only-version"
+	case isOnly:
+		// Other versions may be listed before the next event arrives.
+		source, s.version = "only-version", only
 	case source != "":
 		source, refusal = "other-service", common.ReasonOriginUnknown
 	default:
