Link the commands into the test binary of io/itest

go test returned cached results of io/itest after the code of the processes had changed: a blank import alone links no function that nothing calls, so that the test binary stayed the same. Seen: (cached) after maxHolderWait was changed from 500 to 501 ms, which is in the command. The test binary now runs the commands when it is started with one, as that of platform/soak does; the same change makes the tests run again.

--- a/io/itest/process_test.go
+++ b/io/itest/process_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	_ "wasabiweir/io/cmds" // makes cached test results depend on the code of the binary that the tests build
+	"wasabiweir/io/cmds"
 	"wasabiweir/io/stand"
 )
 
@@ -31,8 +31,12 @@
 // binaryPath is the path of the wasabiweir binary that the tests start; TestMain builds it.
 var binaryPath string
 
-// TestMain builds the binary and runs the tests.
+// TestMain builds the binary and runs the tests. Started with a command, this binary runs it: so the code of all commands is linked in, and
+// a cached test result is not used after that code has changed.
 func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && !strings.HasPrefix(os.Args[1], "-") {
+		os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
 	os.Exit(buildAndRun(m))
 }
 
