--- a/io/keeper/originfile_test.go
+++ b/io/keeper/originfile_test.go
@@ -35,7 +35,7 @@
 // countKnown returns how many of the n origins from the number on the keeper knows.
 func (k *Keeper) countKnown(from, n int) (known int) {
 	for i := from; i < from+n; i++ {
-		if k.origins.lookUp(origin.NewAttempt("", strconv.Itoa(i))).Known {
+		if reply, _ := k.origins.lookUp(origin.NewAttempt("", strconv.Itoa(i))); reply.Known {
 			known++
 		}
 	}
@@ -75,7 +75,7 @@
 		later := &clock.Manual{}
 		later.Set(now.Now().Add(after))
 		x := newOriginKeeper(dir, later)
-		reply := x.origins.lookUp(origin.Attempt{})
+		reply, _ := x.origins.lookUp(origin.Attempt{})
 		if n := x.countKnown(7, 24); n != 24 || len(reply.Versions) != 1 {
 			t.Errorf("after %s: %d of 24 origins are known, versions %v", after, n, reply.Versions)
 		}
@@ -85,7 +85,8 @@
 		}
 	}
 	now.Advance(time.Hour + origin.Lifetime)
-	if x := newOriginKeeper(dir, now); x.countKnown(0, 30) != 0 || len(x.origins.lookUp(origin.Attempt{}).Versions) != 0 {
+	x := newOriginKeeper(dir, now)
+	if reply, _ := x.origins.lookUp(origin.Attempt{}); x.countKnown(0, 30) != 0 || len(reply.Versions) != 0 {
 		t.Error("origins or versions outlive their lifetime on disk")
 	}
 }
--- a/io/keeper/origins.go
+++ b/io/keeper/origins.go
@@ -143,20 +143,20 @@
 
 // find returns the reply to a relay that asks for the origin of the attempt's stream.
 func (s *originExchange) find(ctx context.Context, a origin.Attempt) wire.OriginReply {
-	reply := s.lookUp(a)
-	if !reply.Known && serve.Sleep(ctx, originWait) {
-		reply = s.lookUp(a)
+	reply, mayBeSeveral := s.lookUp(a)
+	if !reply.Known && mayBeSeveral && serve.Sleep(ctx, originWait) {
+		reply, _ = s.lookUp(a)
 	}
 	s.keeper.Log.Debug("origin-asked", zap.Bool("known", reply.Known), zap.String("version", reply.Origin.Version))
 	return reply
 }
 
-// lookUp returns what is known now of the origin of the attempt's stream.
-func (s *originExchange) lookUp(a origin.Attempt) (reply wire.OriginReply) {
+// lookUp returns what is known now of the origin of the attempt's stream, and whether it matters because several versions may serve.
+func (s *originExchange) lookUp(a origin.Attempt) (reply wire.OriginReply, mayBeSeveral bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.keeper.Clock.Now()
 	reply.Origin, reply.Known = s.table.Find(a, now)
 	reply.Versions, reply.Complete = s.versions.All(now), s.versions.IsComplete(now)
-	return reply
+	return reply, s.versions.MayBeSeveralAnywhere(now)
 }
