--- a/core/place/move.go
+++ b/core/place/move.go
@@ -30,8 +30,8 @@
 }
 
 // MoveTargets returns the holder of the stream's copy if it could take the stream at once, otherwise other endpoints that could,
-// the preferred one first, or the reason why there is none. A stream without a target stays where it is: a sound endpoint may be silent for a second or so, and nothing is gained by
-// ending an attempt that no other can follow.
+// the preferred one first, or the reason why there is none. A stream without a target stays where it is: a sound endpoint may be
+// silent for a second or so, and nothing is gained by ending an attempt that no other can follow.
 func (t *EndpointTable) MoveTargets(m Move, now time.Time) (targets []Endpoint, reason common.Reason) {
 	if !m.Repeatable || m.AttemptsLeft < 1 {
 		return nil, common.ReasonEndpointFailed
