Ask engines for prompts and for runs in one way

The search for requests that engines still run was a copy of the one for cached prompts. Both are an engineSearch now, with the engines to ask, the question and the time limit as parameters; what is asked and for how long stays as it was. The tests of io/relay and those of platform on take-ups and prompts pass unchanged.

--- a/io/relay/finder.go
+++ b/io/relay/finder.go
@@ -11,53 +11,106 @@
 )
 
 const (
-	// searchLifetime is how long the results of a search for cached prompts are reused: when a relay is lost, all of
-	// its streams are resumed at about the same time.
+	// searchLifetime is how long the results of a search among engines are reused: when a relay is lost, all of its streams are
+	// resumed at about the same time.
 	searchLifetime = 1500 * time.Millisecond
-	// searchTimeout bounds the queries to engines in a search for cached prompts; waiting longer for a slow engine
+	// promptSearchTimeout bounds the queries to engines in a search for cached prompts; waiting longer for a slow engine
 	// costs more than it can save.
-	searchTimeout = 80 * time.Millisecond
+	promptSearchTimeout = 80 * time.Millisecond
+	// runSearchTimeout bounds the queries to engines for the requests that they run.
+	runSearchTimeout = 150 * time.Millisecond
 )
 
-// promptFinder finds the engine that still has the prompt of a stream in its KV cache, for instance when a caller
-// resumes the stream after its relay was lost. It queries all engines of the service, which costs far less than one
-// prefill.
-type promptFinder struct {
+// engineSearch asks all engines of a service what they have, for all streams that need it at about the same time.
+type engineSearch struct {
 	relay *Relay
+	// name is the name of the search in the logs.
+	name    string
+	timeout time.Duration
+	// engines returns the engines of a service to ask.
+	engines func(t *place.EndpointTable, service string, now time.Time) []place.Endpoint
+	// ask returns the keys of what an engine has.
+	ask func(ctx context.Context, e place.Endpoint) ([]string, error)
 
 	mu sync.Mutex
-	// searches holds the latest search for cached prompts among the engines of each service.
-	searches map[string]*promptSearch
+	// rounds holds the latest round of queries for each service.
+	rounds map[string]*searchRound
 }
 
-// promptSearch is one round of queries to all engines of a service, which asks them which prompt parts are in their KV
-// cache.
-type promptSearch struct {
+// searchRound is one round of queries to all engines of a service.
+type searchRound struct {
 	startedAt time.Time
-	// done is closed when all queries to engines have a result.
+	// done is closed when all queries have a result.
 	done chan struct{}
 
 	mu sync.Mutex
-	// pending is the number of queries to engines without a result.
-	pending         int
-	endpointsByPart map[string][]string // ids of endpoints by the prompt part that they have cached
-	// queried is the number of engines that were queried.
-	queried int
+	// pending is the number of queries without a result.
+	pending int
+	// found holds the engines that have something, by its key.
+	found map[string][]place.Endpoint
 }
 
-// initFinder initialises the search for cached prompts for a relay.
-func (f *promptFinder) initFinder(r *Relay) {
-	f.relay = r
-	f.searches = map[string]*promptSearch{}
+// initFinder initialises the searches among engines for a relay: for the prompts in their KV caches, which costs far less than
+// one prefill, and for the requests that they run. When relays lose power, engines still run the requests of streams whose connections
+// were not reset.
+func (r *Relay) initFinder() {
+	r.promptSearch = engineSearch{
+		relay: r, name: "prompt", timeout: promptSearchTimeout, rounds: map[string]*searchRound{}, ask: r.askCachedParts,
+		engines: (*place.EndpointTable).AvailableEndpoints,
+	}
+	r.runSearch = engineSearch{
+		relay: r, name: "run", timeout: runSearchTimeout, rounds: map[string]*searchRound{}, ask: r.askRuns,
+		engines: (*place.EndpointTable).AskableEndpoints,
+	}
+}
+
+// askCachedParts returns the ids of the prompt parts in an engine's KV cache.
+func (r *Relay) askCachedParts(ctx context.Context, e place.Endpoint) (ids []string, err error) {
+	parts, err := r.Engines.CachedParts(ctx, e.Address)
+	for part := range parts {
+		ids = append(ids, part)
+	}
+	return ids, err
+}
+
+// askRuns returns the ids of the requests that an engine runs and that have produced events. The caller of a run without an event
+// has its events from elsewhere.
+func (r *Relay) askRuns(ctx context.Context, e place.Endpoint) (ids []string, err error) {
+	report, err := r.Engines.Report(ctx, e.Address)
+	for id, events := range report.Events {
+		if events > 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids, err
 }
 
 // findCachedPrompt returns the ids of the endpoints of a service that have a part of a prompt in their KV cache.
-func (f *promptFinder) findCachedPrompt(ctx context.Context, service, part string) []string {
+func (r *Relay) findCachedPrompt(ctx context.Context, service, part string) (ids []string) {
 	if part == "" {
 		return nil
 	}
-	s := f.latestSearch(service)
-	t := time.NewTimer(searchTimeout)
+	for _, e := range r.promptSearch.find(ctx, service, part) {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+// findRun returns the software version at which the request with the id runs, or an empty string if it runs at none or at several.
+func (r *Relay) findRun(ctx context.Context, service, id string) (version string) {
+	for _, e := range r.runSearch.find(ctx, service, id) {
+		if version != "" && e.Version != version {
+			return ""
+		}
+		version = e.Version
+	}
+	return version
+}
+
+// find returns the engines of a service that have what the key names.
+func (x *engineSearch) find(ctx context.Context, service, key string) []place.Endpoint {
+	s := x.latestRound(service)
+	t := time.NewTimer(x.timeout)
 	defer t.Stop()
 	select {
 	case <-s.done:
@@ -66,57 +119,54 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.endpointsByPart[part]
+	return s.found[key]
 }
 
-// latestSearch returns the latest search for cached prompts among the engines of a service, or starts one if that is
-// too old.
-func (f *promptFinder) latestSearch(service string) *promptSearch {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.relay.Clock.Now()
-	if s := f.searches[service]; s != nil && now.Sub(s.startedAt) < searchLifetime {
+// latestRound returns the latest round of queries for a service, or starts one if that is too old.
+func (x *engineSearch) latestRound(service string) *searchRound {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := x.relay.Clock.Now()
+	if s := x.rounds[service]; s != nil && now.Sub(s.startedAt) < searchLifetime {
 		return s
 	}
 	var list []place.Endpoint
-	f.relay.withTable(func(t *place.EndpointTable, now time.Time) { list = t.AvailableEndpoints(service, now) })
-	s := &promptSearch{
-		startedAt: now, done: make(chan struct{}), pending: len(list), endpointsByPart: map[string][]string{},
-		queried: len(list),
-	}
-	f.searches[service] = s
+	x.relay.withTable(func(t *place.EndpointTable, now time.Time) { list = x.engines(t, service, now) })
+	s := &searchRound{startedAt: now, done: make(chan struct{}), pending: len(list), found: map[string][]place.Endpoint{}}
+	x.rounds[service] = s
 	if len(list) == 0 {
 		close(s.done)
 	}
 	for _, e := range list {
-		q := &cachedPartsQuery{search: s, endpoint: e, relay: f.relay}
+		q := &searchQuery{search: x, round: s, endpoint: e}
 		go q.run()
 	}
-	f.relay.Log.Info("prompt-search-started", zap.String("service", service), zap.Int("engines", len(list)))
+	x.relay.Log.Info(x.name+"-search-started", zap.String("service", service), zap.Int("engines", len(list)))
 	return s
 }
 
-// cachedPartsQuery asks one engine which prompt parts it has in its KV cache.
-type cachedPartsQuery struct {
-	relay    *Relay
-	search   *promptSearch
+// searchQuery asks one engine in a round of a search.
+type searchQuery struct {
+	search   *engineSearch
+	round    *searchRound
 	endpoint place.Endpoint
 }
 
-// run queries the engine for the prompt parts in its KV cache and adds them to the results of the search.
-func (q *cachedPartsQuery) run() {
-	defer q.relay.guard.Recover("prompt-query")
-	ctx, cancel := context.WithTimeout(q.relay.ctx, searchTimeout)
+// run asks the engine and adds what it has to the results of the round.
+func (q *searchQuery) run() {
+	r := q.search.relay
+	defer r.guard.Recover(q.search.name + "-query")
+	ctx, cancel := context.WithTimeout(r.ctx, q.search.timeout)
 	defer cancel()
-	parts, err := q.relay.Engines.CachedParts(q.relay.withControlCall(ctx, q.endpoint), q.endpoint.Address)
+	keys, err := q.search.ask(r.withControlCall(ctx, q.endpoint), q.endpoint)
 	if err != nil {
-		q.relay.Log.Debug("prompt-query-failed", zap.String("endpoint", q.endpoint.ID), zap.Error(err))
+		r.Log.Debug(q.search.name+"-query-failed", zap.String("endpoint", q.endpoint.ID), zap.Error(err))
 	}
-	s := q.search
+	s := q.round
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for part := range parts {
-		s.endpointsByPart[part] = append(s.endpointsByPart[part], q.endpoint.ID)
+	for _, key := range keys {
+		s.found[key] = append(s.found[key], q.endpoint)
 	}
 	if s.pending--; s.pending == 0 {
 		close(s.done)
--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -40,14 +40,11 @@
 	spareMu      sync.Mutex
 	spare        *keeperLink
 	spareTriedAt time.Time
-	// searches holds the latest search among the engines of each service for requests that still run.
-	searches map[string]*runSearch
 }
 
 // initOrigins initialises the origins of a relay, which knows none yet.
 func (o *streamOrigins) initOrigins(r *Relay) {
 	o.relay = r
-	o.searches = map[string]*runSearch{}
 }
 
 // observe records the platform's latest list of endpoints.
@@ -226,7 +223,7 @@
 	o := &s.relay.origins
 	found, source := o.find(s.ctx, s.resumedAttempt)
 	if source == "" && o.mayBeSeveral(s.service) {
-		if found.Version = o.findRun(s.ctx, s.service, id); found.Version != "" {
+		if found.Version = s.relay.findRun(s.ctx, s.service, id); found.Version != "" {
 			found.Service, source = s.service, "engine"
 		}
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -149,8 +149,9 @@
 	prober prober
 	losses lossChecker
 	// identities confirms the ends of responses without a length.
-	identities identityChecker
-	finder     promptFinder
+	identities   identityChecker
+	promptSearch engineSearch
+	runSearch    engineSearch
 	// origins knows the software versions at which streams began.
 	origins streamOrigins
 	drain   drain
@@ -205,7 +206,7 @@
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
 	r.identities.initIdentityChecker(r)
-	r.finder.initFinder(r)
+	r.initFinder()
 	r.origins.initOrigins(r)
 	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope, Send: r.feed.sendCrashes}
 	r.feed.initFeed(r)
--- a/io/relay/rig_test.go
+++ b/io/relay/rig_test.go
@@ -46,7 +46,7 @@
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
 	r.identities.initIdentityChecker(r)
-	r.finder.initFinder(r)
+	r.initFinder()
 	r.origins.initOrigins(r)
 	r.feed.initFeed(r)
 	close(r.feed.initialised)
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -228,7 +228,7 @@
 // findCachedPrompt searches for the engines that still have the stream's prompt in their KV cache.
 func (s *streamRequest) findCachedPrompt() {
 	if len(s.parts) > 0 {
-		s.promptEndpoints = s.relay.finder.findCachedPrompt(s.ctx, s.service, s.parts[len(s.parts)-1])
+		s.promptEndpoints = s.relay.findCachedPrompt(s.ctx, s.service, s.parts[len(s.parts)-1])
 	}
 }
 
