Take the prober's mutex once for each event of a stream

recordActivity took it a second time, by recordResponse, for each event of each stream, although the engine is hardly ever suspended. It asks for that while it holds the mutex now.

--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -52,8 +52,11 @@
 func (p *prober) recordActivity(id string, now time.Duration) {
 	p.mu.Lock()
 	p.lastActivity[id] = now
+	_, suspended := p.suspendedAt[id]
 	p.mu.Unlock()
-	p.recordResponse(id, now)
+	if suspended {
+		p.recordResponse(id, now)
+	}
 }
 
 // recordResponse records that an engine has responded to a probe or sent data, which ends the silence for which it was suspended.
