Use one check of the software version that a stream needs

The relay repeated the check of core/place for holders of copies and engines with the prompt. It calls EndpointRequirements.Allows now; behaviour is unchanged.

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -220,8 +220,8 @@
 	Version string
 }
 
-// allows reports whether the endpoint has the software version that the request needs.
-func (r *EndpointRequirements) allows(e *Endpoint) bool {
+// Allows reports whether the endpoint has the software version that the request needs.
+func (r *EndpointRequirements) Allows(e *Endpoint) bool {
 	return r.Version == "" || e.Version == r.Version
 }
 
@@ -284,7 +284,7 @@
 // isSuitable reports whether the endpoint meets the requirements of a request and accepts requests, apart from its
 // limit and a pause that it has asked for.
 func (s *endpointState) isSuitable(req EndpointRequirements, now time.Time) bool {
-	return s.Service == req.Service && req.allows(&s.Endpoint) && !req.Exclude[s.ID] && s.takesNew(now) &&
+	return s.Service == req.Service && req.Allows(&s.Endpoint) && !req.Exclude[s.ID] && s.takesNew(now) &&
 		(!now.Before(s.fullUntil) || s.announced.pauseLeft(now) > 0)
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -93,8 +93,8 @@
 
 // mayGoOnAt reports whether what the endpoint writes fits to the events that the caller has.
 func (s *streamRequest) mayGoOnAt(e place.Endpoint) bool {
-	required := s.requiredVersion()
-	return required == "" || e.Version == required
+	req := place.EndpointRequirements{Version: s.requiredVersion()}
+	return req.Allows(&e)
 }
 
 // requiredVersion returns the software version that an endpoint must have for the next attempt; empty if any will do.
