Tell endpoints that are out of reach from those that are down

Relays take a failed connection for a failure of the endpoint, although a cut is a property of a pair of a process and an endpoint. core/reach keeps the results of direct connections and of those that another process opened: an endpoint is out of reach if the former fail while the latter succeed. It decides in which order to try both, when to look for the end of a cut, and when nobody can help. Nothing uses it yet.

--- /dev/null
+++ b/core/reach/table.go
@@ -0,0 +1,233 @@
+package reach
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// evidenceWindow is the longest time between a direct connection that failed and a carried one that was established for the
+	// two to show that the endpoint is up and only this process cannot reach it. An endpoint that crashes takes longer to restart.
+	evidenceWindow = 600 * time.Millisecond
+	// verdictLifetime is the time after the latest evidence for which an endpoint counts as out of reach. Then it is dialled
+	// directly first again.
+	verdictLifetime = 2 * time.Second
+	// cutOffEndpoints is the number of endpoints out of reach from which on the process takes itself to be cut off from all of them,
+	// as long as it reaches none.
+	cutOffEndpoints = 3
+	// directLifetime is how long an established direct connection shows that the process is not cut off from all endpoints.
+	directLifetime = time.Second
+	// probeInterval is the time between two direct connections that look whether a cut has ended.
+	probeInterval = 400 * time.Millisecond
+	// downLifetime is how long the answers of carriers that an endpoint is down spare others the same question.
+	downLifetime = 300 * time.Millisecond
+	// maxPaths bounds the endpoints that are remembered; the oldest records go first.
+	maxPaths = 4096
+)
+
+// Result is the result of an attempt to open a connection to an endpoint.
+type Result int
+
+const (
+	// Unknown means that the attempt shows nothing about the endpoint.
+	Unknown Result = iota
+	// Connected means that the connection was established.
+	Connected
+	// Refused means that the endpoint's host refused or reset the connection.
+	Refused
+	// Silent means that the endpoint's host did not respond in time.
+	Silent
+)
+
+// Table holds which endpoints the process reaches itself, by their addresses, and which other processes can carry connections to
+// them. It is not safe for concurrent use; its exported fields are set before the first call.
+type Table struct {
+	// Domain is the failure domain of this process, whose carriers are asked first.
+	Domain string
+	// Rand is the source of the choice among equal carriers.
+	Rand *rand.Rand
+
+	paths    map[string]*path
+	carriers carrierTable
+	// connectedAt is when a direct connection was last established to any endpoint.
+	connectedAt time.Time
+	// cutOffAt is when the latest evidence was found that this process is cut off from all endpoints; zero since it has connected to one.
+	cutOffAt time.Time
+	probedAt time.Time
+}
+
+// path is what is known of the way to one endpoint.
+type path struct {
+	// failedAt is when the latest direct connection failed, with the result failure; zero since one was established.
+	failedAt time.Time
+	failure  Result
+	// carriedAt is when a carrier last connected to the endpoint.
+	carriedAt time.Time
+	// downAt is when a carrier last found the endpoint down.
+	downAt time.Time
+	// outSince is when the endpoint was found out of reach, and confirmedAt when that was last confirmed; zero while it is not.
+	outSince    time.Time
+	confirmedAt time.Time
+}
+
+// Plan states how to open a connection to an endpoint.
+type Plan struct {
+	// Carriers are the peer addresses of the processes that may carry the connection, in the order in which to ask them.
+	Carriers []string
+	// CarriedFirst means that carriers are asked before the endpoint is dialled directly.
+	CarriedFirst bool
+	// Probe means that the endpoint is also dialled directly at once, to find out whether the cut has ended.
+	Probe bool
+	// Hopeless means that the process is cut off, no other can help now, and the end of the cut was looked for a moment ago.
+	Hopeless bool
+}
+
+// Plan returns how to open a connection to the endpoint.
+func (t *Table) Plan(address string, now time.Time) Plan {
+	p := t.paths[address]
+	if p != nil && now.Sub(p.downAt) < downLifetime && now.Sub(p.carriedAt) >= downLifetime {
+		return Plan{}
+	}
+	plan := Plan{Carriers: t.carriers.choose(t.Domain, t.Rand, now)}
+	if !t.IsOutOfReach(address, now) && !t.IsCutOff(now) {
+		return plan
+	}
+	plan.CarriedFirst = len(plan.Carriers) > 0
+	if now.Sub(t.probedAt) >= probeInterval {
+		t.probedAt, plan.Probe = now, true
+	}
+	plan.Hopeless = !plan.CarriedFirst && !plan.Probe && t.IsCutOff(now)
+	return plan
+}
+
+// IsOutOfReach reports whether the endpoint is up and this process cannot connect to it.
+func (t *Table) IsOutOfReach(address string, now time.Time) bool {
+	p := t.paths[address]
+	return p != nil && p.isOut(now)
+}
+
+// isOut reports whether the endpoint counts as out of reach.
+func (p *path) isOut(now time.Time) bool {
+	return !p.outSince.IsZero() && now.Sub(p.confirmedAt) < verdictLifetime
+}
+
+// HangsSince returns when the endpoint was found out of reach with connections that hang, so that a direct connection that was opened
+// before is dead; it returns false if they do not.
+func (t *Table) HangsSince(address string, now time.Time) (time.Time, bool) {
+	p := t.paths[address]
+	if p == nil || !p.isOut(now) || p.failure != Silent {
+		return time.Time{}, false
+	}
+	return p.outSince, true
+}
+
+// IsCutOff reports whether this process is cut off from all endpoints: several are out of reach, and it has connected to none since.
+func (t *Table) IsCutOff(now time.Time) bool {
+	return !t.cutOffAt.IsZero() && now.Sub(t.cutOffAt) < verdictLifetime
+}
+
+// isCutOffBy reports whether enough endpoints are out of reach for the process to be cut off from all.
+func (t *Table) isCutOffBy(now time.Time) bool {
+	if now.Sub(t.connectedAt) < directLifetime {
+		return false
+	}
+	out := 0
+	for _, p := range t.paths {
+		if p.isOut(now) {
+			out++
+		}
+	}
+	return out >= cutOffEndpoints
+}
+
+// RecordDirect records the result of a direct connection to the endpoint.
+func (t *Table) RecordDirect(address string, r Result, now time.Time) {
+	switch r {
+	case Unknown:
+	case Connected:
+		t.connectedAt, t.cutOffAt = now, time.Time{}
+		if p := t.paths[address]; p != nil {
+			*p = path{}
+		}
+	default:
+		p := t.path(address, now)
+		p.failedAt, p.failure = now, r
+		t.update(p, now)
+	}
+}
+
+// RecordCarried records the result of a connection to the endpoint that a carrier was asked for.
+func (t *Table) RecordCarried(address string, r Result, now time.Time) {
+	switch r {
+	case Unknown:
+	case Connected:
+		p := t.path(address, now)
+		p.carriedAt = now
+		t.update(p, now)
+	default:
+		t.path(address, now).downAt = now
+	}
+}
+
+// RecordCarrier records whether a carrier has answered and reaches endpoints itself. One that has not gets no connections for a while.
+func (t *Table) RecordCarrier(address string, helped bool, now time.Time) {
+	t.carriers.record(address, helped, now)
+}
+
+// SetCarriers sets the processes that may carry connections.
+func (t *Table) SetCarriers(list []Carrier) { t.carriers.set(list) }
+
+// IsCarrier reports whether the process at the peer address may carry connections, so that one that it carries may be used again.
+func (t *Table) IsCarrier(address string) bool { return t.carriers.has(address) }
+
+// update finds out from the latest results for an endpoint whether it is out of reach. A carried connection alone does not show that a
+// cut goes on, so that only failures of direct ones prolong it.
+func (t *Table) update(p *path, now time.Time) {
+	if p.failedAt.IsZero() || p.carriedAt.IsZero() {
+		return
+	}
+	wasOut := p.isOut(now)
+	if !wasOut && p.carriedAt.Sub(p.failedAt).Abs() > evidenceWindow {
+		return
+	}
+	if !wasOut {
+		p.outSince = p.failedAt
+	}
+	p.confirmedAt = p.failedAt
+	if p.isOut(now) && p.failedAt.After(t.cutOffAt) && (t.IsCutOff(now) || t.isCutOffBy(now)) {
+		t.cutOffAt = p.failedAt
+	}
+}
+
+// path returns the record of the endpoint. It makes one, and removes those without recent results if there are too many.
+func (t *Table) path(address string, now time.Time) *path {
+	if p := t.paths[address]; p != nil {
+		return p
+	}
+	if t.paths == nil {
+		t.paths = map[string]*path{}
+	}
+	if len(t.paths) >= maxPaths {
+		for a, p := range t.paths {
+			if now.Sub(p.latest()) > verdictLifetime {
+				delete(t.paths, a)
+			}
+		}
+	}
+	p := &path{}
+	if len(t.paths) < maxPaths {
+		t.paths[address] = p
+	}
+	return p
+}
+
+// latest returns when the latest result was recorded.
+func (p *path) latest() time.Time {
+	latest := p.failedAt
+	for _, at := range []time.Time{p.carriedAt, p.downAt} {
+		if at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
