Carry connections to endpoints through another process

io/tunnel dials an endpoint directly and, when that fails or takes 40 ms, asks up to three other processes of the system to connect to it (CONNECT with the peer key, listed endpoints only, one hop) and to pass the bytes on. The socket of a carried connection ends with a reset unless the other side has ended regularly, also when the carrier's process dies, so that a response without a length does not look complete.

Weighed: a carrier that serves the whole request. Two processes would then decide on attempts, the retry budget, deadlines and accounts of one request.

--- a/io/serve/writelimit.go
+++ b/io/serve/writelimit.go
@@ -34,14 +34,20 @@
 
 // ResetOnClose makes the end of the connection a reset, which drops what the peer has not read yet. The kernel otherwise
 // goes on sending megabytes of an incomplete response to a peer that reads slowly.
-func ResetOnClose(nc net.Conn) error {
+func ResetOnClose(nc net.Conn) error { return setLinger(nc, &syscall.Linger{Onoff: 1}) }
+
+// EndOnClose undoes ResetOnClose: the end of the connection is a regular one, after all data that were sent.
+func EndOnClose(nc net.Conn) error { return setLinger(nc, &syscall.Linger{}) }
+
+// setLinger sets what the kernel does at the end of the connection.
+func setLinger(nc net.Conn, l *syscall.Linger) error {
 	raw, err := rawConn(nc)
 	if err != nil {
 		return err
 	}
 	var failed error
 	if err := raw.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		failed = syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, l)
 	}); err != nil {
 		return fmt.Errorf("access the socket of a connection: %w", err)
 	}
--- /dev/null
+++ b/io/tunnel/race.go
@@ -0,0 +1,184 @@
+package tunnel
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wasabiweir/core/reach"
+)
+
+// race opens one connection to an endpoint in several ways, each of which begins when those before have failed or take long, and keeps
+// the first that succeeds.
+type race struct {
+	dialer           *Dialer
+	network, address string
+	plan             reach.Plan
+	cancel           context.CancelFunc
+	// out receives each finished attempt.
+	out chan *attempt
+	// pending is the number of attempts that have not finished; a direct one goes on after the race to show whether the endpoint is out
+	// of reach.
+	pending int
+	// directStarted is true once the endpoint is dialled directly.
+	directStarted bool
+	// directErr is the error of the direct connection, and err that of the latest attempt.
+	directErr, err error
+	// down counts the carriers that found the endpoint down.
+	down int
+}
+
+// attempt is one attempt of a race; carrier is empty for a direct connection.
+type attempt struct {
+	race    *race
+	carrier string
+	conn    net.Conn
+	err     error
+	result  reach.Result
+}
+
+// run runs the race and returns the connection.
+func (r *race) run(ctx context.Context) (net.Conn, error) {
+	r.startNext(ctx)
+	if r.plan.Probe {
+		r.startDirect(ctx)
+	}
+	t := time.NewTimer(carrierDelay)
+	defer t.Stop()
+	for r.pending > 0 {
+		select {
+		case <-ctx.Done():
+			r.leave()
+			return nil, ctx.Err() //nolint:wrapcheck // callers compare it with the errors of contexts
+		case <-t.C:
+			r.startNext(ctx)
+			t.Reset(carrierDelay)
+		case a := <-r.out:
+			r.pending--
+			if a.err == nil {
+				r.leave()
+				return a.conn, nil
+			}
+			r.recordFailure(a)
+			if r.isDecided() || ctx.Err() != nil {
+				r.leave()
+				return nil, r.failure()
+			}
+			r.startNext(ctx)
+			t.Reset(carrierDelay)
+		}
+	}
+	r.cancel()
+	return nil, r.failure()
+}
+
+// recordFailure keeps the error of an attempt.
+func (r *race) recordFailure(a *attempt) {
+	r.err = a.err
+	if a.carrier == "" {
+		r.directErr = a.err
+	} else if a.result == reach.Refused || a.result == reach.Silent {
+		r.down++
+	}
+}
+
+// isDecided reports whether the endpoint is down: this process and a carrier do not reach it, or two carriers do not. A single carrier
+// may be cut off itself without knowing it yet.
+func (r *race) isDecided() bool {
+	return r.down >= 2 || r.down == 1 && isRefusal(r.directErr)
+}
+
+// failure returns the error of a race in which no attempt succeeded.
+func (r *race) failure() error {
+	err := r.directErr
+	if err == nil {
+		err = r.err
+	}
+	return r.dialer.fail(err, r.down > 0)
+}
+
+// startNext starts the next attempt, if there is one.
+func (r *race) startNext(ctx context.Context) {
+	switch {
+	case !r.plan.CarriedFirst && !r.directStarted:
+		r.startDirect(ctx)
+	case len(r.plan.Carriers) > 0:
+		a := &attempt{race: r, carrier: r.plan.Carriers[0]}
+		r.plan.Carriers = r.plan.Carriers[1:]
+		r.pending++
+		go a.run(ctx)
+	case !r.directStarted:
+		r.startDirect(ctx)
+	}
+}
+
+// startDirect dials the endpoint directly.
+func (r *race) startDirect(ctx context.Context) {
+	if r.directStarted {
+		return
+	}
+	r.directStarted = true
+	r.pending++
+	go (&attempt{race: r}).run(ctx)
+}
+
+// leave closes the connections of the attempts that are still pending as they finish. A direct one is not interrupted, since its result
+// shows whether the endpoint is out of reach.
+func (r *race) leave() {
+	if r.pending == 0 {
+		r.cancel()
+		return
+	}
+	go (&lateAttemptCloser{race: r}).run()
+}
+
+// lateAttemptCloser waits for the attempts that are pending at the end of a race.
+type lateAttemptCloser struct{ race *race }
+
+// run closes the connections of the attempts.
+func (l *lateAttemptCloser) run() {
+	defer l.race.cancel()
+	for ; l.race.pending > 0; l.race.pending-- {
+		if a := <-l.race.out; a.conn != nil {
+			_ = a.conn.Close()
+		}
+	}
+}
+
+// run makes the attempt, records its result and sends it to the race.
+func (a *attempt) run(ctx context.Context) {
+	d := a.race.dialer
+	if a.carrier == "" {
+		// The result is worth knowing even if the request has ended.
+		a.conn, a.err = d.dialDirect(context.WithoutCancel(ctx), a.race.network, a.race.address, dialTimeout)
+		a.result = resultOf(context.Background(), a.err)
+		d.recordDirect(a.race.address, a.result)
+	} else {
+		a.dialCarrier(ctx)
+	}
+	a.race.out <- a
+}
+
+// dialCarrier asks the carrier for a connection.
+func (a *attempt) dialCarrier(ctx context.Context) {
+	d := a.race.dialer
+	ctx, cancel := context.WithTimeout(ctx, carrierTimeout)
+	defer cancel()
+	a.conn, a.result, a.err = d.dialThrough(ctx, a.carrier, a.race.address)
+	if errors.Is(ctx.Err(), context.Canceled) && a.err != nil {
+		return
+	}
+	d.record(func(t *reach.Table, now time.Time) {
+		t.RecordCarried(a.race.address, a.result, now)
+		t.RecordCarrier(a.carrier, a.result != reach.Unknown, now)
+	})
+	d.count(resultLabel(a.result))
+	if a.err == nil {
+		d.Log.Debug("connection-carried", zap.String("address", a.race.address), zap.String("carrier", a.carrier))
+		return
+	}
+	d.Log.Debug("connection-not-carried", zap.String("address", a.race.address), zap.String("carrier", a.carrier), zap.Error(a.err))
+}
--- a/io/wire/peer.go
+++ b/io/wire/peer.go
@@ -179,7 +179,7 @@
 // ServeHTTP upgrades the request to a link and serves the link until it fails. It responds with status 401 to a wrong
 // key.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !s.isAuthorised(r.Header.Get("Authorization")) {
+	if !IsAuthorised(s.Key, r.Header.Get("Authorization")) {
 		s.Log.Warn("peer-refused", zap.String("remote", r.RemoteAddr), zap.String("reason", "wrong peer key"))
 		http.Error(w, "wrong peer key", http.StatusUnauthorized)
 		return
@@ -197,10 +197,10 @@
 	s.Log.Debug("peer-link-closed", zap.String("peer", l.Name), zap.Error(err))
 }
 
-// isAuthorised reports whether the Authorization header contains the right key. It compares hashes in constant time,
-// because a comparison of the keys themselves would reveal the length of the right key.
-func (s *Server) isAuthorised(authorization string) bool {
+// IsAuthorised reports whether the value of an Authorization header contains the key. It compares hashes in constant time, because a
+// comparison of the keys themselves would reveal the length of the right key.
+func IsAuthorised(key, authorization string) bool {
 	got := sha256.Sum256([]byte(authorization))
-	want := sha256.Sum256([]byte("Bearer " + s.Key))
+	want := sha256.Sum256([]byte("Bearer " + key))
 	return subtle.ConstantTimeCompare(got[:], want[:]) == 1
 }
