Reach endpoints through another relay while this one is cut off

Such a relay suspended the endpoints one after another, and had no way to them but its own connections, while other relays reached them.

Relays now open connections with io/tunnel: their reports name their peer address and whether they are cut off, and keepers list those that can carry. Direct connections from before a cut that hangs are not used again, and streams leave them. A failed connection of a relay that is cut off says nothing about the endpoint: no suspension, no crash. If no other relay can help, requests are refused at once with the reason cut-off. A stop waits until the connections that the relay carries have ended.

--- a/core/common/reason.go
+++ b/core/common/reason.go
@@ -32,6 +32,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonNoEndpoint means that no endpoint of the service accepts requests.
 	ReasonNoEndpoint Reason = "no-endpoint"
+	// ReasonCutOff means that the process that got the request reaches no endpoint, neither itself nor through another one.
+	ReasonCutOff Reason = "cut-off"
 	// ReasonEndpointFailed means that the endpoint failed and the request may not be sent again.
 	ReasonEndpointFailed Reason = "endpoint-failed"
 	// ReasonRetryBudget means that the request failed and the retry budget is exhausted.
--- a/core/member/report.go
+++ b/core/member/report.go
@@ -27,6 +27,8 @@
 	// current floor, the share without a lease, in millionths.
 	ShareID    AccountShareID `cbor:"held"`
 	ShareFloor int64          `cbor:"floor"`
+	// CutOff means that the router reaches no endpoint itself.
+	CutOff bool `cbor:"cut-off,omitempty"`
 }
 
 // isNewerThan reports whether r was sent later than other, a status report of the same router.
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -384,6 +384,15 @@
 	return suspects
 }
 
+// HasAddress reports whether the platform's latest list has an endpoint with the address.
+func (t *EndpointTable) HasAddress(address string) (found bool) {
+	t.endpoints.Each(func(_ string, s *endpointState) bool {
+		found = s.listed && s.Address == address
+		return !found
+	})
+	return found
+}
+
 // Get returns the endpoint with the id, or false if the platform's list does not contain it.
 func (t *EndpointTable) Get(id string) (Endpoint, bool) {
 	s := t.endpoints.Get(id)
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -18,6 +18,7 @@
 	"wasabiweir/io/metric"
 	"wasabiweir/io/relay"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 	"wasabiweir/io/wall"
 	"wasabiweir/platform"
 )
@@ -158,15 +159,15 @@
 // newInstanceListReader returns a reader of the hosting platform's list of instances. It opens a new connection for
 // each request, because the other end of a pooled connection may have stopped responding for good.
 func (p *platformProcess) newInstanceListReader() *platform.ListReader {
-	return &platform.ListReader{Address: p.settings.ListAddress, Client: newUnpooledClient(), OnInvalidEntry: func(err error) {
+	return &platform.ListReader{Address: p.settings.ListAddress, Client: newUnpooledClient(nil), OnInvalidEntry: func(err error) {
 		p.log.Debug("list-entry-skipped", zap.Error(err))
 	}}
 }
 
-// newUnpooledClient returns an HTTP client that opens a new connection for each request.
-func newUnpooledClient() *http.Client {
+// newUnpooledClient returns an HTTP client that opens a new connection for each request, with dial unless that is nil.
+func newUnpooledClient(dial tunnel.DialFunc) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxPlatformHeader}, Timeout: platformCallTimeout,
+		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxPlatformHeader}, Timeout: platformCallTimeout,
 	}
 }
 
@@ -181,13 +182,14 @@
 		}
 		s, bounds := p.settings, p.settings.Bounds
 		r := &relay.Relay{
-			Name: s.Name, Domain: s.Domain, CallerAddress: s.CallerAddress, Seeds: p.liveSettings.SeedPeerAddresses, PeerKey: platform.PeerKey,
-			Decode: platform.DecodeState, EndpointLister: p.newInstanceListReader(), Engines: &platform.EngineClient{Client: newUnpooledClient()},
+			Name: s.Name, Domain: s.Domain, CallerAddress: s.CallerAddress, PeerAddress: s.PeerAddress, Seeds: p.liveSettings.SeedPeerAddresses, PeerKey: platform.PeerKey,
+			Decode: platform.DecodeState, EndpointLister: p.newInstanceListReader(),
 			Names:      platform.Headers(),
 			Budget:     place.RetryBudget{Ratio: retryBudgetShare * bounds.RetryRatio, Slack: retryBudgetShare * bounds.RetrySlack, Window: bounds.RetryWindow},
 			AddressTTL: min(addressTTL, bounds.MaxAddressTTL), StopGrace: bounds.StopGrace,
 			Clock: wall.Clock{}, Log: p.log, Metrics: p.metrics,
 		}
+		r.Engines = &platform.EngineClient{Client: newUnpooledClient(r.DialEndpoint)}
 		r.Servers = []relay.Server{{Address: s.ReadinessAddress, Handler: platform.ReadinessHandler(r.Ready)}}
 		if address := p.metricsAddress(); address != "" {
 			r.Servers = append(r.Servers, relay.Server{Address: address, Handler: p.metricsHandler()})
--- a/io/keeper/roster.go
+++ b/io/keeper/roster.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/member"
+	"wasabiweir/core/reach"
 	"wasabiweir/io/serve"
 	"wasabiweir/io/wire"
 )
@@ -51,9 +53,9 @@
 	s.links[l] = r
 	updated := s.table.AddReport(r.MemberReport(), s.keeper.Clock.Now())
 	s.mu.Unlock()
-	if !known || before.Draining != r.Draining || before.Fresh != r.Fresh {
+	if !known || before.Draining != r.Draining || before.Fresh != r.Fresh || before.CutOff != r.CutOff {
 		s.keeper.Log.Info("relay-reported", zap.String("relay", r.Name), zap.String("address", r.Address),
-			zap.Bool("fresh", r.Fresh), zap.Bool("draining", r.Draining), zap.Uint64("version", r.Revision))
+			zap.Bool("fresh", r.Fresh), zap.Bool("draining", r.Draining), zap.Bool("cut-off", r.CutOff), zap.Uint64("version", r.Revision))
 	}
 	if updated {
 		s.keeper.peers.broadcast(wire.KindReports, []wire.Report{r})
@@ -126,12 +128,13 @@
 func (s *relayRoster) publishKeepers() {
 	current := wire.Keepers{Addresses: s.keeper.group.memberAddresses()}
 	slices.Sort(current.Addresses)
-	current.Relays, current.Draining = s.liveRelays()
+	current.Relays, current.Draining, current.Carriers = s.liveRelays()
 	s.keeper.feeds.sendKeepers(current)
 }
 
-// liveRelays returns the sorted addresses of the live relays that callers may use, and of those that are draining.
-func (s *relayRoster) liveRelays() (usable, draining []string) {
+// liveRelays returns the sorted addresses of the live relays that callers may use, of those that are draining, and of those that can carry
+// connections for others.
+func (s *relayRoster) liveRelays() (usable, draining []string, carriers []reach.Carrier) {
 	s.mu.Lock()
 	for _, i := range s.table.Instances(s.keeper.Clock.Now()) {
 		switch {
@@ -140,12 +143,16 @@
 			draining = append(draining, i.Report.Address)
 		default:
 			usable = append(usable, i.Report.Address)
+			if i.Report.Peer != "" && !i.Report.CutOff {
+				carriers = append(carriers, reach.Carrier{Address: i.Report.Peer, Domain: i.Report.Domain})
+			}
 		}
 	}
 	s.mu.Unlock()
 	slices.Sort(usable)
 	slices.Sort(draining)
-	return slices.Compact(usable), slices.Compact(draining)
+	slices.SortFunc(carriers, func(a, b reach.Carrier) int { return cmp.Compare(a.Address, b.Address) })
+	return slices.Compact(usable), slices.Compact(draining), slices.Compact(carriers)
 }
 
 // RelayAddresses returns the addresses of the relays that callers may use now.
@@ -162,7 +169,8 @@
 
 // equalKeepers reports whether two messages list the same keepers and relays.
 func equalKeepers(a, b wire.Keepers) bool {
-	return slices.Equal(a.Relays, b.Relays) && slices.Equal(a.Draining, b.Draining) && slices.Equal(a.Addresses, b.Addresses)
+	return slices.Equal(a.Relays, b.Relays) && slices.Equal(a.Draining, b.Draining) && slices.Equal(a.Addresses, b.Addresses) &&
+		slices.Equal(a.Carriers, b.Carriers)
 }
 
 // memberAddresses returns the peer addresses of the Raft group's members.
--- a/io/keeper/roster_test.go
+++ b/io/keeper/roster_test.go
@@ -1,12 +1,14 @@
 package keeper
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
 	"wasabiweir/core/clock"
+	"wasabiweir/core/reach"
 	"wasabiweir/io/wire"
 )
 
@@ -64,11 +66,27 @@
 	k.roster.mergeForwardedReports([]wire.Report{
 		{Name: "first", Address: "10.0.0.1:80", Fresh: true, SentMS: 1}, {Name: "second", Address: "10.0.0.2:80", Draining: true, SentMS: 1},
 	})
-	if usable, draining := k.roster.liveRelays(); len(usable) != 1 || len(draining) != 1 || draining[0] != "10.0.0.2:80" {
+	if usable, draining, _ := k.roster.liveRelays(); len(usable) != 1 || len(draining) != 1 || draining[0] != "10.0.0.2:80" {
 		t.Errorf("usable %v, draining %v, want one each", usable, draining)
 	}
 	now.Advance(relayLifetime + time.Millisecond)
-	if usable, draining := k.roster.liveRelays(); len(usable)+len(draining) > 0 {
+	if usable, draining, carriers := k.roster.liveRelays(); len(usable)+len(draining)+len(carriers) > 0 {
 		t.Errorf("usable %v, draining %v, want none after the last report has aged", usable, draining)
 	}
 }
+
+// Guards against relays that ask one for a connection which is cut off itself, is stopping, or does not know how.
+func TestRelaysThatCanCarryAreListed(t *testing.T) {
+	k := &Keeper{Clock: &clock.Manual{}, Log: zap.NewNop()}
+	k.roster.initRoster(k)
+	k.roster.mergeForwardedReports([]wire.Report{
+		{Name: "sound", Address: "10.0.0.1:80", PeerAddress: "10.0.0.1:90", Domain: "a", Fresh: true, SentMS: 1},
+		{Name: "cut off", Address: "10.0.0.2:80", PeerAddress: "10.0.0.2:90", Fresh: true, CutOff: true, SentMS: 1},
+		{Name: "stopping", Address: "10.0.0.3:80", PeerAddress: "10.0.0.3:90", Draining: true, SentMS: 1},
+		{Name: "earlier release", Address: "10.0.0.4:80", Fresh: true, SentMS: 1},
+	})
+	usable, _, carriers := k.roster.liveRelays()
+	if want := []reach.Carrier{{Address: "10.0.0.1:90", Domain: "a"}}; len(usable) != 3 || !slices.Equal(carriers, want) {
+		t.Errorf("usable %v, carriers %v, want 3 usable and %v", usable, carriers, want)
+	}
+}
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -22,15 +22,10 @@
 
 	"wasabiweir/core/place"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 const (
-	// dialTimeout bounds a new connection to an endpoint. Within a region one takes a few milliseconds; an endpoint
-	// whose host is unreachable does not respond at all.
-	dialTimeout = 250 * time.Millisecond
-	// secondDialDelay is the time after which a second connection is dialled in parallel to the first: the kernel
-	// resends a lost SYN only after a second.
-	secondDialDelay = 40 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept if the endpoint sends no Keep-Alive timeout;
 	// idleTimeoutMargin is subtracted from a timeout that it sends.
 	defaultIdleTimeout = 3 * time.Second
@@ -63,6 +58,8 @@
 	// br reads from the connection through source.
 	br     *bufio.Reader
 	source *limitedSource
+	// openedAt is when the connection was established.
+	openedAt time.Time
 	// idleSince is when the connection was put into the pool.
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
@@ -149,7 +146,8 @@
 // reassigned to another endpoint.
 type connPool struct {
 	relay *Relay
-	dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	// dialer opens the connections, if necessary through another relay.
+	dialer tunnel.Dialer
 
 	mu        sync.Mutex
 	idleConns map[string][]*endpointConn
@@ -159,7 +157,11 @@
 func (p *connPool) initPool(r *Relay) {
 	p.relay = r
 	p.idleConns = map[string][]*endpointConn{}
-	p.dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	p.dialer = tunnel.Dialer{
+		Key: r.PeerKey, Domain: r.Domain, DialDirect: r.DialDirect, Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope,
+		OnCutOff: func(bool) { r.feed.requestReport() },
+	}
+	p.dialer.Init()
 }
 
 // getConn returns a pooled connection to the endpoint that was idle for at most maxIdle, or dials a new one.
@@ -178,59 +180,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", e.Address, err)
 	}
-	return newEndpointConn(nc, e), nil
-}
-
-// dialAttempt is one of the up to two connections to an endpoint that are dialled in parallel.
-type dialAttempt struct {
-	conn net.Conn
-	err  error
-}
-
-// run dials the endpoint's address and sends the finished dial attempt to the channel out.
-func (d *dialAttempt) run(ctx context.Context, p *connPool, address string, out chan<- *dialAttempt) {
-	d.conn, d.err = p.dial(ctx, "tcp", address)
-	out <- d
+	c := newEndpointConn(nc, e)
+	c.openedAt = p.relay.Clock.Now()
+	return c, nil
 }
 
-// dialEndpoint dials an endpoint's address. If the connection is not established within secondDialDelay, a second one
-// is dialled in parallel and the first to succeed is returned.
+// dialEndpoint opens a connection to an endpoint's address.
 func (p *connPool) dialEndpoint(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	out := make(chan *dialAttempt, 2)
-	first, second := &dialAttempt{}, &dialAttempt{}
-	pending := 1
-	go first.run(ctx, p, address, out)
-	t := time.NewTimer(secondDialDelay)
-	defer t.Stop()
-	for {
-		select {
-		case <-t.C:
-			pending++
-			go second.run(ctx, p, address, out)
-		case o := <-out:
-			pending--
-			if o.err != nil && pending > 0 {
-				continue
-			}
-			cancel()
-			if pending > 0 {
-				closer := &lateDialCloser{out: out}
-				go closer.run()
-			}
-			return o.conn, o.err
-		}
-	}
-}
-
-// lateDialCloser waits for the slower of two parallel dial attempts and closes its connection.
-type lateDialCloser struct{ out <-chan *dialAttempt }
-
-// run closes the connection of the next dial attempt that completes.
-func (l *lateDialCloser) run() {
-	if o := <-l.out; o.conn != nil {
-		_ = o.conn.Close()
-	}
+	return p.dialer.DialContext(ctx, "tcp", address)
 }
 
 // takeIdle removes from the pool and returns the most recently used connection to an endpoint, or returns nil if all
@@ -243,7 +200,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idleConns[id] = list
-		if now.Sub(c.idleSince) <= min(maxIdle, c.idleTimeout) {
+		if now.Sub(c.idleSince) <= min(maxIdle, c.idleTimeout) && p.mayReuse(c) {
 			return c
 		}
 		_ = c.Close()
@@ -266,9 +223,14 @@
 	p.store(c)
 }
 
+// mayReuse reports whether an idle connection still is a way to its endpoint.
+func (p *connPool) mayReuse(c *endpointConn) bool {
+	return p.dialer.IsUsable(c.Conn, c.endpoint.Address, c.openedAt)
+}
+
 // store puts a connection into the pool.
 func (p *connPool) store(c *endpointConn) {
-	if c.br.Buffered() > 0 {
+	if c.br.Buffered() > 0 || !p.mayReuse(c) {
 		_ = c.Close()
 		return
 	}
@@ -309,7 +271,7 @@
 	for id, list := range p.idleConns {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) <= c.idleTimeout {
+			if now.Sub(c.idleSince) <= c.idleTimeout && p.mayReuse(c) {
 				kept = append(kept, c)
 				continue
 			}
--- a/io/relay/conn_test.go
+++ b/io/relay/conn_test.go
@@ -1,13 +1,9 @@
 package relay
 
 import (
-	"context"
-	"errors"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,61 +13,6 @@
 	"wasabiweir/io/wall"
 )
 
-// A lost SYN must not delay a request by the whole dial timeout: a second connection is dialled after secondDialDelay,
-// and the slower of the two is closed.
-func TestSecondConnection(t *testing.T) {
-	var dials, closed atomic.Int32
-	p := &connPool{dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		if dials.Add(1) == 1 {
-			// The first connection is established late, as if its SYN had been resent.
-			select {
-			case <-ctx.Done():
-			case <-time.After(4 * secondDialDelay):
-			}
-		}
-		return &countedClose{closed: &closed}, nil
-	}}
-	began := time.Now()
-	c, err := p.dialEndpoint(t.Context(), "x")
-	if took := time.Since(began); err != nil || took < secondDialDelay || took > 3*secondDialDelay {
-		t.Fatalf("connect returned error %v after %s", err, took)
-	}
-	for wait := time.Now(); closed.Load() == 0; time.Sleep(time.Millisecond) {
-		if time.Since(wait) > time.Second {
-			t.Fatal("the slower connection is still open")
-		}
-	}
-	if c.(*countedClose).own.Load() {
-		t.Error("the returned connection is closed")
-	}
-}
-
-// A refused connection must not cause a second dial, and its error must be returned.
-func TestRefusedConnection(t *testing.T) {
-	var dials atomic.Int32
-	refused := errors.New("refused")
-	p := &connPool{dial: func(context.Context, string, string) (net.Conn, error) {
-		dials.Add(1)
-		return nil, refused
-	}}
-	if _, err := p.dialEndpoint(t.Context(), "x"); !errors.Is(err, refused) || dials.Load() != 1 {
-		t.Errorf("connect returned error %v after %d dials", err, dials.Load())
-	}
-}
-
-// countedClose is a connection that counts how often it is closed.
-type countedClose struct {
-	net.Conn
-	closed *atomic.Int32
-	own    atomic.Bool
-}
-
-func (c *countedClose) Close() error {
-	c.own.Store(true)
-	c.closed.Add(1)
-	return nil
-}
-
 // Guards against a request that gets a connection from the pool which another one is about to close, after a refusal.
 func TestConnectionIsNotPooledAfterRefusal(t *testing.T) {
 	for _, text := range []string{"503 Full\r\nX-Not: 1", "421 Gone", "429 Later\r\nX-Not: 1", "400 Bad\r\nX-Not: 1"} {
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -172,6 +172,8 @@
 	case common.ReasonOriginUnknown, common.ReasonSoftwareGone:
 		// The caller can only begin anew, which it may do at once.
 		return 0
+	case common.ReasonCutOff:
+		return retryElsewhere
 	}
 	return retryAfterCrash
 }
--- a/io/relay/drain.go
+++ b/io/relay/drain.go
@@ -168,7 +168,7 @@
 	d.relay.feed.sendReport()
 	for serve.Sleep(ctx, drainCheckInterval) {
 		elapsed := d.relay.Clock.Now().Sub(d.startedAt)
-		if elapsed > d.acceptWindow() && d.inFlightCount() == 0 || elapsed > d.relay.StopGrace-killMargin {
+		if elapsed > d.acceptWindow() && d.inFlightCount() == 0 && d.relay.carried.Open() == 0 || elapsed > d.relay.StopGrace-killMargin {
 			break
 		}
 	}
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -14,6 +14,7 @@
 
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
+	"wasabiweir/core/reach"
 	"wasabiweir/core/state"
 	"wasabiweir/io/serve"
 	"wasabiweir/io/wire"
@@ -320,7 +321,9 @@
 	f.relay.table.SetRelayIndex(f.relay.relayIndex, f.relay.relayCount)
 	f.relay.table.SetTurns(slices.Index(serving, f.relay.CallerAddress), len(serving), f.relay.Clock.Now())
 	f.relay.mu.Unlock()
-	f.relay.Log.Info("keepers-updated", zap.Strings("keepers", k.Addresses), zap.Int("relays", len(k.Relays)),
+	carriers := slices.DeleteFunc(slices.Clone(k.Carriers), func(c reach.Carrier) bool { return c.Address == f.relay.PeerAddress })
+	f.relay.pool.dialer.SetCarriers(carriers)
+	f.relay.Log.Info("keepers-updated", zap.Strings("keepers", k.Addresses), zap.Int("relays", len(k.Relays)), zap.Int("carriers", len(carriers)),
 		zap.Int("draining", len(k.Draining)), zap.Int("turn-index", slices.Index(serving, f.relay.CallerAddress)))
 }
 
@@ -359,7 +362,7 @@
 	// Reports are ordered by this time, so two within one millisecond must differ.
 	f.lastSentMS = max(f.lastSentMS+1, f.relay.uptime().Milliseconds())
 	r := wire.Report{
-		Name: f.name, Address: f.relay.CallerAddress, Domain: f.relay.Domain, Revision: f.version.Load(), SentMS: f.lastSentMS,
+		Name: f.name, Address: f.relay.CallerAddress, PeerAddress: f.relay.PeerAddress, CutOff: f.relay.pool.dialer.IsCutOff(), Domain: f.relay.Domain, Revision: f.version.Load(), SentMS: f.lastSentMS,
 		Fresh: ready && f.relay.Clock.Now().Sub(f.confirmedAt) < confirmationLifetime, Draining: !ready,
 		InFlight: f.relay.drain.inFlightCount(),
 	}
--- a/io/relay/losscheck.go
+++ b/io/relay/losscheck.go
@@ -12,6 +12,7 @@
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 const (
@@ -21,6 +22,8 @@
 	// lossCheckWait bounds how long a request waits for the check of the endpoint that it may have crashed before it is sent to a
 	// third one.
 	lossCheckWait = 100 * time.Millisecond
+	// checkTimeout bounds the connection of a check.
+	checkTimeout = 400 * time.Millisecond
 )
 
 // lossChecker finds out by new connections whether endpoints of plain services, which have no liveness requests, are lost or
@@ -73,11 +76,11 @@
 func (l *lossChecker) run(c *lossCheck, e place.Endpoint) {
 	defer l.relay.guard.Recover("loss-check")
 	defer close(c.done)
-	ctx, cancel := context.WithTimeout(l.relay.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(l.relay.ctx, checkTimeout)
 	defer cancel()
 	nc, err := l.relay.pool.dialEndpoint(ctx, e.Address)
 	if err != nil {
-		c.lost, c.refused = l.relay.ctx.Err() == nil, errors.Is(err, syscall.ECONNREFUSED)
+		c.lost, c.refused = l.relay.ctx.Err() == nil && !errors.Is(err, tunnel.ErrCutOff), errors.Is(err, syscall.ECONNREFUSED)
 	} else {
 		conn := newEndpointConn(nc, e)
 		serve.Sleep(ctx, lossRecheckDelay)
--- a/io/relay/lossprobe.go
+++ b/io/relay/lossprobe.go
@@ -9,6 +9,7 @@
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 // lossProbe is one liveness request to an engine that may have crashed, which waits longer than a sound engine is silent. Its
@@ -57,11 +58,12 @@
 	}
 }
 
-// lossProbeResult returns what the error of a loss probe shows. The end of ctx, the relay's context, shows nothing.
+// lossProbeResult returns what the error of a loss probe shows. The end of ctx, the relay's context, and a cut between this relay and all
+// endpoints show nothing.
 func lossProbeResult(ctx context.Context, err error) poison.ProbeResult {
 	var timeout net.Error
 	switch {
-	case err == nil, errors.Is(err, ErrCallRefused), ctx.Err() != nil:
+	case err == nil, errors.Is(err, ErrCallRefused), errors.Is(err, tunnel.ErrCutOff), ctx.Err() != nil:
 		return poison.ProbeAnswered
 	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return poison.ProbeSilent
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -17,6 +17,7 @@
 	"wasabiweir/core/poison"
 	"wasabiweir/core/state"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 const (
@@ -65,6 +66,9 @@
 	retrySpent bool
 }
 
+// isCutOff reports whether the attempt has failed because this relay is cut off from the endpoints.
+func (r *attemptResult) isCutOff() bool { return errors.Is(r.err, tunnel.ErrCutOff) }
+
 // runProgress is how far an endpoint got with a stream in one attempt.
 type runProgress struct {
 	poison.Loss
@@ -97,16 +101,14 @@
 		result := q.sendAndReceive(e)
 		q.recordResult(e, result)
 		q.recordPlainOutcome(e, result)
+		if reason, retryAfter := q.finalReason(result); reason != "" {
+			q.failRequest(reason, retryAfter)
+			return
+		}
 		switch {
 		case result.outcome == completed && !q.isRetryableFailure(result):
 			q.writeResponse(e, result)
 			return
-		case result.outcome == outcomeUnknown && !q.relay.crashes.MayRetry(q.id):
-			q.failRequest(common.ReasonCrashesEngines, 0)
-			return
-		case result.outcome == notExecuted && q.bodyStreamed:
-			q.failRequest(common.ReasonOverloaded, retrySoon)
-			return
 		case result.cause == common.RetryConnect && result.outcome == notExecuted:
 			// Nothing has reached an endpoint, so the next attempt does not count against the retry budget.
 		case result.cause == common.RetryLeaving && q.relay.spendRetryOnRefusal(q.service):
@@ -131,6 +133,19 @@
 	}
 }
 
+// finalReason returns why no attempt may follow one that has failed, whatever the retry budget has left, or an empty reason.
+func (q *request) finalReason(result attemptResult) (reason common.Reason, retryAfter time.Duration) {
+	switch {
+	case result.outcome == outcomeUnknown && !q.relay.crashes.MayRetry(q.id):
+		return common.ReasonCrashesEngines, 0
+	case result.outcome == notExecuted && q.bodyStreamed:
+		return common.ReasonOverloaded, retrySoon
+	case result.isCutOff():
+		return common.ReasonCutOff, retryElsewhere
+	}
+	return "", 0
+}
+
 // chooseEndpoint picks an endpoint that was not tried for this request yet; it returns false if there is none.
 func (q *request) chooseEndpoint() (e place.Endpoint, ok bool) {
 	if q.ctx.Err() != nil {
@@ -201,6 +216,8 @@
 			t.RecordAddressReuse(e.ID, now)
 		case result.cause == common.RetryRefused:
 			t.RecordFull(e.ID, fullEndpointPause, now)
+		case result.isCutOff():
+			// It shows nothing about the endpoint.
 		case !abandoned && result.cause == common.RetryConnect:
 			suspended = t.RecordFailure(e.ID, q.route.Kind == state.Stream, now)
 		case !abandoned && (result.cause == common.RetryOversized || result.cause == common.RetryForeign):
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -12,6 +12,7 @@
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 // prober checks by liveness requests (probes) whether engines that send no events are alive. All streams of an engine
@@ -203,7 +204,9 @@
 		// The engine goes on; only its response to the probe is late.
 		return
 	}
-	p.suspend(e, pr.result(), pr.err)
+	if !errors.Is(pr.err, tunnel.ErrCutOff) {
+		p.suspend(e, pr.result(), pr.err)
+	}
 }
 
 // suspend suspends an engine that did not respond to a probe.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"wasabiweir/io/guard"
 	"wasabiweir/io/metric"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 // EngineClient queries and controls model engines; its requests do not occupy a request slot of the engine.
@@ -117,6 +119,11 @@
 	Domain string
 	// CallerAddress is the listen address for callers.
 	CallerAddress string
+	// PeerAddress is the listen address for other relays, whose connections to endpoints this relay carries; empty means that it
+	// carries none.
+	PeerAddress string
+	// DialDirect opens a connection to an endpoint; nil means with the operating system.
+	DialDirect tunnel.DialFunc
 	// Seeds returns the peer addresses of some keepers.
 	Seeds func() []string
 	// PeerKey is the key that all processes of the system share to authenticate to each other.
@@ -143,11 +150,13 @@
 
 	started time.Time
 	// index is the current configuration state; nil before the first one.
-	index  atomic.Pointer[state.ConfigIndex]
-	feed   keeperFeed
-	pool   connPool
-	prober prober
-	losses lossChecker
+	index atomic.Pointer[state.ConfigIndex]
+	feed  keeperFeed
+	pool  connPool
+	// carried passes on the connections of other relays.
+	carried tunnel.Server
+	prober  prober
+	losses  lossChecker
 	// identities confirms the ends of responses without a length.
 	identities   identityChecker
 	promptSearch engineSearch
@@ -186,6 +195,8 @@
 	maxHeaderBytes = 64 << 10
 	// maxCallerConnections bounds the callers' connections; it is below the limit of file descriptors of a process.
 	maxCallerConnections = 2000
+	// maxPeerConnections bounds the connections of other relays, of which some wait for their answer.
+	maxPeerConnections = 2 * tunnel.DefaultMaxConnections
 	// readinessTimeout bounds the time in which the sender of a readiness check must send its request header.
 	readinessTimeout = 5 * time.Second
 )
@@ -227,6 +238,9 @@
 		further := &http.Server{Handler: r.guard.Handler(s.Handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readinessTimeout}
 		serve.AddHTTPServer(&g, further, l, nil)
 	}
+	if err := r.serveRelays(ctx, &g); err != nil {
+		return err
+	}
 	r.Log.Info("relay-started", zap.String("front", r.CallerAddress), zap.Strings("seeds", r.Seeds()))
 	serve.AddLoop(ctx, &g, r.feed.loop)
 	serve.AddLoop(ctx, &g, r.feed.loopApply)
@@ -244,6 +258,35 @@
 	return err
 }
 
+// serveRelays adds the server to the run group that carries connections of other relays.
+func (r *Relay) serveRelays(ctx context.Context, g *run.Group) error {
+	if r.PeerAddress == "" {
+		return nil
+	}
+	r.carried = tunnel.Server{Dialer: &r.pool.dialer, IsListed: r.isEndpointAddress, IsClosed: r.drain.hasStarted}
+	l, err := serve.Listen(r.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("open the listener for relays: %w", err)
+	}
+	server := &http.Server{
+		Handler: r.guard.Handler(&r.carried), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readinessTimeout,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
+	serve.AddHTTPServer(g, server, serve.LimitListener(l, maxPeerConnections), nil)
+	return nil
+}
+
+// isEndpointAddress reports whether the platform's list has an endpoint with the address.
+func (r *Relay) isEndpointAddress(address string) (listed bool) {
+	r.withTable(func(t *place.EndpointTable, _ time.Time) { listed = t.HasAddress(address) })
+	return listed
+}
+
+// DialEndpoint opens a connection to the endpoint at the address, if necessary through another relay.
+func (r *Relay) DialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
+	return r.pool.dialer.DialContext(ctx, network, address)
+}
+
 // Ready reports whether callers should use this relay.
 func (r *Relay) Ready() bool {
 	return r.index.Load() != nil && !r.drain.hasStarted() && r.feed.isEndpointListReady()
--- a/io/relay/rig_test.go
+++ b/io/relay/rig_test.go
@@ -41,8 +41,8 @@
 	r.meter.initMetrics(nil)
 	r.guard = serve.PanicGuard{Log: r.Log, Metrics: r.meter.scope}
 	r.crashes = guard.Guard{Clock: r.Clock, Log: r.Log, Metrics: tally.NoopScope, Send: func([]poison.Crash) {}}
+	r.DialDirect = dialSlowly
 	r.pool.initPool(r)
-	r.pool.dial = dialSlowly
 	r.prober.initProber(r)
 	r.losses.initLossChecker(r)
 	r.identities.initIdentityChecker(r)
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -136,7 +136,7 @@
 		switch {
 		case w.received.Load() > 1:
 			limit, checkPause, probePause = maxEventSilence, maxEventSilence, probeInterval
-		case silence >= maxEventSilence && !w.stream.relay.isEndpointUp(w.attempt.endpoint.ID):
+		case silence >= maxEventSilence && (!w.stream.relay.isEndpointUp(w.attempt.endpoint.ID) || w.isConnDead()):
 			limit = maxEventSilence
 		}
 		if silence < limit {
@@ -216,6 +216,9 @@
 		silence > maxEventSilence+probeInterval {
 		return &closeCause{common.RetrySilent, "the engine responds again but does not run the stream"}
 	}
+	if w.isConnDead() {
+		return &closeCause{common.RetrySilent, "the relay is cut off from the engine"}
+	}
 	if silence >= w.noProgressTimeout() {
 		return &closeCause{common.RetryStalled, "the engine responds but the stream makes no progress"}
 	}
@@ -234,6 +237,11 @@
 	return nil
 }
 
+// isConnDead reports whether the relay has lost the way to the engine on which the attempt's connection was opened.
+func (w *silenceWatch) isConnDead() bool {
+	return w.stream.relay.pool.dialer.Hangs(w.conn.Conn, w.attempt.endpoint.Address, w.conn.openedAt)
+}
+
 // holderResponds reports whether the holder of the stream's KV cache copy responds and holds any copies. A holder that
 // crashed may still be in the list of endpoints, or may have restarted without its copies.
 func (w *silenceWatch) holderResponds(ctx context.Context) bool {
--- a/io/relay/silence_test.go
+++ b/io/relay/silence_test.go
@@ -27,7 +27,8 @@
 		now := &clock.Manual{}
 		now.Set(time.Unix(1000, 0))
 		q := &request{relay: &Relay{Clock: now, started: now.Now()}, id: "r", route: &state.Route{}}
-		w := &silenceWatch{stream: &streamRequest{request: q}}
+		q.relay.pool.initPool(q.relay)
+		w := &silenceWatch{stream: &streamRequest{request: q}, conn: &endpointConn{}}
 		now.Advance(time.Second)
 		var cause *closeCause
 		for i, p := range x.probes {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -170,6 +170,8 @@
 		if result.cause != common.RetryRefused {
 			return common.ReasonRetryBudget, result.retrySpent || s.relay.spendRetryOnLoss(s.service)
 		}
+	case result.isCutOff():
+		return common.ReasonCutOff, false
 	case result.cause == common.RetryConnect:
 		// Nothing has reached an endpoint, so the next attempt does not count against the retry budget.
 		return "", true
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -4,6 +4,7 @@
 	"wasabiweir/core/member"
 	"wasabiweir/core/object"
 	"wasabiweir/core/origin"
+	"wasabiweir/core/reach"
 )
 
 // Report describes the state of a router or relay. Routers send it to a control process and relays to a keeper, on
@@ -43,6 +44,8 @@
 	ShareID member.AccountShareID `cbor:"15,keyasint"`
 	// ShareFloor is the part of each account limit that the router may use without a lease, in millionths of the limit.
 	ShareFloor int64 `cbor:"16,keyasint,omitempty"`
+	// CutOff is set if the sender reaches no endpoint itself.
+	CutOff bool `cbor:"17,keyasint,omitempty"`
 }
 
 // MemberReport returns the fields of the report that the table of instances and the division of the account limits use.
@@ -50,7 +53,7 @@
 	return &member.RouterReport{
 		Name: r.Name, Incarnation: r.Incarnation, SentMS: r.SentMS, Address: r.Address, Peer: r.PeerAddress,
 		Domain: r.Domain, Revision: r.Revision, Digest: r.Digest, Fresh: r.Fresh, Draining: r.Draining,
-		Demand: r.Demand, ShareID: r.ShareID, ShareFloor: r.ShareFloor,
+		Demand: r.Demand, ShareID: r.ShareID, ShareFloor: r.ShareFloor, CutOff: r.CutOff,
 	}
 }
 
@@ -101,6 +104,8 @@
 	Relays []string `cbor:"2,keyasint"`
 	// Draining are the addresses of relays that callers may no longer use but that may still serve requests, sorted.
 	Draining []string `cbor:"3,keyasint,omitempty"`
+	// Carriers are the relays that can carry connections to endpoints for others, sorted by their peer addresses.
+	Carriers []reach.Carrier `cbor:"4,keyasint,omitempty"`
 }
 
 // Origins tells a keeper at which software versions streams began.
