--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,8 @@
 	ended atomic.Bool
 	// promptEndpoints are the ids of endpoints that still have the stream's prompt in their KV cache.
 	promptEndpoints []string
+	// ranAt are the endpoints that may have run the stream in earlier attempts.
+	ranAt []place.Endpoint
 	// resets counts the responses of copy holders that were reset before their first event.
 	resets int
 	// lostDomain is the failure domain of the last endpoint that failed.
@@ -124,6 +127,7 @@
 		s.allowHolderRetry(a, result)
 		if result.outcome == outcomeUnknown {
 			s.lostDomain = a.endpoint.Domain
+			s.ranAt = append(s.ranAt, a.endpoint)
 			s.firstVersion = cmp.Or(s.firstVersion, a.endpoint.Version)
 		}
 		if result.outcome == completed {
@@ -228,12 +232,28 @@
 }
 
 // findCachedPrompt searches for the engines that still have the stream's prompt in their KV cache.
+//
+// A relay that cannot reach engines asks none: a search through other relays takes a connection of theirs for each engine, at the moment
+// when all streams of all relays that are cut off with this one need it. The engines that ran the stream go on behind the cut.
 func (s *streamRequest) findCachedPrompt() {
+	if s.isBehindCut() {
+		s.promptEndpoints = nil
+		for _, e := range slices.Backward(s.ranAt) {
+			s.promptEndpoints = append(s.promptEndpoints, e.ID)
+		}
+		return
+	}
 	if len(s.parts) > 0 {
 		s.promptEndpoints = s.relay.findCachedPrompt(s.ctx, s.service, s.parts[len(s.parts)-1])
 	}
 }
 
+// isBehindCut reports whether the relay is cut off from all endpoints or from one that ran the stream.
+func (s *streamRequest) isBehindCut() bool {
+	d := &s.relay.pool.dialer
+	return d.IsCutOff() || slices.ContainsFunc(s.ranAt, func(e place.Endpoint) bool { return d.IsOutOfReach(e.Address) })
+}
+
 // hasUsableCopy reports whether there is a copy of the stream's KV cache whose holder was not tried yet and accepts the
 // stream.
 func (s *streamRequest) hasUsableCopy() bool {
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -83,6 +83,13 @@
 	return d.table.IsCutOff(d.Clock.Now())
 }
 
+// IsOutOfReach reports whether the endpoint at the address is up and this process cannot connect to it.
+func (d *Dialer) IsOutOfReach(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.IsOutOfReach(address, d.Clock.Now())
+}
+
 // IsUsable reports whether a connection to the endpoint at the address may be used for another request: a direct one unless it was
 // opened before the endpoint fell out of reach, and a carried one while the endpoint is out of reach and the carrier stays.
 func (d *Dialer) IsUsable(nc net.Conn, address string, opened time.Time) bool {
