Take a carrier's word only if it reaches endpoints itself

When a whole failure domain was cut off and its new connections refused, a relay asked a carrier of its own domain first. That was cut off too, did not know it, and said that the endpoint refused connections; with the relay's own refusal that counted as down.

A carrier now says that an endpoint is down only if it has itself connected to one in the last second, and two carriers must say so; the second one asked is of another domain. Once an endpoint is found out of reach, its earlier failures are forgotten.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -404,3 +404,20 @@
 		t.Error("an endpoint that is down counts as available")
 	}
 }
+
+// Guards against endpoints that stay suspended although only this relay did not reach them.
+func TestFailuresOfEndpointsOutOfReachAreForgotten(t *testing.T) {
+	tab := &EndpointTable{Rand: rand.New(rand.NewPCG(1, 2))}
+	now := time.Unix(1000, 0)
+	tab.Update([]Endpoint{{ID: "x", Address: "x:1", Service: "s"}, {ID: "y", Address: "y:1", Service: "s"}}, now)
+	for _, id := range []string{"x", "y"} {
+		tab.RecordFailure(id, true, now)
+	}
+	tab.ForgetFailures("x:1")
+	if e, ok := tab.ChooseEndpoint(EndpointRequirements{Service: "s"}, now); !ok || e.ID != "x" {
+		t.Errorf("chose %q, %t, want x, the only one that may be reached", e.ID, ok)
+	}
+	if !tab.HasAddress("y:1") || tab.HasAddress("z:1") {
+		t.Error("the addresses of the table are not those of the list")
+	}
+}
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -519,6 +519,17 @@
 	}
 }
 
+// ForgetFailures ends the backoff of the endpoints at the address: it has turned out that they are up and that only this process does not
+// reach them.
+func (t *EndpointTable) ForgetFailures(address string) {
+	t.endpoints.Each(func(_ string, s *endpointState) bool {
+		if s.Address == address {
+			s.consecutiveFailures, s.backoffUntil, s.lastFailure, s.silent = 0, time.Time{}, time.Time{}, false
+		}
+		return true
+	})
+}
+
 // SilentEndpoints returns the endpoints of the service that would accept requests if they were not silent.
 func (t *EndpointTable) SilentEndpoints(service string, now time.Time) (out []Endpoint) {
 	t.endpoints.Each(func(_ string, s *endpointState) bool {
--- a/core/reach/carrier.go
+++ b/core/reach/carrier.go
@@ -21,13 +21,31 @@
 	Address string `cbor:"1,keyasint"`
 	// Domain is the failure domain that the process is in.
 	Domain string `cbor:"2,keyasint,omitempty"`
+	// Reserve means that the process has other work, and is asked only if no other carrier is left.
+	Reserve bool `cbor:"3,keyasint,omitempty"`
 }
 
-// carrierState is a carrier and the failures to get a connection from it.
+// Answer is what came of asking a carrier for a connection.
+type Answer int
+
+const (
+	// Helped means that the carrier has connected to the endpoint, or has found it down.
+	Helped Answer = iota
+	// Unsure means that the carrier has not reached the endpoint, and does not know whether it is cut off itself.
+	Unsure
+	// Declined means that the carrier is cut off, busy or stopping.
+	Declined
+	// NoAnswer means that the carrier did not answer in time.
+	NoAnswer
+)
+
+// carrierState is a carrier and what came of asking it.
 type carrierState struct {
 	Carrier
 	failures     int
 	backoffUntil time.Time
+	// declined is true if the carrier has said itself that it cannot help.
+	declined bool
 }
 
 // carrierTable holds the processes that may carry connections.
@@ -60,35 +78,60 @@
 	return t.list[i]
 }
 
-// record records whether a carrier has helped.
-func (t *carrierTable) record(address string, helped bool, now time.Time) {
+// record records what came of asking a carrier.
+func (t *carrierTable) record(address string, a Answer, now time.Time) {
 	s := t.find(address)
 	switch {
-	case s == nil:
-	case helped:
-		s.failures, s.backoffUntil = 0, time.Time{}
+	case s == nil || a == Unsure:
+	case a == Helped:
+		s.failures, s.backoffUntil, s.declined = 0, time.Time{}, false
 	case !now.Before(s.backoffUntil):
 		// Connections that fail side by side count once.
 		s.backoffUntil = now.Add(min(initialBackoff<<min(s.failures, 8), maxBackoff))
 		s.failures++
+		s.declined = a == Declined
 	}
 }
 
 // choose returns the carriers to ask for one connection: one of the process's own failure domain, since traffic between domains may
-// be dear, and then any, since a whole domain may be cut off.
+// be dear, then one of another, since a whole domain may be cut off, and then any.
 func (t *carrierTable) choose(domain string, r *rand.Rand, now time.Time) (out []string) {
-	usable := make([]*carrierState, 0, len(t.list))
-	for _, s := range t.list {
-		if !now.Before(s.backoffUntil) {
-			usable = append(usable, s)
-		}
-	}
+	usable := t.usable(func(s *carrierState) bool { return !now.Before(s.backoffUntil) })
 	r.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	if i := slices.IndexFunc(usable, func(s *carrierState) bool { return s.Domain == domain }); i > 0 {
-		usable[0], usable[i] = usable[i], usable[0]
-	}
+	slices.SortStableFunc(usable, func(a, b *carrierState) int {
+		switch {
+		case a.Reserve == b.Reserve:
+			return 0
+		case a.Reserve:
+			return 1
+		}
+		return -1
+	})
+	moveForward(usable, 0, func(s *carrierState) bool { return !s.Reserve && s.Domain == domain })
+	moveForward(usable, 1, func(s *carrierState) bool { return !s.Reserve && s.Domain != domain })
 	for _, s := range usable[:min(len(usable), maxCarriers)] {
 		out = append(out, s.Address)
 	}
 	return out
 }
+
+// usable returns the carriers that the filter selects.
+func (t *carrierTable) usable(filter func(s *carrierState) bool) []*carrierState {
+	out := make([]*carrierState, 0, len(t.list))
+	for _, s := range t.list {
+		if filter(s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// moveForward moves the first carrier from the position on that the filter selects to that position.
+func moveForward(list []*carrierState, position int, filter func(s *carrierState) bool) {
+	if position >= len(list) {
+		return
+	}
+	if i := slices.IndexFunc(list[position:], filter); i > 0 {
+		list[position], list[position+i] = list[position+i], list[position]
+	}
+}
--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -140,8 +140,9 @@
 	return out >= cutOffEndpoints
 }
 
-// RecordDirect records the result of a direct connection to the endpoint.
-func (t *Table) RecordDirect(address string, r Result, now time.Time) {
+// RecordDirect records the result of a direct connection to the endpoint. It reports whether the endpoint has just been found out of
+// reach.
+func (t *Table) RecordDirect(address string, r Result, now time.Time) (out bool) {
 	switch r {
 	case Unknown:
 	case Connected:
@@ -152,43 +153,50 @@
 	default:
 		p := t.path(address, now)
 		p.failedAt, p.failure = now, r
-		t.update(p, now)
+		out = t.update(p, now)
 	}
+	return out
 }
 
-// RecordCarried records the result of a connection to the endpoint that a carrier was asked for.
-func (t *Table) RecordCarried(address string, r Result, now time.Time) {
+// RecordCarried records the result of a connection to the endpoint that a carrier was asked for. It reports whether the endpoint has just
+// been found out of reach.
+func (t *Table) RecordCarried(address string, r Result, now time.Time) (out bool) {
 	switch r {
 	case Unknown:
 	case Connected:
 		p := t.path(address, now)
 		p.carriedAt = now
-		t.update(p, now)
+		out = t.update(p, now)
 	default:
 		t.path(address, now).downAt = now
 	}
+	return out
 }
 
-// RecordCarrier records whether a carrier has answered and reaches endpoints itself. One that has not gets no connections for a while.
-func (t *Table) RecordCarrier(address string, helped bool, now time.Time) {
-	t.carriers.record(address, helped, now)
+// RecordCarrier records what came of asking a carrier. One that has not helped is not asked for a while.
+func (t *Table) RecordCarrier(address string, a Answer, now time.Time) {
+	t.carriers.record(address, a, now)
 }
 
+// MayJudge reports whether this process may tell others that an endpoint is down: it has reached one lately, so that it is hardly cut off
+// itself.
+func (t *Table) MayJudge(now time.Time) bool { return now.Sub(t.connectedAt) < directLifetime }
+
 // SetCarriers sets the processes that may carry connections.
 func (t *Table) SetCarriers(list []Carrier) { t.carriers.set(list) }
 
 // IsCarrier reports whether the process at the peer address may carry connections, so that one that it carries may be used again.
 func (t *Table) IsCarrier(address string) bool { return t.carriers.has(address) }
 
-// update finds out from the latest results for an endpoint whether it is out of reach. A carried connection alone does not show that a
+// update finds out from the latest results for an endpoint whether it is out of reach, and reports whether it was not before. A carried connection alone does not show that a
 // cut goes on, so that only failures of direct ones prolong it.
-func (t *Table) update(p *path, now time.Time) {
+func (t *Table) update(p *path, now time.Time) (out bool) {
 	if p.failedAt.IsZero() || p.carriedAt.IsZero() {
-		return
+		return false
 	}
 	wasOut := p.isOut(now)
 	if !wasOut && p.carriedAt.Sub(p.failedAt).Abs() > evidenceWindow {
-		return
+		return false
 	}
 	if !wasOut {
 		p.outSince = p.failedAt
@@ -197,6 +205,7 @@
 	if p.isOut(now) && p.failedAt.After(t.cutOffAt) && (t.IsCutOff(now) || t.isCutOffBy(now)) {
 		t.cutOffAt = p.failedAt
 	}
+	return !wasOut && p.isOut(now)
 }
 
 // path returns the record of the endpoint. It makes one, and removes those without recent results if there are too many.
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -11,7 +11,7 @@
 // newTestTable returns the table of a process in domain a, with carriers in the domains a, b and c.
 func newTestTable() *Table {
 	t := &Table{Domain: "a", Rand: rand.New(rand.NewPCG(1, 2))}
-	t.SetCarriers([]Carrier{{"a1", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}})
+	t.SetCarriers([]Carrier{{Address: "a1", Domain: "a"}, {Address: "b1", Domain: "b"}, {Address: "b2", Domain: "b"}, {Address: "c1", Domain: "c"}})
 	return t
 }
 
@@ -166,7 +166,7 @@
 		now := testStart.Add(at)
 		if slices.Contains(tab.Plan("e", now).Carriers, "a1") {
 			asked++
-			tab.RecordCarrier("a1", false, now)
+			tab.RecordCarrier("a1", NoAnswer, now)
 		}
 	}
 	if asked > 6 {
@@ -196,3 +196,29 @@
 		t.Errorf("%d records, want at most %d", len(tab.paths), maxPaths)
 	}
 }
+
+// Guards against a relay that asks only carriers which are cut off with it, as when its whole failure domain is.
+func TestCarriersOfTwoDomainsAreAsked(t *testing.T) {
+	tab := newTestTable()
+	for range 100 {
+		if c := tab.Plan("e", testStart).Carriers; c[0] != "a1" || c[1] == "a1" {
+			t.Fatalf("carriers %v, want a1 first and one of another domain next", c)
+		}
+	}
+}
+
+// Guards against a carrier that takes endpoints for down since it is cut off itself.
+func TestCarrierThatReachesNothingDoesNotJudge(t *testing.T) {
+	tab := newTestTable()
+	if tab.MayJudge(testStart) {
+		t.Error("a process that has reached no endpoint yet may judge")
+	}
+	tab.RecordDirect("e", Connected, testStart)
+	tab.RecordDirect("f", Refused, testStart)
+	if !tab.MayJudge(testStart.Add(directLifetime / 2)) {
+		t.Error("a process that has just reached an endpoint may not judge")
+	}
+	if tab.MayJudge(testStart.Add(directLifetime)) {
+		t.Error("a process that has reached no endpoint for a while may judge")
+	}
+}
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -160,6 +160,9 @@
 	p.dialer = tunnel.Dialer{
 		Key: r.PeerKey, Domain: r.Domain, DialDirect: r.DialDirect, Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope,
 		OnCutOff: func(bool) { r.feed.requestReport() },
+		OnOutOfReach: func(address string) {
+			r.withTable(func(t *place.EndpointTable, _ time.Time) { t.ForgetFailures(address) })
+		},
 	}
 	p.dialer.Init()
 }
--- a/io/tunnel/conn.go
+++ b/io/tunnel/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -32,6 +31,7 @@
 	resultCutOff   = "cut-off"
 	resultBusy     = "busy"
 	resultUnlisted = "unlisted"
+	resultUnsure   = "unsure"
 )
 
 // errNotCarried is wrapped by the errors for connections that a carrier does not open.
@@ -56,48 +56,51 @@
 // errNoSocket is returned for a connection that is no socket of the operating system.
 var errNoSocket = eris.New("no socket of the operating system")
 
-// dialThrough asks a carrier to connect to the endpoint at the address. The result tells what that shows about the endpoint.
-func (d *Dialer) dialThrough(ctx context.Context, carrier, address string) (net.Conn, reach.Result, error) {
+// dialThrough asks a carrier to connect to the endpoint at the address. The result tells what that shows about the endpoint, and the
+// answer what it shows about the carrier.
+func (d *Dialer) dialThrough(ctx context.Context, carrier, address string) (net.Conn, reach.Result, reach.Answer, error) {
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", carrier)
 	if err != nil {
-		return nil, reach.Unknown, fmt.Errorf("connect to the carrier %s: %w", carrier, err)
+		return nil, reach.Unknown, reach.NoAnswer, fmt.Errorf("connect to the carrier %s: %w", carrier, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
-	result, err := d.requestConnection(nc, carrier, address)
+	result, answer, err := d.requestConnection(nc, carrier, address)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
 	if err != nil {
 		_ = nc.Close()
-		return nil, result, err
+		return nil, result, answer, err
 	}
-	return &Conn{Conn: nc, Carrier: carrier}, reach.Connected, nil
+	return &Conn{Conn: nc, Carrier: carrier}, reach.Connected, reach.Helped, nil
 }
 
 // requestConnection sends the request for a connection to a carrier and reads its reply.
-func (d *Dialer) requestConnection(nc net.Conn, carrier, address string) (reach.Result, error) {
+func (d *Dialer) requestConnection(nc net.Conn, carrier, address string) (reach.Result, reach.Answer, error) {
 	request := "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\nAuthorization: Bearer " + d.Key + "\r\n\r\n"
 	if _, err := nc.Write([]byte(request)); err != nil {
-		return reach.Unknown, fmt.Errorf("ask the carrier %s: %w", carrier, err)
+		return reach.Unknown, reach.NoAnswer, fmt.Errorf("ask the carrier %s: %w", carrier, err)
 	}
 	br := bufio.NewReaderSize(&replyReader{Conn: nc, left: maxReplyHeader}, 1)
 	res, err := http.ReadResponse(br, &http.Request{Method: http.MethodConnect})
 	if err != nil {
-		return reach.Unknown, fmt.Errorf("read the reply of the carrier %s: %w", carrier, err)
+		return reach.Unknown, reach.NoAnswer, fmt.Errorf("read the reply of the carrier %s: %w", carrier, err)
 	}
 	_ = res.Body.Close()
 	if res.StatusCode == http.StatusOK {
-		return reach.Connected, nil
+		return reach.Connected, reach.Helped, nil
 	}
 	reason := res.Header.Get(resultHeader)
 	err = fmt.Errorf("carrier %s, %s %s: %w", carrier, res.Status, reason, errNotCarried)
 	switch reason {
 	case resultRefused:
-		return reach.Refused, fmt.Errorf("%w: %w", err, syscall.ECONNREFUSED)
+		return reach.Refused, reach.Helped, fmt.Errorf("%w: %w", err, syscall.ECONNREFUSED)
 	case resultSilent:
-		return reach.Silent, err
+		return reach.Silent, reach.Helped, err
+	case resultUnsure, resultUnlisted:
+		return reach.Unknown, reach.Unsure, err
 	}
-	return reach.Unknown, err
+	return reach.Unknown, reach.Declined, err
 }
 
 // replyReader reads a carrier's reply byte by byte, so that nothing of what the endpoint sends after it is taken.
@@ -118,11 +121,6 @@
 // errReplySize is returned for a reply of a carrier that exceeds maxReplyHeader.
 var errReplySize = eris.New("the carrier's reply is too large")
 
-// isRefusal reports whether the error of a connection shows that the endpoint's host refused it.
-func isRefusal(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-}
-
 // resultLabel returns the label of a result in metrics and replies.
 func resultLabel(r reach.Result) string {
 	switch r {
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -48,8 +48,11 @@
 	// OnCutOff is called when this process finds that it is cut off from all endpoints, or no longer is; nil means not at all. It must
 	// not block.
 	OnCutOff func(cutOff bool)
-	Clock    clock.Clock
-	Log      *zap.Logger
+	// OnOutOfReach is called when the endpoint at the address is found out of reach, so that what failed there was no fault of the
+	// endpoint; nil means not at all. It must not block.
+	OnOutOfReach func(address string)
+	Clock        clock.Clock
+	Log          *zap.Logger
 	// Metrics counts connections through carriers; nil means that nothing counts them.
 	Metrics tally.Scope
 
@@ -202,18 +205,26 @@
 
 // recordDirect records the result of a direct connection.
 func (d *Dialer) recordDirect(address string, r reach.Result) {
-	d.record(func(t *reach.Table, now time.Time) { t.RecordDirect(address, r, now) })
+	d.record(address, func(t *reach.Table, now time.Time) bool { return t.RecordDirect(address, r, now) })
 }
 
-// record changes the table of endpoints, and logs and counts the beginning and the end of a cut.
-func (d *Dialer) record(change func(t *reach.Table, now time.Time)) {
+// record changes the table of endpoints, and logs and counts the beginning and the end of a cut. The function change reports whether the
+// endpoint at the address has just been found out of reach.
+func (d *Dialer) record(address string, change func(t *reach.Table, now time.Time) (out bool)) {
 	d.mu.Lock()
 	now := d.Clock.Now()
-	change(&d.table, now)
+	out := change(&d.table, now)
 	cutOff := d.table.IsCutOff(now)
 	changed := cutOff != d.cutOff
 	d.cutOff = cutOff
 	d.mu.Unlock()
+	if out {
+		d.Metrics.Counter("endpoints-out-of-reach").Inc(1)
+		d.Log.Info("endpoint-out-of-reach", zap.String("address", address))
+	}
+	if out && d.OnOutOfReach != nil {
+		d.OnOutOfReach(address)
+	}
 	if !changed {
 		return
 	}
@@ -233,6 +244,13 @@
 	d.Metrics.Tagged(map[string]string{"result": result}).Counter("carried-connections").Inc(1)
 }
 
+// mayJudge reports whether this process may tell others that an endpoint is down.
+func (d *Dialer) mayJudge() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.MayJudge(d.Clock.Now())
+}
+
 // fail returns the error of a connection that could not be opened. shown is true if anything shows that the endpoint is down.
 func (d *Dialer) fail(err error, shown bool) error {
 	if !shown && d.IsCutOff() {
--- a/io/tunnel/dialer_test.go
+++ b/io/tunnel/dialer_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"wasabiweir/core/reach"
 	"wasabiweir/io/wall"
 )
 
@@ -74,3 +78,43 @@
 	c.closed.Add(1)
 	return nil
 }
+
+// newTestCarrier returns the address of a carrier that answers each request with the result.
+func newTestCarrier(t *testing.T, result string) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if result == "" {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		w.Header().Set(resultHeader, result)
+		w.WriteHeader(http.StatusBadGateway)
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// Guards against an endpoint that counts as down since one carrier is cut off with this process and does not know it yet.
+func TestWordOfOneCarrierDoesNotDecide(t *testing.T) {
+	refuse := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	for _, x := range []struct {
+		second  string
+		carried bool
+	}{{"", true}, {resultRefused, false}} {
+		d := newTestDialer(refuse)
+		d.Domain = "a"
+		var out atomic.Int32
+		d.OnOutOfReach = func(string) { out.Add(1) }
+		d.Init()
+		d.SetCarriers([]reach.Carrier{{Address: newTestCarrier(t, resultRefused), Domain: "a"}, {Address: newTestCarrier(t, x.second), Domain: "b"}})
+		c, err := d.DialContext(t.Context(), "tcp", "10.0.0.1:1")
+		if carried := err == nil; carried != x.carried || carried != (out.Load() == 1) {
+			t.Errorf("second carrier %q: error %v, found out of reach %d times", x.second, err, out.Load())
+		}
+		if !x.carried && !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("error %v, want a refusal", err)
+		}
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+}
--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -85,11 +85,9 @@
 	}
 }
 
-// isDecided reports whether the endpoint is down: this process and a carrier do not reach it, or two carriers do not. A single carrier
-// may be cut off itself without knowing it yet.
-func (r *race) isDecided() bool {
-	return r.down >= 2 || r.down == 1 && isRefusal(r.directErr)
-}
+// isDecided reports whether the endpoint is down: two carriers do not reach it. A single one may be cut off itself, with this process,
+// without knowing it yet.
+func (r *race) isDecided() bool { return r.down >= 2 }
 
 // failure returns the error of a race in which no attempt succeeded.
 func (r *race) failure() error {
@@ -167,13 +165,14 @@
 	d := a.race.dialer
 	ctx, cancel := context.WithTimeout(ctx, carrierTimeout)
 	defer cancel()
-	a.conn, a.result, a.err = d.dialThrough(ctx, a.carrier, a.race.address)
+	var answer reach.Answer
+	a.conn, a.result, answer, a.err = d.dialThrough(ctx, a.carrier, a.race.address)
 	if errors.Is(ctx.Err(), context.Canceled) && a.err != nil {
 		return
 	}
-	d.record(func(t *reach.Table, now time.Time) {
-		t.RecordCarried(a.race.address, a.result, now)
-		t.RecordCarrier(a.carrier, a.result != reach.Unknown, now)
+	d.record(a.race.address, func(t *reach.Table, now time.Time) bool {
+		t.RecordCarrier(a.carrier, answer, now)
+		return t.RecordCarried(a.race.address, a.result, now)
 	})
 	d.count(resultLabel(a.result))
 	if a.err == nil {
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -102,10 +102,10 @@
 	switch {
 	case s.Dialer.IsCutOff():
 		s.refuse(w, http.StatusServiceUnavailable, resultCutOff)
-	case r == reach.Refused || r == reach.Silent:
+	case (r == reach.Refused || r == reach.Silent) && s.Dialer.mayJudge():
 		s.refuse(w, http.StatusBadGateway, resultLabel(r))
 	default:
-		s.refuse(w, http.StatusBadGateway, resultBusy)
+		s.refuse(w, http.StatusBadGateway, resultUnsure)
 	}
 }
 
