Ask a carrier again that was only late

When all carriers have failed lately, those that have not said themselves that they cannot help are asked again.

--- a/core/reach/carrier.go
+++ b/core/reach/carrier.go
@@ -94,9 +94,13 @@
 }
 
 // choose returns the carriers to ask for one connection: one of the process's own failure domain, since traffic between domains may
-// be dear, then one of another, since a whole domain may be cut off, and then any.
+// be dear, then one of another, since a whole domain may be cut off, and then any. Only if all have failed lately, those are asked
+// again that have not said themselves that they cannot help: a single late answer is no reason to refuse requests.
 func (t *carrierTable) choose(domain string, r *rand.Rand, now time.Time) (out []string) {
 	usable := t.usable(func(s *carrierState) bool { return !now.Before(s.backoffUntil) })
+	if len(usable) == 0 {
+		usable = t.usable(func(s *carrierState) bool { return !s.declined })
+	}
 	r.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
 	slices.SortStableFunc(usable, func(a, b *carrierState) int {
 		switch {
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -222,3 +222,15 @@
 		t.Error("a process that has reached no endpoint for a while may judge")
 	}
 }
+
+// Guards against requests that are refused after one late answer of the only carrier that can help.
+func TestLateCarrierIsAskedAgain(t *testing.T) {
+	tab := newTestTable()
+	for _, c := range []string{"b1", "b2", "c1"} {
+		tab.RecordCarrier(c, Declined, testStart)
+	}
+	tab.RecordCarrier("a1", NoAnswer, testStart)
+	if c := tab.Plan("e", testStart.Add(time.Millisecond)).Carriers; !slices.Equal(c, []string{"a1"}) {
+		t.Errorf("carriers %v, want a1, which only was late", c)
+	}
+}
