Let keepers carry connections when no relay can

Keepers reach the endpoints and are on every relay's list. They are asked last and pass on 100 connections at most, so that the control of the system keeps its processor time.

--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -234,3 +234,18 @@
 		t.Errorf("carriers %v, want a1, which only was late", c)
 	}
 }
+
+// Guards against processes with other work that carry connections while relays can.
+func TestReserveIsAskedLast(t *testing.T) {
+	tab := newTestTable()
+	tab.SetCarriers([]Carrier{{Address: "k1", Reserve: true}, {Address: "b1", Domain: "b"}, {Address: "k2", Reserve: true}, {Address: "k3", Reserve: true}})
+	for range 100 {
+		if c := tab.Plan("e", testStart).Carriers; len(c) != maxCarriers || c[0] != "b1" {
+			t.Fatalf("carriers %v, want b1 first", c)
+		}
+	}
+	tab.RecordCarrier("b1", Declined, testStart)
+	if c := tab.Plan("e", testStart).Carriers; len(c) != maxCarriers || slices.Contains(c, "b1") {
+		t.Errorf("carriers %v, want three of the reserve", c)
+	}
+}
--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -19,6 +19,7 @@
 	"wasabiweir/io/metric"
 	"wasabiweir/io/serve"
 	"wasabiweir/io/store"
+	"wasabiweir/io/tunnel"
 	"wasabiweir/io/wire"
 )
 
@@ -131,7 +132,7 @@
 	serve.AddLoop(stop, &g, k.loopStop)
 	mux := http.NewServeMux()
 	mux.Handle(wire.Path, &wire.Server{Key: k.PeerKey, HandlerFor: k.handlerFor, Log: k.Log})
-	if err := k.listen(ctx, &g, Server{Address: k.PeerAddress, Handler: mux}, maxPeerConnections); err != nil {
+	if err := k.listen(ctx, &g, Server{Address: k.PeerAddress, Handler: k.newCarrier(stop).Or(mux)}, maxPeerConnections); err != nil {
 		return err
 	}
 	for _, s := range k.Servers {
@@ -162,6 +163,20 @@
 	return err
 }
 
+// maxCarriedConnections is the number of connections to endpoints that a keeper passes on for relays. It bounds the processor time that
+// this takes from the control of the system.
+const maxCarriedConnections = 100
+
+// newCarrier returns the server that carries connections to endpoints for relays that nobody else can help, until ctx ends.
+func (k *Keeper) newCarrier(ctx context.Context) *tunnel.Server {
+	d := &tunnel.Dialer{Key: k.PeerKey, Clock: k.Clock, Log: k.Log}
+	if k.Metrics != nil {
+		d.Metrics = k.Metrics
+	}
+	d.Init()
+	return &tunnel.Server{Dialer: d, IsListed: k.lists.hasAddress, IsClosed: func() bool { return ctx.Err() != nil }, MaxConnections: maxCarriedConnections}
+}
+
 // listen opens a listener of the keeper with a limit on its connections and adds its HTTP server, whose requests end with ctx, to
 // the run group. Links between processes are hijacked connections, which the server does not close; they end with ctx too.
 func (k *Keeper) listen(ctx context.Context, g *run.Group, s Server, connections int) error {
--- a/io/keeper/lists.go
+++ b/io/keeper/lists.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,3 +144,10 @@
 	s.sentContent[l] = list.ContentHash
 	return l.Post(wire.KindEndpoints, "", list)
 }
+
+// hasAddress reports whether the latest list has an endpoint with the address.
+func (s *endpointLists) hasAddress(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.list.Endpoints, func(e place.Endpoint) bool { return e.Address == address })
+}
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -322,6 +322,9 @@
 	f.relay.table.SetTurns(slices.Index(serving, f.relay.CallerAddress), len(serving), f.relay.Clock.Now())
 	f.relay.mu.Unlock()
 	carriers := slices.DeleteFunc(slices.Clone(k.Carriers), func(c reach.Carrier) bool { return c.Address == f.relay.PeerAddress })
+	for _, address := range k.Addresses {
+		carriers = append(carriers, reach.Carrier{Address: address, Reserve: true})
+	}
 	f.relay.pool.dialer.SetCarriers(carriers)
 	f.relay.Log.Info("keepers-updated", zap.Strings("keepers", k.Addresses), zap.Int("relays", len(k.Relays)), zap.Int("carriers", len(carriers)),
 		zap.Int("draining", len(k.Draining)), zap.Int("turn-index", slices.Index(serving, f.relay.CallerAddress)))
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -43,6 +43,17 @@
 	open atomic.Int64
 }
 
+// Or returns a handler that leaves all requests but those for connections to another one.
+func (s *Server) Or(other http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			s.ServeHTTP(w, r)
+			return
+		}
+		other.ServeHTTP(w, r)
+	})
+}
+
 // Open returns the number of connections that are passed on now.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
