Keep the verdict of a cut while nobody can disprove it

A verdict rests on connections that carriers open. While the verdict holds, a failed direct connection to any endpoint now prolongs it, and one that is established ends it.

--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -153,6 +153,10 @@
 	default:
 		p := t.path(address, now)
 		p.failedAt, p.failure = now, r
+		if t.IsCutOff(now) {
+			// Without a carrier, no more evidence would arise while the cut goes on.
+			t.cutOffAt = now
+		}
 		out = t.update(p, now)
 	}
 	return out
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -249,3 +249,25 @@
 		t.Errorf("carriers %v, want three of the reserve", c)
 	}
 }
+
+// Guards against a verdict that lapses in the middle of a cut because nobody is left to carry connections.
+func TestVerdictLastsWithoutCarriers(t *testing.T) {
+	tab := newTestTable()
+	for i := range cutOffEndpoints {
+		dial(tab, endpointName(i), true, false, Refused, testStart)
+	}
+	tab.SetCarriers(nil)
+	for at := time.Duration(0); at < 5*time.Second; at += 50 * time.Millisecond {
+		now := testStart.Add(at)
+		if !tab.IsCutOff(now) {
+			t.Fatalf("the verdict has lapsed after %s", at)
+		}
+		if plan := tab.Plan(endpointName(7), now); !plan.Hopeless {
+			tab.RecordDirect(endpointName(7), Refused, now)
+		}
+	}
+	tab.RecordDirect(endpointName(7), Connected, testStart.Add(5*time.Second))
+	if tab.IsCutOff(testStart.Add(5 * time.Second)) {
+		t.Error("cut off after a direct connection")
+	}
+}
