--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -11,7 +11,7 @@
 // newTestTable returns the table of a process in domain a, with carriers in the domains a, b and c.
 func newTestTable() *Table {
 	t := &Table{Domain: "a", Rand: rand.New(rand.NewPCG(1, 2))}
-	t.SetCarriers([]Carrier{{"a1", "a"}, {"b1", "b"}, {"b2", "b"}, {"c1", "c"}})
+	t.SetCarriers([]Carrier{{Address: "a1", Domain: "a"}, {Address: "b1", Domain: "b"}, {Address: "b2", Domain: "b"}, {Address: "c1", Domain: "c"}})
 	return t
 }
 
@@ -166,7 +166,7 @@
 		now := testStart.Add(at)
 		if slices.Contains(tab.Plan("e", now).Carriers, "a1") {
 			asked++
-			tab.RecordCarrier("a1", false, now)
+			tab.RecordCarrier("a1", NoAnswer, now)
 		}
 	}
 	if asked > 6 {
@@ -196,3 +196,78 @@
 		t.Errorf("%d records, want at most %d", len(tab.paths), maxPaths)
 	}
 }
+
+// Guards against a relay that asks only carriers which are cut off with it, as when its whole failure domain is.
+func TestCarriersOfTwoDomainsAreAsked(t *testing.T) {
+	tab := newTestTable()
+	for range 100 {
+		if c := tab.Plan("e", testStart).Carriers; c[0] != "a1" || c[1] == "a1" {
+			t.Fatalf("carriers %v, want a1 first and one of another domain next", c)
+		}
+	}
+}
+
+// Guards against a carrier that takes endpoints for down since it is cut off itself.
+func TestCarrierThatReachesNothingDoesNotJudge(t *testing.T) {
+	tab := newTestTable()
+	if tab.MayJudge(testStart) {
+		t.Error("a process that has reached no endpoint yet may judge")
+	}
+	tab.RecordDirect("e", Connected, testStart)
+	tab.RecordDirect("f", Refused, testStart)
+	if !tab.MayJudge(testStart.Add(directLifetime / 2)) {
+		t.Error("a process that has just reached an endpoint may not judge")
+	}
+	if tab.MayJudge(testStart.Add(directLifetime)) {
+		t.Error("a process that has reached no endpoint for a while may judge")
+	}
+}
+
+// Guards against requests that are refused after one late answer of the only carrier that can help.
+func TestLateCarrierIsAskedAgain(t *testing.T) {
+	tab := newTestTable()
+	for _, c := range []string{"b1", "b2", "c1"} {
+		tab.RecordCarrier(c, Declined, testStart)
+	}
+	tab.RecordCarrier("a1", NoAnswer, testStart)
+	if c := tab.Plan("e", testStart.Add(time.Millisecond)).Carriers; !slices.Equal(c, []string{"a1"}) {
+		t.Errorf("carriers %v, want a1, which only was late", c)
+	}
+}
+
+// Guards against processes with other work that carry connections while relays can.
+func TestReserveIsAskedLast(t *testing.T) {
+	tab := newTestTable()
+	tab.SetCarriers([]Carrier{{Address: "k1", Reserve: true}, {Address: "b1", Domain: "b"}, {Address: "k2", Reserve: true}, {Address: "k3", Reserve: true}})
+	for range 100 {
+		if c := tab.Plan("e", testStart).Carriers; len(c) != maxCarriers || c[0] != "b1" {
+			t.Fatalf("carriers %v, want b1 first", c)
+		}
+	}
+	tab.RecordCarrier("b1", Declined, testStart)
+	if c := tab.Plan("e", testStart).Carriers; len(c) != maxCarriers || slices.Contains(c, "b1") {
+		t.Errorf("carriers %v, want three of the reserve", c)
+	}
+}
+
+// Guards against a verdict that lapses in the middle of a cut because nobody is left to carry connections.
+func TestVerdictLastsWithoutCarriers(t *testing.T) {
+	tab := newTestTable()
+	for i := range cutOffEndpoints {
+		dial(tab, endpointName(i), true, false, Refused, testStart)
+	}
+	tab.SetCarriers(nil)
+	for at := time.Duration(0); at < 5*time.Second; at += 50 * time.Millisecond {
+		now := testStart.Add(at)
+		if !tab.IsCutOff(now) {
+			t.Fatalf("the verdict has lapsed after %s", at)
+		}
+		if plan := tab.Plan(endpointName(7), now); !plan.Hopeless {
+			tab.RecordDirect(endpointName(7), Refused, now)
+		}
+	}
+	tab.RecordDirect(endpointName(7), Connected, testStart.Add(5*time.Second))
+	if tab.IsCutOff(testStart.Add(5 * time.Second)) {
+		t.Error("cut off after a direct connection")
+	}
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,8 @@
 	ended atomic.Bool
 	// promptEndpoints are the ids of endpoints that still have the stream's prompt in their KV cache.
 	promptEndpoints []string
+	// ranAt are the endpoints that may have run the stream in earlier attempts.
+	ranAt []place.Endpoint
 	// resets counts the responses of copy holders that were reset before their first event.
 	resets int
 	// lostDomain is the failure domain of the last endpoint that failed.
@@ -76,6 +79,8 @@
 	lastEventAt      time.Time
 	// longestPause is the longest pause between two events.
 	longestPause time.Duration
+	// cutOffSince is when the latest attempts began to fail because the relay is cut off; zero if they did not.
+	cutOffSince time.Time
 }
 
 // nextPromptEndpoint returns an endpoint that is alive and still has the stream's prompt in its KV cache, even if an
@@ -120,10 +125,12 @@
 		}
 		result := s.run(a)
 		s.recordResult(a.endpoint, result)
+		s.recordCutOff(a.endpoint, result)
 		s.recordStreamCrash(a, result)
 		s.allowHolderRetry(a, result)
 		if result.outcome == outcomeUnknown {
 			s.lostDomain = a.endpoint.Domain
+			s.ranAt = append(s.ranAt, a.endpoint)
 			s.firstVersion = cmp.Or(s.firstVersion, a.endpoint.Version)
 		}
 		if result.outcome == completed {
@@ -171,7 +178,7 @@
 			return common.ReasonRetryBudget, result.retrySpent || s.relay.spendRetryOnLoss(s.service)
 		}
 	case result.isCutOff():
-		return common.ReasonCutOff, false
+		return common.ReasonCutOff, s.awaitCarrier()
 	case result.cause == common.RetryConnect:
 		// Nothing has reached an endpoint, so the next attempt does not count against the retry budget.
 		return "", true
@@ -186,6 +193,27 @@
 	return common.ReasonRetryBudget, result.retrySpent || s.relay.spendRetryOnRefusal(s.service)
 }
 
+// recordCutOff records whether an attempt has failed because the relay is cut off, which says nothing about the endpoint.
+func (s *streamRequest) recordCutOff(e place.Endpoint, result attemptResult) {
+	if !result.isCutOff() {
+		s.cutOffSince = time.Time{}
+		return
+	}
+	delete(s.tried, e.ID)
+	if s.cutOffSince.IsZero() {
+		s.cutOffSince = s.relay.Clock.Now()
+	}
+}
+
+// awaitCarrier waits before the next attempt of a stream while nobody can carry its connection. It returns false if that takes too long,
+// and at once for a stream that another relay can begin as well.
+func (s *streamRequest) awaitCarrier() bool {
+	if !s.headerSent && !s.mayHaveRun || s.relay.Clock.Now().Sub(s.cutOffSince) > maxResumeWait {
+		return false
+	}
+	return s.sleep(resumeRetryInterval)
+}
+
 // nextAttempt chooses the next endpoint for a stream: the holder of its KV cache copy if there is one, otherwise the
 // endpoint with the lowest cost. It waits while no endpoint accepts requests. If there is no attempt, it returns the
 // reason.
@@ -228,12 +256,28 @@
 }
 
 // findCachedPrompt searches for the engines that still have the stream's prompt in their KV cache.
+//
+// A relay that cannot reach engines asks none: a search through other relays takes a connection of theirs for each engine, at the moment
+// when all streams of all relays that are cut off with this one need it. The engines that ran the stream go on behind the cut.
 func (s *streamRequest) findCachedPrompt() {
+	if s.isBehindCut() {
+		s.promptEndpoints = nil
+		for _, e := range slices.Backward(s.ranAt) {
+			s.promptEndpoints = append(s.promptEndpoints, e.ID)
+		}
+		return
+	}
 	if len(s.parts) > 0 {
 		s.promptEndpoints = s.relay.findCachedPrompt(s.ctx, s.service, s.parts[len(s.parts)-1])
 	}
 }
 
+// isBehindCut reports whether the relay is cut off from all endpoints or from one that ran the stream.
+func (s *streamRequest) isBehindCut() bool {
+	d := &s.relay.pool.dialer
+	return d.IsCutOff() || slices.ContainsFunc(s.ranAt, func(e place.Endpoint) bool { return d.IsOutOfReach(e.Address) })
+}
+
 // hasUsableCopy reports whether there is a copy of the stream's KV cache whose holder was not tried yet and accepts the
 // stream.
 func (s *streamRequest) hasUsableCopy() bool {
