Ask a keeper when no relay answers for an endpoint

A connection for which all carriers asked have failed now has one in reserve, a keeper, and a carrier that is unsure is asked less.

--- a/core/reach/carrier.go
+++ b/core/reach/carrier.go
@@ -31,7 +31,7 @@
 const (
 	// Helped means that the carrier has connected to the endpoint, or has found it down.
 	Helped Answer = iota
-	// Unsure means that the carrier has not reached the endpoint, and does not know whether it is cut off itself.
+	// Unsure means that the carrier has not reached the endpoint, and may be cut off itself.
 	Unsure
 	// Declined means that the carrier is cut off, busy or stopping.
 	Declined
@@ -82,7 +82,7 @@
 func (t *carrierTable) record(address string, a Answer, now time.Time) {
 	s := t.find(address)
 	switch {
-	case s == nil || a == Unsure:
+	case s == nil:
 	case a == Helped:
 		s.failures, s.backoffUntil, s.declined = 0, time.Time{}, false
 	case !now.Before(s.backoffUntil):
@@ -94,29 +94,26 @@
 }
 
 // choose returns the carriers to ask for one connection: one of the process's own failure domain, since traffic between domains may
-// be dear, then one of another, since a whole domain may be cut off, and then any. Only if all have failed lately, those are asked
-// again that have not said themselves that they cannot help: a single late answer is no reason to refuse requests.
-func (t *carrierTable) choose(domain string, r *rand.Rand, now time.Time) (out []string) {
+// be dear, then one of another, since a whole domain may be cut off, and then any. The reserve is one to ask if all of these fail, or
+// empty. Only if all have failed lately, those are asked again that have not said themselves that they cannot help: a single late answer
+// is no reason to refuse requests.
+func (t *carrierTable) choose(domain string, r *rand.Rand, now time.Time) (out []string, reserve string) {
 	usable := t.usable(func(s *carrierState) bool { return !now.Before(s.backoffUntil) })
 	if len(usable) == 0 {
 		usable = t.usable(func(s *carrierState) bool { return !s.declined })
 	}
 	r.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	slices.SortStableFunc(usable, func(a, b *carrierState) int {
-		switch {
-		case a.Reserve == b.Reserve:
-			return 0
-		case a.Reserve:
-			return 1
-		}
-		return -1
-	})
 	moveForward(usable, 0, func(s *carrierState) bool { return !s.Reserve && s.Domain == domain })
 	moveForward(usable, 1, func(s *carrierState) bool { return !s.Reserve && s.Domain != domain })
-	for _, s := range usable[:min(len(usable), maxCarriers)] {
-		out = append(out, s.Address)
+	for _, s := range usable {
+		switch {
+		case s.Reserve && reserve == "":
+			reserve = s.Address
+		case !s.Reserve && len(out) < maxCarriers:
+			out = append(out, s.Address)
+		}
 	}
-	return out
+	return out, reserve
 }
 
 // usable returns the carriers that the filter selects.
--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -74,6 +74,8 @@
 type Plan struct {
 	// Carriers are the peer addresses of the processes that may carry the connection, in the order in which to ask them.
 	Carriers []string
+	// Reserve is the peer address of a process that may carry the connection if none of the carriers does; empty if there is none.
+	Reserve string
 	// CarriedFirst means that carriers are asked before the endpoint is dialled directly.
 	CarriedFirst bool
 	// Probe means that the endpoint is also dialled directly at once, to find out whether the cut has ended.
@@ -88,11 +90,12 @@
 	if p != nil && now.Sub(p.downAt) < downLifetime && now.Sub(p.carriedAt) >= downLifetime {
 		return Plan{}
 	}
-	plan := Plan{Carriers: t.carriers.choose(t.Domain, t.Rand, now)}
+	var plan Plan
+	plan.Carriers, plan.Reserve = t.carriers.choose(t.Domain, t.Rand, now)
 	if !t.IsOutOfReach(address, now) && !t.IsCutOff(now) {
 		return plan
 	}
-	plan.CarriedFirst = len(plan.Carriers) > 0
+	plan.CarriedFirst = len(plan.Carriers) > 0 || plan.Reserve != ""
 	if now.Sub(t.probedAt) >= probeInterval {
 		t.probedAt, plan.Probe = now, true
 	}
--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -23,6 +23,8 @@
 	// pending is the number of attempts that have not finished; a direct one goes on after the race to show whether the endpoint is out
 	// of reach.
 	pending int
+	// asked is the number of carriers that have not answered.
+	asked int
 	// directStarted is true once the endpoint is dialled directly.
 	directStarted bool
 	// directErr is the error of the direct connection, and err that of the latest attempt.
@@ -80,7 +82,10 @@
 	r.err = a.err
 	if a.carrier == "" {
 		r.directErr = a.err
-	} else if a.result == reach.Refused || a.result == reach.Silent {
+		return
+	}
+	r.asked--
+	if a.result == reach.Refused || a.result == reach.Silent {
 		r.down++
 	}
 }
@@ -104,15 +109,23 @@
 	case !r.plan.CarriedFirst && !r.directStarted:
 		r.startDirect(ctx)
 	case len(r.plan.Carriers) > 0:
-		a := &attempt{race: r, carrier: r.plan.Carriers[0]}
+		r.startCarrier(ctx, r.plan.Carriers[0])
 		r.plan.Carriers = r.plan.Carriers[1:]
-		r.pending++
-		go a.run(ctx)
+	case r.plan.Reserve != "" && r.asked == 0:
+		r.startCarrier(ctx, r.plan.Reserve)
+		r.plan.Reserve = ""
 	case !r.directStarted:
 		r.startDirect(ctx)
 	}
 }
 
+// startCarrier asks a carrier for the connection.
+func (r *race) startCarrier(ctx context.Context, carrier string) {
+	r.pending++
+	r.asked++
+	go (&attempt{race: r, carrier: carrier}).run(ctx)
+}
+
 // startDirect dials the endpoint directly.
 func (r *race) startDirect(ctx context.Context) {
 	if r.directStarted {
