--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -77,6 +77,17 @@
 	uses int
 }
 
+// carrier returns the peer address of the process that passes the connection on, or an empty string if it is a direct one or nil.
+func (c *endpointConn) carrier() string {
+	if c == nil {
+		return ""
+	}
+	if carried, ok := c.Conn.(*tunnel.Conn); ok {
+		return carried.Carrier
+	}
+	return ""
+}
+
 // use returns the number that identifies the request that has the connection.
 func (c *endpointConn) use() int {
 	c.mu.Lock()
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -239,7 +239,7 @@
 			zap.Bool("may-have-run", result.outcome == outcomeUnknown),
 			zap.Duration("after", q.relay.Clock.Now().Sub(q.startedAt)),
 			zap.Bool("began", result.run.HasBegun()), zap.Duration("lasted", result.run.Lasted()), zap.Int64("events", result.run.events),
-			zap.String("parts", q.loggedParts()), zap.Duration("suspended", suspended), zap.Error(result.err))
+			zap.String("parts", q.loggedParts()), zap.Duration("suspended", suspended), q.carrierField(), zap.Error(result.err))
 	}
 }
 
@@ -310,6 +310,7 @@
 	ctx context.Context, e place.Endpoint, idle time.Duration, addHeaders func(http.Header),
 ) (c *endpointConn, stop func() bool, failed *attemptResult) {
 	c, err := q.relay.pool.getConn(ctx, e, idle)
+	q.carrier = c.carrier()
 	if err != nil {
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryConnect, err: err}
 	}
@@ -448,5 +449,5 @@
 	q.relay.meter.firstResponse.RecordDuration(took)
 	q.log.Info("request-answered", zap.Int("status", result.res.StatusCode), zap.String("route", q.route.Name),
 		zap.String("endpoint", e.ID), zap.Int("attempts", q.attempts),
-		zap.Duration("waited", q.timeToFirstSend), zap.Duration("took", took), zap.Error(err))
+		zap.Duration("waited", q.timeToFirstSend), zap.Duration("took", took), q.carrierField(), zap.Error(err))
 }
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -84,6 +84,8 @@
 	isTrial bool
 	// tried holds the ids of the endpoints that may have run the request or refused it.
 	tried map[string]bool
+	// carrier is the peer address of the relay or keeper that passes on the connection of the current attempt; empty if none does.
+	carrier string
 	// sentAt is when the current attempt was sent.
 	sentAt time.Time
 	// timeToFirstSend is the time from arrival to the first attempt.
@@ -267,6 +269,14 @@
 	}
 }
 
+// carrierField returns the log field that names the carrier of the current attempt, if it has one.
+func (q *request) carrierField() zap.Field {
+	if q.carrier == "" {
+		return zap.Skip()
+	}
+	return zap.String("carrier", q.carrier)
+}
+
 // refusalContentType is the content type of the relay's own response to a refused request, whose body is the reason.
 const refusalContentType = "text/plain; charset=utf-8"
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -332,7 +332,7 @@
 	s.log.Info("stream-ended", zap.String("route", s.route.Name), zap.String("endpoint", a.endpoint.ID),
 		zap.Int("events", s.eventCount), zap.Int64("last-event", s.lastEventID), zap.Int("resumes", s.resumeCount),
 		zap.Int("attempts", s.attempts), zap.Duration("waited", s.timeToFirstSend), zap.Duration("first", s.timeToFirstEvent),
-		zap.Duration("longest-pause", s.longestPause), zap.Duration("took", s.relay.Clock.Now().Sub(s.startedAt)))
+		zap.Duration("longest-pause", s.longestPause), zap.Duration("took", s.relay.Clock.Now().Sub(s.startedAt)), s.carrierField())
 }
 
 // abortStream ends a stream for which no further attempt is possible. Once the response has begun, it resets the
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -229,7 +229,7 @@
 		return
 	}
 	if cutOff {
-		d.Metrics.Counter("cuts").Inc(1)
+		d.Metrics.Counter("endpoint-cuts").Inc(1)
 		d.Log.Warn("endpoints-cut-off")
 	} else {
 		d.Log.Info("endpoints-reached-again")
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -129,7 +129,7 @@
 
 // count increments the counter of connections that others asked for.
 func (s *Server) count(result string) {
-	s.Dialer.Metrics.Tagged(map[string]string{"result": result}).Counter("connections-asked-for").Inc(1)
+	s.Dialer.Metrics.Tagged(map[string]string{"result": result}).Counter("carrier-requests").Inc(1)
 }
 
 // keepAlive makes the kernel probe the process that asked for a connection.
