Wait out an engine's silence before a response without a length is dropped

Callers saw whole streams broken off after their last event, and whole responses replaced by 502, when an endpoint sent a response without a length and was silent for more than a second right after it. A response that ends with its connection counts only once its endpoint has answered health requests, and the relay gave the endpoint 1 s for that (identityTimeout).

The check now waits as long as core/poison lets a sound engine be silent, and MinProbeTime for the answers themselves. An endpoint that has ended refuses the connection, and one that was started at its address since answers under another id, so both are found as soon as before. Only one that does not respond at all is waited for longer, 2.25 s instead of 1 s, within the deadline.

Ruled out: the router's calls and the control calls confirm such an end by the connection and by the content, which a silence does not change. A service without a health path is checked by a new connection, which the kernel of a silent process accepts.

--- a/io/relay/ending_test.go
+++ b/io/relay/ending_test.go
@@ -71,8 +71,17 @@
 	endsWithAnswer bool
 	// successor is the id of an endpoint that takes the address when this one ends; empty if none does.
 	successor string
-	health    atomic.Int64
-	runs      atomic.Int64
+	// silence is for how long health requests get no answer after the first response.
+	silence time.Duration
+	// answeredAt is when the first response began, in Unix nanoseconds.
+	answeredAt atomic.Int64
+	health     atomic.Int64
+	runs       atomic.Int64
+}
+
+// silentUntil returns the end of the endpoint's silence.
+func (e *cutEndpoint) silentUntil() time.Time {
+	return time.Unix(0, e.answeredAt.Load()).Add(e.silence)
 }
 
 // startCutEndpoint starts the endpoint.
@@ -108,6 +117,7 @@
 	}
 	if req.URL.Path == "/healthz" {
 		e.health.Add(1)
+		time.Sleep(time.Until(e.silentUntil()))
 		successor := ""
 		if e.runs.Load() > 0 {
 			successor = e.successor
@@ -116,6 +126,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
+	e.answeredAt.CompareAndSwap(0, time.Now().UnixNano())
 	e.runs.Add(1)
 	_, _ = io.WriteString(c, e.text)
 	if e.endsWithAnswer {
@@ -260,6 +271,25 @@
 	}
 }
 
+// Guards against a whole response without a length that is dropped because its endpoint is silent for a moment right after it, so
+// that health requests get no answer until the silence has ended.
+func TestResponseWithoutLengthOutlivesShortSilence(t *testing.T) {
+	for _, route := range []string{"unsafe", "safe", "message", "stream"} {
+		for _, silence := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond, 1800 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %s", route, silence), func(t *testing.T) {
+				t.Parallel()
+				body, contentType := endingBody(route)
+				text, _ := wholeAnswer(formConnection, contentType, body)
+				e := startCutEndpoint(t, &cutEndpoint{id: "e", text: text, silence: silence})
+				res, whole := callRelay(t, newEndingRelay(t, 1, e), route)
+				if !whole || res.Code != http.StatusOK || res.Body.String() != string(body) || e.runs.Load() != 1 {
+					t.Errorf("whole %t, status %d, %q, ran %d times", whole, res.Code, res.Body, e.runs.Load())
+				}
+			})
+		}
+	}
+}
+
 // Guards against health requests for responses that state where they end.
 func TestFramedResponseNeedsNoHealthRequest(t *testing.T) {
 	for _, form := range []string{formLength, formChunks} {
--- a/io/relay/identity.go
+++ b/io/relay/identity.go
@@ -14,12 +14,14 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/place"
+	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
 )
 
 const (
-	// identityTimeout bounds a check of an endpoint's identity. A health request may wait for a slot of the endpoint.
-	identityTimeout = time.Second
+	// identityTimeout bounds a check of an endpoint's identity. A sound endpoint may be silent from the end of its response on, and
+	// nothing but its answer shows that the response is whole.
+	identityTimeout = poison.MaxSoundSilence + poison.MinProbeTime
 	// maxIdentityFailures is the number of health requests without a valid answer after which the identity stays unknown:
 	// one response may be lost while the endpoint goes on.
 	maxIdentityFailures = 2
