Take back what a relay has recorded before it knew that it was cut off

A process now judges for others for 0.2 s after it has reached an endpoint, instead of 1 s, and the verdict of a cut clears all endpoints that failed in the 2 s before.

--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -417,6 +417,11 @@
 	if e, ok := tab.ChooseEndpoint(EndpointRequirements{Service: "s"}, now); !ok || e.ID != "x" {
 		t.Errorf("chose %q, %t, want x, the only one that may be reached", e.ID, ok)
 	}
+	tab.RecordFailure("x", true, now.Add(-time.Second))
+	tab.ForgetFailuresSince(now.Add(-time.Millisecond))
+	if e, ok := tab.ChooseEndpoint(EndpointRequirements{Service: "s"}, now); !ok || e.ID != "y" {
+		t.Errorf("chose %q, %t, want y, whose failure was the later one", e.ID, ok)
+	}
 	if !tab.HasAddress("y:1") || tab.HasAddress("z:1") {
 		t.Error("the addresses of the table are not those of the list")
 	}
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -524,12 +524,28 @@
 func (t *EndpointTable) ForgetFailures(address string) {
 	t.endpoints.Each(func(_ string, s *endpointState) bool {
 		if s.Address == address {
-			s.consecutiveFailures, s.backoffUntil, s.lastFailure, s.silent = 0, time.Time{}, time.Time{}, false
+			s.forgetFailures()
 		}
 		return true
 	})
 }
 
+// ForgetFailuresSince ends the backoff of all endpoints whose latest failure was after the given time: it has turned out that this process
+// was cut off from all of them.
+func (t *EndpointTable) ForgetFailuresSince(since time.Time) {
+	t.endpoints.Each(func(_ string, s *endpointState) bool {
+		if s.lastFailure.After(since) {
+			s.forgetFailures()
+		}
+		return true
+	})
+}
+
+// forgetFailures ends the backoff of the endpoint.
+func (s *endpointState) forgetFailures() {
+	s.consecutiveFailures, s.backoffUntil, s.lastFailure, s.silent = 0, time.Time{}, time.Time{}, false
+}
+
 // SilentEndpoints returns the endpoints of the service that would accept requests if they were not silent.
 func (t *EndpointTable) SilentEndpoints(service string, now time.Time) (out []Endpoint) {
 	t.endpoints.Each(func(_ string, s *endpointState) bool {
--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -17,6 +17,9 @@
 	cutOffEndpoints = 3
 	// directLifetime is how long an established direct connection shows that the process is not cut off from all endpoints.
 	directLifetime = time.Second
+	// judgeLifetime is how long an established direct connection shows that the process reaches what can be reached. It is shorter, since
+	// a verdict that others rely on is wrong for that long after the beginning of a cut.
+	judgeLifetime = 200 * time.Millisecond
 	// probeInterval is the time between two direct connections that look whether a cut has ended.
 	probeInterval = 400 * time.Millisecond
 	// downLifetime is how long the answers of carriers that an endpoint is down spare others the same question.
@@ -187,7 +190,7 @@
 
 // MayJudge reports whether this process may tell others that an endpoint is down: it has reached one lately, so that it is hardly cut off
 // itself.
-func (t *Table) MayJudge(now time.Time) bool { return now.Sub(t.connectedAt) < directLifetime }
+func (t *Table) MayJudge(now time.Time) bool { return now.Sub(t.connectedAt) < judgeLifetime }
 
 // SetCarriers sets the processes that may carry connections.
 func (t *Table) SetCarriers(list []Carrier) { t.carriers.set(list) }
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -215,10 +215,10 @@
 	}
 	tab.RecordDirect("e", Connected, testStart)
 	tab.RecordDirect("f", Refused, testStart)
-	if !tab.MayJudge(testStart.Add(directLifetime / 2)) {
+	if !tab.MayJudge(testStart.Add(judgeLifetime / 2)) {
 		t.Error("a process that has just reached an endpoint may not judge")
 	}
-	if tab.MayJudge(testStart.Add(directLifetime)) {
+	if tab.MayJudge(testStart.Add(judgeLifetime)) {
 		t.Error("a process that has reached no endpoint for a while may judge")
 	}
 }
--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -170,7 +170,7 @@
 	p.idleConns = map[string][]*endpointConn{}
 	p.dialer = tunnel.Dialer{
 		Key: r.PeerKey, Domain: r.Domain, DialDirect: r.DialDirect, Clock: r.Clock, Log: r.Log, Metrics: r.meter.scope,
-		OnCutOff: func(bool) { r.feed.requestReport() },
+		OnCutOff: r.recordCutOff,
 		OnOutOfReach: func(address string) {
 			r.withTable(func(t *place.EndpointTable, _ time.Time) { t.ForgetFailures(address) })
 		},
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -282,6 +282,18 @@
 	return listed
 }
 
+// cutOffDelay is the longest time from the beginning of a cut until the relay finds out about it, under load.
+const cutOffDelay = 2 * time.Second
+
+// recordCutOff tells the keepers that the relay is cut off from all endpoints, or no longer is, and takes back what it has recorded of the
+// endpoints since the beginning of the cut.
+func (r *Relay) recordCutOff(cutOff bool) {
+	if cutOff {
+		r.withTable(func(t *place.EndpointTable, now time.Time) { t.ForgetFailuresSince(now.Add(-cutOffDelay)) })
+	}
+	r.feed.requestReport()
+}
+
 // DialEndpoint opens a connection to the endpoint at the address, if necessary through another relay.
 func (r *Relay) DialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
 	return r.pool.dialer.DialContext(ctx, network, address)
