Bound the carriers that are asked at the same time

A process now asks at most 64 carriers at a time; a connection beyond that is dialled directly only, and the counter carried-connections has it as not-asked. Requests take a carrier's time for some milliseconds.

--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -28,6 +28,9 @@
 	secondDialDelay = 40 * time.Millisecond
 	// carrierDelay is the time after which a further carrier is asked while the attempts before have no result.
 	carrierDelay = 40 * time.Millisecond
+	// maxAsked bounds the carriers that are asked at the same time for all connections. With hundreds of endpoints that do not respond,
+	// probes would otherwise open thousands of connections, each of which waits for its carrier.
+	maxAsked = 64
 )
 
 // ErrCutOff is returned for a connection that failed while this process is cut off from all endpoints, which shows nothing about the
@@ -56,6 +59,9 @@
 	// Metrics counts connections through carriers; nil means that nothing counts them.
 	Metrics tally.Scope
 
+	// asked has an element for each carrier that is being asked.
+	asked chan struct{}
+
 	mu     sync.Mutex
 	table  reach.Table
 	cutOff bool
@@ -69,6 +75,7 @@
 	if d.Metrics == nil {
 		d.Metrics = tally.NoopScope
 	}
+	d.asked = make(chan struct{}, maxAsked)
 	d.table.Domain, d.table.Rand = d.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
--- a/io/tunnel/dialer_test.go
+++ b/io/tunnel/dialer_test.go
@@ -118,3 +118,45 @@
 		}
 	}
 }
+
+// Guards against thousands of connections to carriers while hundreds of endpoints do not respond.
+func TestCarriersThatAreAskedAreBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var asked atomic.Int32
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			asked.Add(1)
+			defer c.Close()
+		}
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	d := newTestDialer(func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	d.SetCarriers([]reach.Carrier{{Address: l.Addr().String()}})
+	done := make(chan struct{})
+	const dials = 500
+	for range dials {
+		go func() {
+			_, _ = d.DialContext(t.Context(), "tcp", "10.0.0.1:1")
+			done <- struct{}{}
+		}()
+	}
+	time.Sleep(2 * carrierDelay)
+	if n := len(d.asked); n > maxAsked || n == 0 {
+		t.Errorf("%d carriers are asked at the same time, want at most %d", n, maxAsked)
+	}
+	for range dials {
+		<-done
+	}
+	if n := asked.Load(); n > 2*maxAsked {
+		t.Errorf("carriers got %d connections, want at most %d", n, 2*maxAsked)
+	}
+	if len(d.asked) > 0 {
+		t.Errorf("%d carriers still count as being asked", len(d.asked))
+	}
+}
--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -108,22 +108,27 @@
 	switch {
 	case !r.plan.CarriedFirst && !r.directStarted:
 		r.startDirect(ctx)
-	case len(r.plan.Carriers) > 0:
-		r.startCarrier(ctx, r.plan.Carriers[0])
+	case len(r.plan.Carriers) > 0 && r.startCarrier(ctx, r.plan.Carriers[0]):
 		r.plan.Carriers = r.plan.Carriers[1:]
-	case r.plan.Reserve != "" && r.asked == 0:
-		r.startCarrier(ctx, r.plan.Reserve)
+	case r.plan.Reserve != "" && r.asked == 0 && r.startCarrier(ctx, r.plan.Reserve):
 		r.plan.Reserve = ""
 	case !r.directStarted:
 		r.startDirect(ctx)
 	}
 }
 
-// startCarrier asks a carrier for the connection.
-func (r *race) startCarrier(ctx context.Context, carrier string) {
+// startCarrier asks a carrier for the connection, unless too many are being asked.
+func (r *race) startCarrier(ctx context.Context, carrier string) bool {
+	select {
+	case r.dialer.asked <- struct{}{}:
+	default:
+		r.dialer.count("not-asked")
+		return false
+	}
 	r.pending++
 	r.asked++
 	go (&attempt{race: r, carrier: carrier}).run(ctx)
+	return true
 }
 
 // startDirect dials the endpoint directly.
@@ -178,6 +183,7 @@
 	d := a.race.dialer
 	ctx, cancel := context.WithTimeout(ctx, carrierTimeout)
 	defer cancel()
+	defer func() { <-d.asked }()
 	var answer reach.Answer
 	a.conn, a.result, answer, a.err = d.dialThrough(ctx, a.carrier, a.race.address)
 	if errors.Is(ctx.Err(), context.Canceled) && a.err != nil {
