Let a stopping keeper end the connections that it passes on

It now opens no more, hands over the leadership, and waits up to 2 s for their end, as relays wait within their grace.

--- a/io/keeper/keeper.go
+++ b/io/keeper/keeper.go
@@ -71,7 +71,9 @@
 	limits    *exchange[place.LimitNotice]
 	crashFile crashFile
 	// origins knows the software versions at which streams began.
-	origins    originExchange
+	origins originExchange
+	// carrier passes on connections of relays.
+	carrier    tunnel.Server
 	originFile originFile
 	guard      serve.PanicGuard
 	// ctx ends when the process stops, after the transfer of the leadership.
@@ -130,9 +132,10 @@
 	k.peers.dialSeeds(ctx)
 	var g run.Group
 	serve.AddLoop(stop, &g, k.loopStop)
+	k.initCarrier(stop)
 	mux := http.NewServeMux()
 	mux.Handle(wire.Path, &wire.Server{Key: k.PeerKey, HandlerFor: k.handlerFor, Log: k.Log})
-	if err := k.listen(ctx, &g, Server{Address: k.PeerAddress, Handler: k.newCarrier(stop).Or(mux)}, maxPeerConnections); err != nil {
+	if err := k.listen(ctx, &g, Server{Address: k.PeerAddress, Handler: k.carrier.Or(mux)}, maxPeerConnections); err != nil {
 		return err
 	}
 	for _, s := range k.Servers {
@@ -167,14 +170,22 @@
 // this takes from the control of the system.
 const maxCarriedConnections = 100
 
-// newCarrier returns the server that carries connections to endpoints for relays that nobody else can help, until ctx ends.
-func (k *Keeper) newCarrier(ctx context.Context) *tunnel.Server {
+const (
+	// maxCarryTime bounds the time for which a stopping keeper waits until the connections that it passes on have ended.
+	maxCarryTime = 2 * time.Second
+	// carryCheckInterval is the time between two checks whether they have.
+	carryCheckInterval = 50 * time.Millisecond
+)
+
+// initCarrier initialises the server that carries connections to endpoints for relays that nobody else can help, until ctx ends.
+func (k *Keeper) initCarrier(ctx context.Context) {
 	d := &tunnel.Dialer{Key: k.PeerKey, Clock: k.Clock, Log: k.Log}
 	if k.Metrics != nil {
 		d.Metrics = k.Metrics
 	}
 	d.Init()
-	return &tunnel.Server{Dialer: d, IsListed: k.lists.hasAddress, IsClosed: func() bool { return ctx.Err() != nil }, MaxConnections: maxCarriedConnections}
+	k.carrier.Dialer, k.carrier.MaxConnections = d, maxCarriedConnections
+	k.carrier.IsListed, k.carrier.IsClosed = k.lists.hasAddress, func() bool { return ctx.Err() != nil }
 }
 
 // listen opens a listener of the keeper with a limit on its connections and adds its HTTP server, whose requests end with ctx, to
@@ -193,9 +204,14 @@
 	return nil
 }
 
-// loopStop waits for the stop signal and then transfers the leadership of the Raft group to another keeper.
+// loopStop waits for the stop signal and then transfers the leadership of the Raft group to another keeper. It returns when the connections
+// that the keeper passes on have ended, or after maxCarryTime.
 func (k *Keeper) loopStop(ctx context.Context) error {
 	<-ctx.Done()
 	k.group.transferLeadership()
+	wait, cancel := context.WithTimeout(k.ctx, maxCarryTime)
+	defer cancel()
+	for k.carrier.Open() > 0 && serve.Sleep(wait, carryCheckInterval) {
+	}
 	return ctx.Err()
 }
