--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -17,6 +17,9 @@
 	cutOffEndpoints = 3
 	// directLifetime is how long an established direct connection shows that the process is not cut off from all endpoints.
 	directLifetime = time.Second
+	// judgeLifetime is how long an established direct connection shows that the process reaches what can be reached. It is shorter, since
+	// a verdict that others rely on is wrong for that long after the beginning of a cut.
+	judgeLifetime = 200 * time.Millisecond
 	// probeInterval is the time between two direct connections that look whether a cut has ended.
 	probeInterval = 400 * time.Millisecond
 	// downLifetime is how long the answers of carriers that an endpoint is down spare others the same question.
@@ -74,6 +77,8 @@
 type Plan struct {
 	// Carriers are the peer addresses of the processes that may carry the connection, in the order in which to ask them.
 	Carriers []string
+	// Reserve is the peer address of a process that may carry the connection if none of the carriers does; empty if there is none.
+	Reserve string
 	// CarriedFirst means that carriers are asked before the endpoint is dialled directly.
 	CarriedFirst bool
 	// Probe means that the endpoint is also dialled directly at once, to find out whether the cut has ended.
@@ -88,11 +93,12 @@
 	if p != nil && now.Sub(p.downAt) < downLifetime && now.Sub(p.carriedAt) >= downLifetime {
 		return Plan{}
 	}
-	plan := Plan{Carriers: t.carriers.choose(t.Domain, t.Rand, now)}
+	var plan Plan
+	plan.Carriers, plan.Reserve = t.carriers.choose(t.Domain, t.Rand, now)
 	if !t.IsOutOfReach(address, now) && !t.IsCutOff(now) {
 		return plan
 	}
-	plan.CarriedFirst = len(plan.Carriers) > 0
+	plan.CarriedFirst = len(plan.Carriers) > 0 || plan.Reserve != ""
 	if now.Sub(t.probedAt) >= probeInterval {
 		t.probedAt, plan.Probe = now, true
 	}
@@ -184,7 +190,7 @@
 
 // MayJudge reports whether this process may tell others that an endpoint is down: it has reached one lately, so that it is hardly cut off
 // itself.
-func (t *Table) MayJudge(now time.Time) bool { return now.Sub(t.connectedAt) < directLifetime }
+func (t *Table) MayJudge(now time.Time) bool { return now.Sub(t.connectedAt) < judgeLifetime }
 
 // SetCarriers sets the processes that may carry connections.
 func (t *Table) SetCarriers(list []Carrier) { t.carriers.set(list) }
--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -23,6 +23,8 @@
 	// pending is the number of attempts that have not finished; a direct one goes on after the race to show whether the endpoint is out
 	// of reach.
 	pending int
+	// asked is the number of carriers that have not answered.
+	asked int
 	// directStarted is true once the endpoint is dialled directly.
 	directStarted bool
 	// directErr is the error of the direct connection, and err that of the latest attempt.
@@ -80,7 +82,10 @@
 	r.err = a.err
 	if a.carrier == "" {
 		r.directErr = a.err
-	} else if a.result == reach.Refused || a.result == reach.Silent {
+		return
+	}
+	r.asked--
+	if a.result == reach.Refused || a.result == reach.Silent {
 		r.down++
 	}
 }
@@ -103,16 +108,29 @@
 	switch {
 	case !r.plan.CarriedFirst && !r.directStarted:
 		r.startDirect(ctx)
-	case len(r.plan.Carriers) > 0:
-		a := &attempt{race: r, carrier: r.plan.Carriers[0]}
+	case len(r.plan.Carriers) > 0 && r.startCarrier(ctx, r.plan.Carriers[0]):
 		r.plan.Carriers = r.plan.Carriers[1:]
-		r.pending++
-		go a.run(ctx)
+	case r.plan.Reserve != "" && r.asked == 0 && r.startCarrier(ctx, r.plan.Reserve):
+		r.plan.Reserve = ""
 	case !r.directStarted:
 		r.startDirect(ctx)
 	}
 }
 
+// startCarrier asks a carrier for the connection, unless too many are being asked.
+func (r *race) startCarrier(ctx context.Context, carrier string) bool {
+	select {
+	case r.dialer.asked <- struct{}{}:
+	default:
+		r.dialer.count("not-asked")
+		return false
+	}
+	r.pending++
+	r.asked++
+	go (&attempt{race: r, carrier: carrier}).run(ctx)
+	return true
+}
+
 // startDirect dials the endpoint directly.
 func (r *race) startDirect(ctx context.Context) {
 	if r.directStarted {
@@ -165,6 +183,7 @@
 	d := a.race.dialer
 	ctx, cancel := context.WithTimeout(ctx, carrierTimeout)
 	defer cancel()
+	defer func() { <-d.asked }()
 	var answer reach.Answer
 	a.conn, a.result, answer, a.err = d.dialThrough(ctx, a.carrier, a.race.address)
 	if errors.Is(ctx.Err(), context.Canceled) && a.err != nil {
