--- a/io/tunnel/server_test.go
+++ b/io/tunnel/server_test.go
@@ -172,7 +172,7 @@
 // dialThroughTo opens a connection to the endpoint through the carrier and returns both ends.
 func dialThroughTo(t prop.TestingT, c *testCarrier, e *testEndpoint) (peer, endpoint net.Conn) {
 	t.Helper()
-	nc, _, err := newCutOffDialer().dialThrough(context.Background(), c.address, e.address)
+	nc, _, _, err := newCutOffDialer().dialThrough(context.Background(), c.address, e.address)
 	prop.FailIf(t, err != nil, "connect through the carrier: %v", err)
 	return nc, e.next(t)
 }
@@ -194,9 +194,9 @@
 		c := startCarrier(t, e, x.change)
 		d := newCutOffDialer()
 		d.Key = x.key
-		nc, result, err := d.dialThrough(t.Context(), c.address, x.address)
-		if nc != nil || result != reach.Unknown || !errors.Is(err, errNotCarried) || !strings.Contains(err.Error(), x.result) {
-			t.Errorf("%s: connection %v, result %d, error %v", name, nc, result, err)
+		nc, result, answer, err := d.dialThrough(t.Context(), c.address, x.address)
+		if nc != nil || result != reach.Unknown || answer == reach.Helped || !errors.Is(err, errNotCarried) || !strings.Contains(err.Error(), x.result) {
+			t.Errorf("%s: connection %v, result %d, answer %d, error %v", name, nc, result, answer, err)
 		}
 		if e.accepted.Load() > 0 {
 			t.Fatalf("%s: a connection reached the endpoint", name)
@@ -215,7 +215,7 @@
 			open = append(open, peer, endpoint)
 		}
 		for range 10 {
-			if _, _, err := newCutOffDialer().dialThrough(t.Context(), c.address, e.address); !errors.Is(err, errNotCarried) {
+			if _, _, _, err := newCutOffDialer().dialThrough(t.Context(), c.address, e.address); !errors.Is(err, errNotCarried) {
 				t.Fatalf("a carrier that is full returned the error %v", err)
 			}
 		}
@@ -235,7 +235,8 @@
 		c.Dialer.table.SetCarriers([]reach.Carrier{{Address: last.address}})
 	})
 	for range 20 {
-		if nc, result, err := newCutOffDialer().dialThrough(t.Context(), first.address, e.address); nc != nil || err == nil || result == reach.Connected {
+		nc, result, _, err := newCutOffDialer().dialThrough(t.Context(), first.address, e.address)
+		if nc != nil || err == nil || result == reach.Connected {
 			t.Fatalf("result %d, error %v", result, err)
 		}
 	}
@@ -257,8 +258,8 @@
 	if !c.Dialer.IsCutOff() {
 		t.Fatal("the carrier is not cut off")
 	}
-	_, result, err := newCutOffDialer().dialThrough(t.Context(), c.address, e.address)
-	if result != reach.Unknown || err == nil || !strings.Contains(err.Error(), resultCutOff) {
+	_, result, answer, err := newCutOffDialer().dialThrough(t.Context(), c.address, e.address)
+	if result != reach.Unknown || answer != reach.Declined || err == nil || !strings.Contains(err.Error(), resultCutOff) {
 		t.Errorf("result %d, error %v", result, err)
 	}
 }
@@ -424,7 +425,7 @@
 		}
 	}()
 	for range 20 {
-		nc, _, err := newCutOffDialer().dialThrough(t.Context(), carrier.address, "e")
+		nc, _, _, err := newCutOffDialer().dialThrough(t.Context(), carrier.address, "e")
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -477,7 +478,7 @@
 	s := &http.Server{Handler: c, BaseContext: func(net.Listener) context.Context { return ctx }}
 	go func() { _ = s.Serve(l) }()
 	defer s.Close()
-	nc, _, err := newCutOffDialer().dialThrough(t.Context(), l.Addr().String(), e.address)
+	nc, _, _, err := newCutOffDialer().dialThrough(t.Context(), l.Addr().String(), e.address)
 	if err != nil {
 		t.Fatal(err)
 	}
