Look for the end of a cut while carried connections are used again

Plans for new connections are the only ones that look whether a cut goes on. With connections from the pool in use, none arose: the verdict lapsed after 2 s in the middle of the cut (rig, TestNobodyCarries: endpoints-reached-again 2.7 s into a cut of 12 s), the connections were given up, and the relay took engines for unresponsive until it found out again. Now their use also starts a direct connection each 400 ms, which shows both that the cut goes on and that it has ended.

TestUseOfCarriedConnectionsKeepsVerdict (before: the verdict lapses after 2 s).

--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -99,13 +99,20 @@
 		return plan
 	}
 	plan.CarriedFirst = len(plan.Carriers) > 0 || plan.Reserve != ""
-	if now.Sub(t.probedAt) >= probeInterval {
-		t.probedAt, plan.Probe = now, true
-	}
+	plan.Probe = t.TakeProbe(now)
 	plan.Hopeless = !plan.CarriedFirst && !plan.Probe && t.IsCutOff(now)
 	return plan
 }
 
+// TakeProbe reports whether it is time to look whether a cut has ended.
+func (t *Table) TakeProbe(now time.Time) bool {
+	if now.Sub(t.probedAt) < probeInterval {
+		return false
+	}
+	t.probedAt = now
+	return true
+}
+
 // IsOutOfReach reports whether the endpoint is up and this process cannot connect to it.
 func (t *Table) IsOutOfReach(address string, now time.Time) bool {
 	p := t.paths[address]
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -107,11 +107,31 @@
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
 	if c, ok := nc.(*Conn); ok {
-		return d.table.IsCarrier(c.Carrier) && (d.table.IsOutOfReach(address, now) || d.table.IsCutOff(now))
+		usable := d.table.IsCarrier(c.Carrier) && (d.table.IsOutOfReach(address, now) || d.table.IsCutOff(now))
+		if usable && d.table.TakeProbe(now) {
+			// While connections are used again, no others are opened that would show whether the cut goes on.
+			go (&directProbe{dialer: d, address: address}).run()
+		}
+		return usable
 	}
 	return !d.hangs(address, opened, now)
 }
 
+// directProbe is a direct connection that only shows whether an endpoint is out of reach.
+type directProbe struct {
+	dialer  *Dialer
+	address string
+}
+
+// run opens and closes the connection and records the result.
+func (p *directProbe) run() {
+	nc, err := p.dialer.dialDirect(context.Background(), "tcp", p.address, dialTimeout)
+	p.dialer.recordDirect(p.address, resultOf(context.Background(), err))
+	if err == nil {
+		_ = nc.Close()
+	}
+}
+
 // Hangs reports whether a connection that was opened to the address at the given time is dead because the endpoint has since fallen out
 // of reach.
 func (d *Dialer) Hangs(nc net.Conn, address string, opened time.Time) bool {
--- a/io/tunnel/dialer_test.go
+++ b/io/tunnel/dialer_test.go
@@ -160,3 +160,57 @@
 		t.Errorf("%d carriers still count as being asked", len(d.asked))
 	}
 }
+
+// Guards against a verdict that lapses in the middle of a cut, or outlives it, because carried connections are used again and no others
+// are opened.
+func TestUseOfCarriedConnectionsKeepsVerdict(t *testing.T) {
+	var isCut atomic.Bool
+	var probes atomic.Int32
+	d := &Dialer{Key: "k", Clock: wall.Clock{}, Log: zap.NewNop(), DialDirect: func(context.Context, string, string) (net.Conn, error) {
+		probes.Add(1)
+		if isCut.Load() {
+			return nil, syscall.ECONNREFUSED
+		}
+		return &countedClose{closed: &atomic.Int32{}}, nil
+	}}
+	d.Init()
+	carrier := newTestCarrier(t, "")
+	d.SetCarriers([]reach.Carrier{{Address: carrier}})
+	isCut.Store(true)
+	var conns []net.Conn
+	addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+	for _, a := range addresses {
+		c, err := d.DialContext(t.Context(), "tcp", a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	usable := func() (n int) {
+		for i, a := range addresses {
+			if d.IsUsable(conns[i], a, time.Time{}) {
+				n++
+			}
+		}
+		return n
+	}
+	const cutFor, step = 3 * time.Second, 50 * time.Millisecond
+	probes.Store(0)
+	for range cutFor / step {
+		if n := usable(); n < len(conns) || !d.IsCutOff() {
+			t.Fatalf("%d of %d carried connections are usable in the middle of the cut", n, len(conns))
+		}
+		time.Sleep(step)
+	}
+	if n := probes.Load(); n < 4 || n > 8 {
+		t.Errorf("%d direct connections in %s", n, cutFor)
+	}
+	isCut.Store(false)
+	for began := time.Now(); d.IsCutOff(); time.Sleep(step) {
+		usable()
+		if time.Since(began) > time.Second {
+			t.Fatal("the verdict holds a second after the cut")
+		}
+	}
+}
