Suspend no engine for a late probe of a relay that is cut off

While a relay was cut off, a way to an engine through others could take longer than a probe of it (120 ms): the probe ended by its own time, not with the error for a cut, and the engine was suspended for 2.5 s (engine-unresponsive, context deadline exceeded). An engine that carriers find down is suspended as before.

--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -204,9 +204,11 @@
 		// The engine goes on; only its response to the probe is late.
 		return
 	}
-	if !errors.Is(pr.err, tunnel.ErrCutOff) {
-		p.suspend(e, pr.result(), pr.err)
+	if errors.Is(pr.err, tunnel.ErrCutOff) || p.relay.pool.dialer.IsCutOff() && lossProbeResult(p.relay.ctx, pr.err) == poison.ProbeSilent {
+		// The time for a probe may not be enough to find a way to the engine.
+		return
 	}
+	p.suspend(e, pr.result(), pr.err)
 }
 
 // suspend suspends an engine that did not respond to a probe.
