Refuse requests at once while nobody can carry

Of the carriers that have failed lately, those that did not answer are asked again, so that one late answer refuses no requests. If they are gone (all relays cut off, and the keeper stopped), each connection asked them, and was then dialled directly, which took 250 ms while connections hang: requests were refused after 0.25 to 2 s. A relay that is cut off now dials directly only to look for the end of the cut, each 400 ms.

--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -83,10 +83,14 @@
 	CarriedFirst bool
 	// Probe means that the endpoint is also dialled directly at once, to find out whether the cut has ended.
 	Probe bool
-	// Hopeless means that the process is cut off, no other can help now, and the end of the cut was looked for a moment ago.
-	Hopeless bool
+	// CarriedOnly means that the process is cut off, and the end of the cut was looked for a moment ago: the endpoint is not dialled
+	// directly.
+	CarriedOnly bool
 }
 
+// IsHopeless reports whether there is no way to open the connection.
+func (p *Plan) IsHopeless() bool { return p.CarriedOnly && !p.CarriedFirst }
+
 // Plan returns how to open a connection to the endpoint.
 func (t *Table) Plan(address string, now time.Time) Plan {
 	p := t.paths[address]
@@ -100,7 +104,7 @@
 	}
 	plan.CarriedFirst = len(plan.Carriers) > 0 || plan.Reserve != ""
 	plan.Probe = t.TakeProbe(now)
-	plan.Hopeless = !plan.CarriedFirst && !plan.Probe && t.IsCutOff(now)
+	plan.CarriedOnly = !plan.Probe && t.IsCutOff(now)
 	return plan
 }
 
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -137,7 +137,7 @@
 	tab.SetCarriers(nil)
 	probes := 0
 	for at := time.Duration(0); at < verdictLifetime; at += 10 * time.Millisecond {
-		if plan := tab.Plan(endpointName(5), testStart.Add(at)); !plan.Hopeless {
+		if plan := tab.Plan(endpointName(5), testStart.Add(at)); !plan.IsHopeless() {
 			probes++
 		}
 	}
@@ -273,7 +273,7 @@
 		if !tab.IsCutOff(now) {
 			t.Fatalf("the verdict has lapsed after %s", at)
 		}
-		if plan := tab.Plan(endpointName(7), now); !plan.Hopeless {
+		if plan := tab.Plan(endpointName(7), now); !plan.IsHopeless() {
 			tab.RecordDirect(endpointName(7), Refused, now)
 		}
 	}
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -155,7 +155,7 @@
 	d.mu.Lock()
 	plan := d.table.Plan(address, d.Clock.Now())
 	d.mu.Unlock()
-	if plan.Hopeless {
+	if plan.IsHopeless() {
 		return nil, ErrCutOff
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -100,6 +100,10 @@
 	if err == nil {
 		err = r.err
 	}
+	if err == nil {
+		// Too many carriers are being asked.
+		err = ErrCutOff
+	}
 	return r.dialer.fail(err, r.down > 0)
 }
 
@@ -112,7 +116,7 @@
 		r.plan.Carriers = r.plan.Carriers[1:]
 	case r.plan.Reserve != "" && r.asked == 0 && r.startCarrier(ctx, r.plan.Reserve):
 		r.plan.Reserve = ""
-	case !r.directStarted:
+	case !r.directStarted && !r.plan.CarriedOnly:
 		r.startDirect(ctx)
 	}
 }
