Wait to ask a carrier while many are being asked

A process asks 64 carriers at most at a time. It now waits up to 250 ms for its turn, as long as a direct connection. TestManyConnectionsAtOnce: 256 connections while all turns are taken for 0.1 s; before, all fail.

--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -50,7 +50,7 @@
 	}
 	t := time.NewTimer(carrierDelay)
 	defer t.Stop()
-	for r.pending > 0 {
+	for began := time.Now(); r.pending > 0 || r.hasUnasked() && time.Since(began) < dialTimeout; {
 		select {
 		case <-ctx.Done():
 			r.leave()
@@ -77,6 +77,11 @@
 	return nil, r.failure()
 }
 
+// hasUnasked reports whether the only ways left are carriers that were not asked since too many are being asked.
+func (r *race) hasUnasked() bool {
+	return r.plan.CarriedOnly && (len(r.plan.Carriers) > 0 || r.plan.Reserve != "")
+}
+
 // recordFailure keeps the error of an attempt.
 func (r *race) recordFailure(a *attempt) {
 	r.err = a.err
--- a/io/tunnel/race_test.go
+++ b/io/tunnel/race_test.go
@@ -173,3 +173,40 @@
 		_ = nc.Close()
 	}
 }
+
+// Guards against connections that are refused at once, though a carrier would help, because many others are being asked at that moment.
+func TestManyConnectionsAtOnce(t *testing.T) {
+	e := startEndpoint(t)
+	c := startCarrier(t, e, nil)
+	d := newCutOffDialer(c)
+	now := time.Now()
+	for _, address := range []string{"e1", "e2", "e3"} {
+		d.table.RecordDirect(address, reach.Refused, now)
+		d.table.RecordCarried(address, reach.Connected, now)
+	}
+	if !d.table.TakeProbe(now) || !d.IsCutOff() {
+		t.Fatal("the process is not cut off")
+	}
+	for range maxAsked {
+		d.asked <- struct{}{}
+	}
+	time.AfterFunc(100*time.Millisecond, func() {
+		for range maxAsked {
+			<-d.asked
+		}
+	})
+	var wg sync.WaitGroup
+	for range 4 * maxAsked {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			nc, err := d.DialContext(t.Context(), "tcp", e.address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_ = nc.Close()
+		}()
+	}
+	wg.Wait()
+}
