--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -56,7 +56,10 @@
 	connectedAt time.Time
 	// cutOffAt is when the latest evidence was found that this process is cut off from all endpoints; zero since it has connected to one.
 	cutOffAt time.Time
-	probedAt time.Time
+	// cutOffSince is when the first evidence of the current cut was found, and cutOffFailure how the direct connection failed.
+	cutOffSince   time.Time
+	cutOffFailure Result
+	probedAt      time.Time
 }
 
 // path is what is known of the way to one endpoint.
@@ -128,14 +131,13 @@
 	return !p.outSince.IsZero() && now.Sub(p.confirmedAt) < verdictLifetime
 }
 
-// HangsSince returns when the endpoint was found out of reach with connections that hang, so that a direct connection that was opened
-// before is dead; it returns false if they do not.
+// HangsSince returns when the endpoint, or all endpoints, were found out of reach with connections that hang, so that a direct connection
+// that was opened before is dead; it returns false if they do not.
 func (t *Table) HangsSince(address string, now time.Time) (time.Time, bool) {
-	p := t.paths[address]
-	if p == nil || !p.isOut(now) || p.failure != Silent {
-		return time.Time{}, false
+	if p := t.paths[address]; p != nil && p.isOut(now) {
+		return p.outSince, p.failure == Silent
 	}
-	return p.outSince, true
+	return t.cutOffSince, t.IsCutOff(now) && t.cutOffFailure == Silent
 }
 
 // IsCutOff reports whether this process is cut off from all endpoints: several are out of reach, and it has connected to none since.
@@ -223,8 +225,11 @@
 		p.outSince = p.failedAt
 	}
 	p.confirmedAt = p.failedAt
-	if p.isOut(now) && p.failedAt.After(t.cutOffAt) && (t.IsCutOff(now) || t.isCutOffBy(now)) {
+	if isCutOff := t.IsCutOff(now); p.isOut(now) && p.failedAt.After(t.cutOffAt) && (isCutOff || t.isCutOffBy(now)) {
 		t.cutOffAt = p.failedAt
+		if !isCutOff {
+			t.cutOffSince, t.cutOffFailure = p.failedAt, p.failure
+		}
 	}
 	return !wasOut && p.isOut(now)
 }
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -186,6 +186,25 @@
 	}
 }
 
+// Guards against requests that are sent on connections which hang since the process was cut off from all endpoints, because their endpoint
+// itself was not dialled since.
+func TestConnectionsToAllEndpointsHang(t *testing.T) {
+	for failure, want := range map[Result]bool{Silent: true, Refused: false} {
+		tab := newTestTable()
+		for i := range cutOffEndpoints {
+			dial(tab, endpointName(i), true, false, failure, testStart)
+		}
+		now := testStart.Add(time.Second)
+		if since, hangs := tab.HangsSince("another", now); hangs != want || hangs && (since.Before(testStart) || since.After(now)) {
+			t.Errorf("failure %d: hangs %t since %s", failure, hangs, since)
+		}
+		tab.RecordDirect(endpointName(0), Connected, now)
+		if _, hangs := tab.HangsSince("another", now); hangs {
+			t.Errorf("failure %d: connections hang after the cut", failure)
+		}
+	}
+}
+
 // Guards against records that pile up, since each restart of an endpoint may bring a new address.
 func TestPathsAreBounded(t *testing.T) {
 	tab := newTestTable()
