Give brittle endpoints no more than their slots, shared among the relays

Callers saw: while the endpoints of a service said in all answers that they fall over when they reject more than N requests a second (Server-Brittle), they fell over again and again.

Cause: nothing read the header, and N bounds the rejections that all relays cause together, while each sees its own requests. An endpoint that was back under a new id was met by all relays at once.

The slots of a brittle endpoint are dealt to the relays by their index, as the list and the reports give them; a relay has no more requests there than its share, so that the sum stays within the slots without a message for a request, also while a relay is cut off from the keepers. What finds no room waits for an eighth of its objective and is refused with endpoint-limit.

--- a/core/bench/waves.go
+++ b/core/bench/waves.go
@@ -277,7 +277,7 @@
 
 // detachStream removes a stream from its engine.
 func (w *crashWaveSim) detachStream(s *waveStream) {
-	s.relay.table.RequestEnded(s.engineID)
+	s.relay.table.RequestEnded(s.engineID, w.now)
 	s.engine.streams = slices.DeleteFunc(s.engine.streams, func(x *waveStream) bool { return x == s })
 	s.engine = nil
 }
--- a/core/place/announcement.go
+++ b/core/place/announcement.go
@@ -21,6 +21,8 @@
 	Control bool
 	// Endpoint is the id of the endpoint that answered; empty if the answer doesn't name it.
 	Endpoint string
+	// Brittle is what the answer says of the endpoint's brittleness.
+	Brittle Brittleness
 }
 
 // AnnouncementChange is what an answer has changed in what is known of its endpoint.
@@ -85,20 +87,21 @@
 	if s == nil || n.Endpoint != "" && n.Endpoint != id {
 		return AnnouncementChange{}
 	}
+	t.recordBrittleness(s, n, sent, now)
 	return s.announced.record(n, sent, now)
 }
 
 // AcceptsCached reports whether the endpoint with the id takes requests whose prompt it has cached; it may be full.
 func (t *EndpointTable) AcceptsCached(id string, now time.Time) bool {
 	s := t.endpoints.Get(id)
-	return s != nil && s.takesResumed(now) && !s.announced.isLeaving() && s.announced.pauseLeft(now) == 0
+	return s != nil && s.takesResumed(now) && !s.announced.isLeaving() && s.announced.pauseLeft(now) == 0 && t.roomWait(s, now) == 0
 }
 
 // AcceptsResumed reports whether the endpoint with the id may be sent a stream to resume from a copy that it holds. A leaving
 // endpoint still gets streams whose request arrived before it said so.
 func (t *EndpointTable) AcceptsResumed(id string, arrived, now time.Time) bool {
 	s := t.endpoints.Get(id)
-	return s != nil && s.takesResumed(now) && s.announced.pauseLeft(now) == 0 &&
+	return s != nil && s.takesResumed(now) && s.announced.pauseLeft(now) == 0 && t.roomWait(s, now) == 0 &&
 		(!s.announced.isLeaving() || arrived.Before(s.announced.leavingSince))
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -69,7 +69,7 @@
 				continue
 			}
 			tables[p.relay].PrefillDone(p.id)
-			tables[p.relay].RequestEnded(p.id)
+			tables[p.relay].RequestEnded(p.id, testStart)
 		}
 		active = kept
 		r := rng.IntN(relays)
@@ -258,7 +258,7 @@
 	if _, ok := x.Get("e00"); ok {
 		t.Error("an unlisted endpoint is returned")
 	}
-	x.RequestEnded("e00")
+	x.RequestEnded("e00", testStart)
 	x.Update([]Endpoint{{ID: "new", Service: "m", Domain: "d0"}}, testStart)
 	if x.endpoints.Len() != 1 {
 		t.Errorf("%d endpoints, want one", x.endpoints.Len())
--- a/core/place/survey_test.go
+++ b/core/place/survey_test.go
@@ -96,7 +96,7 @@
 			return false
 		}
 		l.tables[p.relay].PrefillDone(p.engine)
-		l.tables[p.relay].RequestEnded(p.engine)
+		l.tables[p.relay].RequestEnded(p.engine, testStart)
 		return true
 	})
 }
--- a/core/place/table.go
+++ b/core/place/table.go
@@ -65,6 +65,10 @@
 	endpoints table.Table[string, endpointState]
 	// limits holds the numbers of requests that endpoints take from all relays together.
 	limits LimitTable
+	// brittleServices is what the endpoints of each service have last said of their brittleness.
+	brittleServices map[string]*brittleness
+	// relaysChangedAt is when the relays that have turns, or their order, last changed.
+	relaysChangedAt time.Time
 	// relayIndex is this relay's position among all relays, from 0 to relayCount-1; it is -1 if the relay is not among
 	// them.
 	relayIndex int
@@ -96,7 +100,14 @@
 	// drainingSince is when the platform's list first showed the endpoint as draining; zero if it does not.
 	drainingSince time.Time
 	// announced is what the endpoint has said of itself.
-	announced    announced
+	announced announced
+	// brittle is what the endpoint has said of its brittleness, and rank its position among the endpoints of its service.
+	brittle brittleness
+	rank    int
+	// room is this relay's share of the endpoint's room.
+	room roomDeal
+	// roomFreeAt holds, for requests that have ended, when they no longer take room at a brittle endpoint.
+	roomFreeAt   []time.Time
 	reportedLoad EndpointLoad
 	loadReceived time.Time // when reportedLoad arrived
 	// preferenceCost is the term of the endpoint's cost that depends on the relay: 0 if the endpoint is assigned to
@@ -141,6 +152,7 @@
 		return true
 	})
 	t.limits.keep(seen)
+	t.rankEndpoints()
 	t.assignPreferredEndpoints()
 }
 
@@ -155,6 +167,18 @@
 	}
 }
 
+// rankEndpoints numbers the listed endpoints of each service.
+func (t *EndpointTable) rankEndpoints() {
+	ranks := map[string]int{}
+	t.endpoints.Each(func(_ string, s *endpointState) bool {
+		if s.listed {
+			s.rank = ranks[s.Service]
+			ranks[s.Service]++
+		}
+		return true
+	})
+}
+
 // SetRelayIndex sets this relay's index among all relays, each of which prefers an equal part of the endpoints.
 func (t *EndpointTable) SetRelayIndex(index, relays int) {
 	t.relayIndex, t.relayCount = index, relays
@@ -164,7 +188,11 @@
 // SetTurns sets this relay's index among the relays that have turns at endpoints with a limit: those that callers may use, and
 // those that are stopping and still serve requests. The index is -1 if this relay is not among them.
 func (t *EndpointTable) SetTurns(index, relays int, now time.Time) {
-	t.limits.setRelay(relayPosition{index, relays}, now)
+	relay := relayPosition{index, relays}
+	if relay != t.limits.relay {
+		t.relaysChangedAt = now
+	}
+	t.limits.setRelay(relay, now)
 }
 
 // assignPreferredEndpoints assigns the endpoints of each service to the relays in turn, alternating between failure
@@ -278,7 +306,8 @@
 
 // isEligible reports whether the endpoint meets the requirements of a request and accepts requests now.
 func (t *EndpointTable) isEligible(s *endpointState, req EndpointRequirements, now time.Time) bool {
-	return s.isSuitable(req, now) && s.announced.pauseLeft(now) == 0 && (req.IgnoreLimits || t.limits.wait(s.ID, now) == 0)
+	return s.isSuitable(req, now) && s.announced.pauseLeft(now) == 0 &&
+		(req.IgnoreLimits || t.limits.wait(s.ID, now) == 0 && t.roomWait(s, now) == 0)
 }
 
 // isSuitable reports whether the endpoint meets the requirements of a request and accepts requests, apart from its
@@ -289,13 +318,14 @@
 }
 
 // NextTurn returns the time until the first of the endpoints that meet the request's requirements may get a request
-// under its limit and after the pause that it has asked for, or false if none of them has any.
+// under its limit, after the pause that it has asked for, and within its room if it is brittle, or false if none of them has
+// any of these.
 func (t *EndpointTable) NextTurn(req EndpointRequirements, now time.Time) (wait time.Duration, limited bool) {
 	t.endpoints.Each(func(_ string, s *endpointState) bool {
 		if !s.isSuitable(req, now) {
 			return true
 		}
-		if d := max(t.limits.wait(s.ID, now), s.announced.pauseLeft(now)); d > 0 && (!limited || d < wait) {
+		if d := max(t.limits.wait(s.ID, now), s.announced.pauseLeft(now), t.roomWait(s, now)); d > 0 && (!limited || d < wait) {
 			wait, limited = d, true
 		}
 		return true
@@ -444,9 +474,10 @@
 }
 
 // RequestEnded counts that a request at the endpoint has ended.
-func (t *EndpointTable) RequestEnded(id string) {
+func (t *EndpointTable) RequestEnded(id string, now time.Time) {
 	if s := t.endpoints.Get(id); s != nil && s.running > 0 {
 		s.running--
+		t.keepRoom(s, now.Add(roomReleaseDelay), now)
 	}
 }
 
@@ -523,11 +554,14 @@
 }
 
 // RecordFull records that the endpoint refused a request because it is full, so that it gets no requests for the
-// backoff.
-func (t *EndpointTable) RecordFull(id string, backoff time.Duration, now time.Time) {
+// backoff. It reports whether the endpoint is brittle; it gets fewer requests at a time then.
+func (t *EndpointTable) RecordFull(id string, backoff time.Duration, now time.Time) (brittle bool) {
 	if s := t.endpoints.Get(id); s != nil {
 		s.fullUntil = now.Add(backoff)
+		_, brittle = t.brittleAt(s, now)
+		t.recordRejection(s, now)
 	}
+	return brittle
 }
 
 // RecordAddressReuse records that another endpoint was found at the endpoint's address, so the endpoint has probably
--- a/io/relay/announcements.go
+++ b/io/relay/announcements.go
@@ -51,9 +51,11 @@
 // announcementSweepInterval is the time between two searches for pauses that have ended.
 const announcementSweepInterval = 500 * time.Millisecond
 
-// loopAnnouncements logs the ends of the endpoints' pauses and counts the endpoints with announcements, until ctx ends.
+// loopAnnouncements logs the ends of the endpoints' pauses and which services are brittle, and counts the endpoints with announcements, until ctx ends.
 func (r *Relay) loopAnnouncements(ctx context.Context) error {
+	brittle := map[string]bool{}
 	for serve.Sleep(ctx, announcementSweepInterval) {
+		r.logBrittleServices(brittle)
 		var ended []string
 		var leaving, paused int
 		r.withTable(func(t *place.EndpointTable, now time.Time) { ended, leaving, paused = t.SweepAnnouncements(now) })
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -168,7 +168,7 @@
 			return place.SpreadRetry(wait, rand.Float64())
 		}
 		turn, _ := s.nextTurn(s.requirements())
-		return max(retryElsewhere, turn)
+		return max(retryElsewhere, s.spreadForRoom(s.requirements(), turn))
 	case common.ReasonOriginUnknown, common.ReasonSoftwareGone:
 		// The caller can only begin anew, which it may do at once.
 		return 0
--- a/io/relay/limits.go
+++ b/io/relay/limits.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/place"
+	"wasabiweir/core/state"
 )
 
 // recordLimit records the limit that an endpoint names in its response. A success without one ends the limit.
@@ -68,8 +70,52 @@
 		return
 	}
 	if turn, limited := q.nextTurn(req); limited {
-		q.failRequest(common.ReasonEndpointLimit, turn)
+		q.failRequest(common.ReasonEndpointLimit, q.spreadForRoom(req, turn))
 		return
 	}
 	q.failRequest(common.ReasonNoEndpoint, retryAfterCrash)
 }
+
+// spreadForRoom returns the Retry-After time of a request whose next turn comes after the given time. Callers that are refused
+// because brittle endpoints have no room come back over some time.
+func (q *request) spreadForRoom(req place.EndpointRequirements, turn time.Duration) time.Duration {
+	lacksRoom := false
+	q.relay.withTable(func(t *place.EndpointTable, now time.Time) { lacksRoom = t.LacksRoom(req, now) })
+	if lacksRoom {
+		return place.SpreadRetry(turn, rand.Float64())
+	}
+	return turn
+}
+
+// abandonedStreamTime is the time within which an engine ends a stream whose connection was closed.
+const abandonedStreamTime = 400 * time.Millisecond
+
+// runsUntil returns up to when an endpoint may run the request after this relay has given it up.
+func (q *request) runsUntil(now time.Time) time.Time {
+	if q.route.Kind == state.Stream {
+		return now.Add(abandonedStreamTime)
+	}
+	return q.deadline
+}
+
+// logBrittleServices logs which services have become brittle, or are no longer, since the last call.
+func (r *Relay) logBrittleServices(known map[string]bool) {
+	var list []place.BrittleService
+	r.withTable(func(t *place.EndpointTable, now time.Time) { list = t.BrittleServices(now) })
+	endpoints, current := 0, map[string]bool{}
+	for _, b := range list {
+		endpoints += b.Endpoints
+		current[b.Service] = true
+		if !known[b.Service] {
+			r.Log.Info("service-brittle", zap.String("service", b.Service), zap.Int("endpoints", b.Endpoints), zap.Float64("rejections-per-second", b.Rejections))
+		}
+	}
+	for service := range known {
+		if !current[service] {
+			r.Log.Info("service-brittle-ended", zap.String("service", service))
+		}
+	}
+	clear(known)
+	maps.Copy(known, current)
+	r.meter.brittleEndpoints.Update(float64(endpoints))
+}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -193,14 +193,19 @@
 	abandoned := q.isAbandoned()
 	var suspended time.Duration
 	q.relay.withTable(func(t *place.EndpointTable, now time.Time) {
-		t.RequestEnded(e.ID)
+		t.RequestEnded(e.ID, now)
+		if result.cause == common.RetrySilent || abandoned {
+			t.RequestAbandoned(e.ID, q.runsUntil(now), now)
+		}
 		switch {
 		case result.outcome == completed:
 			t.RecordSuccess(e.ID)
 		case result.cause == common.RetryLeaving:
 			t.RecordAddressReuse(e.ID, now)
 		case result.cause == common.RetryRefused:
-			t.RecordFull(e.ID, fullEndpointPause, now)
+			if t.RecordFull(e.ID, fullEndpointPause, now) {
+				q.relay.meter.brittleRejections.Inc(1)
+			}
 		case !abandoned && result.cause == common.RetryConnect:
 			suspended = t.RecordFailure(e.ID, q.route.Kind == state.Stream, now)
 		case !abandoned && (result.cause == common.RetryOversized || result.cause == common.RetryForeign):
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -309,6 +309,10 @@
 	// that they want no requests now.
 	leavingEndpoints tally.Gauge
 	pausedEndpoints  tally.Gauge
+	// brittleEndpoints is the number of endpoints that fall over if they have to reject too many requests, and brittleRejections
+	// counts the requests that such endpoints have rejected.
+	brittleEndpoints  tally.Gauge
+	brittleRejections tally.Counter
 }
 
 // durationBuckets are the bounds of the duration histograms. Their range of 4 ms to 33 s covers pauses from one
@@ -329,6 +333,8 @@
 	m.limitedEndpoints = m.scope.Gauge("limited-endpoints")
 	m.leavingEndpoints = m.scope.Gauge("leaving-endpoints")
 	m.pausedEndpoints = m.scope.Gauge("paused-endpoints")
+	m.brittleEndpoints = m.scope.Gauge("brittle-endpoints")
+	m.brittleRejections = m.scope.Counter("brittle-rejections")
 	m.longestPause = m.scope.Histogram("resume-pause", durationBuckets)
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -220,6 +220,9 @@
 			return streamAttempt{}, common.ReasonEndpointLimit
 		}
 		if now.After(until) || !s.sleep(resumeRetryInterval) {
+			if _, limited := s.firstTurn(); limited {
+				return streamAttempt{}, common.ReasonEndpointLimit
+			}
 			return streamAttempt{}, common.ReasonNoEndpoint
 		}
 	}
