Reach endpoints through another router while this one is cut off

Callers of a router that lost its way to all engines and services got no answer, or refusals, while the other routers served theirs: the router took the endpoints for down, although only its own path to them was interrupted.

Connections to engines (generations, polls), to services and for crash checks now go through one tunnel.Dialer per router, and the peer listener carries those of other routers. Carriers are the live routers of the control process's list that neither drain nor report themselves as cut off. What was written of a call is tracked on the connection as before, below which the carrier is invisible: the request to the carrier names only the endpoint, so "not run" stays certain. An idle connection to an engine that was opened before the engine fell out of reach, or a carried one after the cut, is not used again. Resets and silence at an endpoint that is out of reach, and connections that nobody can open, neither suspend it nor count as crashes; earlier failures are forgotten when it is found out of reach. A generation that has begun waits for a carrier; other requests are refused at once with the reason cut-off, which had no status and would have been sent as 500.

Without the check of idle connections, TestUnusableIdleConnection opens 1 connection instead of 3.

The rigs of resend_test.go, crashes_test.go and witness_test.go now also set up the dialer; their checks are as before.

--- a/core/common/refusal.go
+++ b/core/common/refusal.go
@@ -90,6 +90,7 @@
 	ReasonNoConfiguration:    http.StatusServiceUnavailable,
 	ReasonDraining:           http.StatusServiceUnavailable,
 	ReasonNoEndpoint:         http.StatusServiceUnavailable,
+	ReasonCutOff:             http.StatusServiceUnavailable,
 	ReasonJournalUnavailable: http.StatusServiceUnavailable,
 	ReasonLedgerUnavailable:  http.StatusServiceUnavailable,
 }
--- a/core/route/stream.go
+++ b/core/route/stream.go
@@ -96,6 +96,17 @@
 // its streams is silent. It is below the smallest timeout of a silent stream.
 const aliveWindow = 300 * time.Millisecond
 
+// ForgetFailures ends the backoff of the endpoints with the address, whose failures were not their own, and returns their names.
+func (t *Table) ForgetFailures(address string) (names []string) {
+	for _, e := range t.Endpoints() {
+		if e.Address == address {
+			e.backoff.clearFailures()
+			names = append(names, e.Name)
+		}
+	}
+	return names
+}
+
 // FailStream records that the stream failed for the given reason. Connect failures, resets and silence put the endpoint
 // into backoff. A refusal by the endpoint does not, and neither does the silence of one stream while others receive
 // tokens, because the cause may be a single connection or a wait in the endpoint's queue.
--- a/io/ctrl/registry.go
+++ b/io/ctrl/registry.go
@@ -186,7 +186,7 @@
 		r := &list[i]
 		*r = wire.Report{
 			Name: r.Name, Incarnation: r.Incarnation, Address: r.Address, PeerAddress: r.PeerAddress,
-			Domain: r.Domain, Fresh: r.Fresh, Draining: r.Draining,
+			Domain: r.Domain, Fresh: r.Fresh, Draining: r.Draining, CutOff: r.CutOff,
 		}
 	}
 	next := wire.Routers{Reports: list, Leaving: s.leavingEndpoints()}
@@ -220,5 +220,5 @@
 // the failure domain.
 func equalRouters(a, b wire.Report) bool {
 	return a.Name == b.Name && a.Incarnation == b.Incarnation && a.Address == b.Address &&
-		a.PeerAddress == b.PeerAddress && a.Fresh == b.Fresh && a.Draining == b.Draining
+		a.PeerAddress == b.PeerAddress && a.Fresh == b.Fresh && a.Draining == b.Draining && a.CutOff == b.CutOff
 }
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -27,9 +27,19 @@
 	maxReplyHeaderBytes   = 64 << 10 // largest header of a reply
 )
 
+// Dialer opens connections to engines.
+type Dialer interface {
+	// DialContext opens a connection to the address.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	// IsUsable reports whether a connection that was opened to the address at the given time may be used for another request.
+	IsUsable(c net.Conn, address string, opened time.Time) bool
+}
+
 // Transport holds the pools of HTTP connections to all engines. Its fields must be set before the first use.
 type Transport struct {
-	// ConnectTimeout bounds the time to establish a connection; zero means 1 s.
+	// Dialer opens the connections; nil means directly.
+	Dialer Dialer
+	// ConnectTimeout bounds the time to establish a connection without a Dialer; zero means 1 s.
 	ConnectTimeout time.Duration
 	// WriteTimeout bounds each write to a connection; zero means 2 s.
 	WriteTimeout time.Duration
@@ -91,12 +101,19 @@
 // dialEngine connects to an engine and applies the write timeout to the connection. A failure is returned as a
 // connectError.
 func (t *Transport) dialEngine(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: orDefault(t.ConnectTimeout, defaultConnectTimeout)}
-	c, err := d.DialContext(ctx, network, address)
+	dial := (&net.Dialer{Timeout: orDefault(t.ConnectTimeout, defaultConnectTimeout)}).DialContext
+	if t.Dialer != nil {
+		dial = t.Dialer.DialContext
+	}
+	c, err := dial(ctx, network, address)
 	if err != nil {
 		return nil, &connectError{err: err}
 	}
-	return &deadlineConn{Conn: &serve.ResetConn{Conn: c}, timeout: orDefault(t.WriteTimeout, defaultWriteTimeout)}, nil
+	out := &deadlineConn{Conn: &serve.ResetConn{Conn: c}, timeout: orDefault(t.WriteTimeout, defaultWriteTimeout)}
+	if opened := time.Now(); t.Dialer != nil {
+		out.isUsable = func() bool { return t.Dialer.IsUsable(c, address, opened) }
+	}
+	return out, nil
 }
 
 // orDefault returns the setting's value v, or its default d if v is zero.
@@ -113,14 +130,24 @@
 	timeout time.Duration
 	// notAfter is that of the request's client.
 	notAfter time.Time
+	// isUsable reports whether the connection may be used for another request; nil means always. It is asked if reused is true.
+	isUsable func() bool
+	reused   bool
 }
 
+// errNotUsable is returned for a write to an idle connection that may not be used for another request. Nothing was written, so that
+// net/http sends a request without a body on another connection.
+var errNotUsable = eris.New("the connection may not be used again")
+
 // Write writes p to the connection and fails if the write takes longer than the connection's write timeout, or if the request has
 // expired.
 func (c *deadlineConn) Write(p []byte) (int, error) {
 	if err := serve.CheckExpiry(c.notAfter); err != nil {
 		return 0, err //nolint:wrapcheck // net/http wraps the errors of writes
 	}
+	if c.reused && c.isUsable != nil && !c.isUsable() {
+		return 0, errNotUsable
+	}
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, fmt.Errorf("set write deadline: %w", err)
 	}
@@ -143,7 +170,7 @@
 	defer t.mu.Unlock()
 	t.connected = true
 	if c, ok := info.Conn.(*deadlineConn); ok {
-		c.notAfter = t.notAfter
+		c.notAfter, c.reused = t.notAfter, info.Reused
 	}
 	t.reused = t.reused || info.Reused
 }
--- a/io/engine/client_test.go
+++ b/io/engine/client_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -361,3 +363,31 @@
 		})
 	}
 }
+
+// countingDialer counts the connections that it opens, none of which may be used for a second request.
+type countingDialer struct{ opened atomic.Int32 }
+
+func (d *countingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	d.opened.Add(1)
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+func (d *countingDialer) IsUsable(net.Conn, string, time.Time) bool { return false }
+
+// Guards against requests on idle connections that hang since their engine is out of reach.
+func TestUnusableIdleConnection(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "vllm:num_requests_running 1\n")
+	}))
+	defer s.Close()
+	d := &countingDialer{}
+	c := &Client{Address: s.Listener.Addr().String(), Transport: &Transport{Dialer: d}}
+	for range 3 {
+		if _, err := c.Metrics(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := d.opened.Load(); n != 3 {
+		t.Errorf("%d connections were opened, want 3", n)
+	}
+}
--- a/io/router/attempt.go
+++ b/io/router/attempt.go
@@ -53,7 +53,7 @@
 func (s *session) newStreamAttempt(ctx context.Context, a *attempt, req stream.AttemptRequest) *streamAttempt {
 	t := &streamAttempt{attempt: a, number: req.Attempt, router: s.router, startedAt: s.now()}
 	t.ctx, t.cancel = context.WithCancel(ctx)
-	t.client = &engine.Client{Address: a.address}
+	t.client = &engine.Client{Address: a.address, Transport: &s.router.engines}
 	t.request = engine.Request{
 		Model:     s.owner.Record.Model,
 		Adapter:   s.params.Adapter,
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -21,6 +20,7 @@
 	"wasabiweir/core/object"
 	"wasabiweir/core/route"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 const (
@@ -59,16 +59,6 @@
 	unrecorded atomic.Int64
 }
 
-// dialEndpoint opens a TCP connection within one second; its error is a *connectError.
-func dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: time.Second}
-	conn, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, &connectError{err}
-	}
-	return conn, nil
-}
-
 // connectError means that no connection was established, so that no byte of the call was sent.
 type connectError struct{ err error }
 
@@ -89,6 +79,8 @@
 	body    []byte
 	// key is the caller's idempotency key, or empty.
 	key string
+	// dial opens a connection to an endpoint.
+	dial tunnel.DialFunc
 	// deadline is the longest time the call may take.
 	deadline time.Duration
 	// sent counts the attempts that may have reached an endpoint, and unconnected the others that failed.
@@ -158,7 +150,7 @@
 	}
 	c := &serviceCall{
 		account: account, service: service, method: req.Method, path: "/" + req.PathValue("path"),
-		query: req.URL.RawQuery, header: copyForwardedHeaders(req.Header), body: body, key: req.Header.Get(idempotencyKeyHeader),
+		query: req.URL.RawQuery, dial: r.dialer.DialContext, header: copyForwardedHeaders(req.Header), body: body, key: req.Header.Get(idempotencyKeyHeader),
 		deadline: time.Duration(service.TimeoutMS) * time.Millisecond,
 	}
 	if c.deadline <= 0 {
@@ -212,12 +204,15 @@
 			f.Outcome = x.outcome()
 			return nil, &f
 		}
-		client, _ := newSingleUseClient(notAfter)
+		client, _ := newSingleUseClient(c.router.dialer.DialContext, notAfter)
 		out, err := c.sendAttempt(ctx, x, a, client)
 		if err == nil {
 			return out, nil
 		}
 		failed[a.name] = struct{}{}
+		if errors.Is(err, tunnel.ErrCutOff) {
+			return nil, newCutOffRefusal(x.outcome())
+		}
 		if ctx.Err() != nil {
 			return nil, &common.Refusal{Reason: common.ReasonDeadline, Outcome: x.outcome(), Message: "the service did not answer in time"}
 		}
@@ -285,7 +280,7 @@
 	out, err := x.roundTrip(ctx, client, a.address)
 	if err != nil {
 		x.countFailure(err)
-		c.router.dispatcher.attemptFailed(a, callRetryReason(err))
+		c.router.recordAttemptFailure(a, callRetryReason(err), err)
 		c.router.Log.Info("call-failed", zap.String("request", x.request), zap.String("service", x.service.Name), zap.String("endpoint", a.name),
 			zap.String("account", x.account.Name), zap.Error(err))
 		c.recordFailure(ctx, x, a, sentAt, err)
@@ -312,7 +307,7 @@
 	defer func() { _ = res.Body.Close() }()
 	var w *witness
 	if !serve.HasFraming(res) {
-		w = newWitness(ctx, address)
+		w = newWitness(ctx, c.dial, address)
 		defer w.close()
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
--- a/io/router/callcrashes.go
+++ b/io/router/callcrashes.go
@@ -61,10 +61,11 @@
 
 // recordFailure records what a failed attempt, which began at the given time, says about the call: a crash if its connection was
 // reset and the endpoint is lost. An endpoint that only lost its response still accepts connections. One that does not answer may
-// be cut off, which is no evidence against the call unless the endpoint is lost before it sends a response.
+// be cut off, which is no evidence against the call unless the endpoint is lost before it sends a response. Neither is a failure
+// at an endpoint that this router does not reach.
 func (c *callSender) recordFailure(ctx context.Context, x *serviceCall, a *attempt, sentAt time.Time, err error) {
 	reason := callRetryReason(err)
-	if reason == common.RetryConnect {
+	if reason == common.RetryConnect || c.router.isUnreachable(a.address) {
 		return
 	}
 	check := c.router.newCrashCheck(x.request, a, x.crashParts(), poison.Loss{LastSign: c.router.Clock.Now()})
--- a/io/router/crashes.go
+++ b/io/router/crashes.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
-	"net"
 	"slices"
 	"strconv"
 	"time"
@@ -18,6 +18,7 @@
 	"wasabiweir/io/engine"
 	"wasabiweir/io/guard"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 	"wasabiweir/io/wire"
 )
 
@@ -180,9 +181,9 @@
 func (c *crashCheck) probe(ctx context.Context) poison.ProbeResult {
 	probeCtx, cancel := context.WithTimeout(ctx, c.loss.ProbeTimeout(c.router.Clock.Now()))
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(probeCtx, "tcp", c.attempt.address)
+	conn, err := c.router.dialer.DialContext(probeCtx, "tcp", c.attempt.address)
 	if err != nil {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, tunnel.ErrCutOff) {
 			return poison.ProbeAnswered
 		}
 		return poison.ProbeFailed
@@ -191,8 +192,8 @@
 	if !c.loss.HasBegun() {
 		return poison.ProbeAnswered
 	}
-	_, err = (&engine.Client{Address: c.attempt.address, Fresh: true}).Metrics(probeCtx)
-	if err == nil || ctx.Err() != nil {
+	_, err = (&engine.Client{Address: c.attempt.address, Transport: &c.router.engines, Fresh: true}).Metrics(probeCtx)
+	if err == nil || ctx.Err() != nil || errors.Is(err, tunnel.ErrCutOff) {
 		return poison.ProbeAnswered
 	}
 	switch engine.KindOf(err) {
--- a/io/router/crashes_test.go
+++ b/io/router/crashes_test.go
@@ -32,6 +32,7 @@
 	r := &Router{Clock: wall.Clock{}, crashes: guard.Guard{
 		Clock: wall.Clock{}, Log: zap.NewNop(), Metrics: tally.NoopScope, Send: func(list []poison.Crash) { recorded += len(list) },
 	}}
+	r.initReach()
 	c := r.newCrashCheck("r", &attempt{name: "e", address: address}, []string{"own"}, loss)
 	done := make(chan struct{}, 2)
 	c.done = done
--- a/io/router/dispatch.go
+++ b/io/router/dispatch.go
@@ -297,6 +297,15 @@
 	}
 }
 
+// forgetFailures ends the backoff of the endpoint at the address, which only this router cannot reach.
+func (d *dispatcher) forgetFailures(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, name := range d.table.ForgetFailures(address) {
+		delete(d.lostEndpoints, name)
+	}
+}
+
 // attemptFinished removes the attempt of a request that ended without a fault of its endpoint.
 func (d *dispatcher) attemptFinished(a *attempt) {
 	d.mu.Lock()
--- a/io/router/drain.go
+++ b/io/router/drain.go
@@ -52,9 +52,10 @@
 }
 
 // drained reports whether this router's drain is complete: callers no longer hold its address, no request is in
-// flight, and the call ledger has recorded the outcome of every sent call, also where the caller has disconnected.
+// flight, the call ledger has recorded the outcome of every sent call, also where the caller has disconnected, and the
+// connections of other routers have ended or have had carryTimeout to do so.
 func (r *Router) drained() bool {
-	return !r.addressInUse() && r.sessions.sessionCount() == 0 && r.openRequests.Load() == 0 && r.calls.unrecorded.Load() == 0
+	return !r.addressInUse() && r.sessions.sessionCount() == 0 && r.openRequests.Load() == 0 && r.calls.unrecorded.Load() == 0 && !r.mustCarryOn()
 }
 
 // answerTime returns the time for which the server for callers must answer requests before it closes. Requests that arrive
--- a/io/router/execution.go
+++ b/io/router/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net"
@@ -17,6 +18,7 @@
 	"wasabiweir/core/ledger"
 	"wasabiweir/core/route"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 	"wasabiweir/io/wire"
 )
 
@@ -243,11 +245,14 @@
 		if pickErr != nil {
 			return nil, false, pickErr
 		}
-		client, written := newSingleUseClient(e.deadline)
+		client, written := newSingleUseClient(e.calls.router.dialer.DialContext, e.deadline)
 		out, err = e.calls.sendAttempt(ctx, e.call, a, client)
 		if err == nil || written.Load() {
 			return out, true, err
 		}
+		if errors.Is(err, tunnel.ErrCutOff) {
+			return nil, false, newCutOffRefusal(common.OutcomeNotRun)
+		}
 		if ctx.Err() != nil {
 			break
 		}
@@ -279,22 +284,22 @@
 // maxResponseHeader bounds the size in bytes of the header of a plain service's response.
 const maxResponseHeader = 64 << 10
 
-// newSingleUseClient returns an HTTP client that opens a new connection for its one request. A pooled connection may
+// newSingleUseClient returns an HTTP client that opens a new connection with dial for its one request. A pooled connection may
 // have died unnoticed, which would needlessly make the call's outcome unknown, and an endpoint may send a second copy
 // of its last response on it, which would be taken for the next one. written is set once a byte may have been sent. From notAfter on,
 // no byte is written, since a router that is paused while it connects would otherwise send a call whose claim has ended; zero means no
 // limit.
-func newSingleUseClient(notAfter time.Time) (client *http.Client, written *atomic.Bool) {
+func newSingleUseClient(dial tunnel.DialFunc, notAfter time.Time) (client *http.Client, written *atomic.Bool) {
 	written = &atomic.Bool{}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialEndpoint(ctx, network, address)
+	dialTracked := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
 		if err != nil {
-			return nil, err
+			return nil, &connectError{err}
 		}
 		return &writeTrackingConn{Conn: &serve.ResetConn{Conn: conn}, written: written, notAfter: notAfter}, nil
 	}
 	client = &http.Client{
-		Transport:     &http.Transport{DisableKeepAlives: true, DialContext: dial, MaxResponseHeaderBytes: maxResponseHeader},
+		Transport:     &http.Transport{DisableKeepAlives: true, DialContext: dialTracked, MaxResponseHeaderBytes: maxResponseHeader},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return client, written
--- a/io/router/peers.go
+++ b/io/router/peers.go
@@ -53,6 +53,7 @@
 		wanted[r.PeerAddress] = true
 		s.ensurePeer(r.PeerAddress)
 	}
+	s.router.setCarriers(list)
 	for address, p := range s.peerByAddress {
 		if !wanted[address] && p.Link() == nil {
 			p.Stop()
@@ -209,7 +210,7 @@
 func (r *Router) newPeerServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(wire.Path, &wire.Server{Key: r.PeerKey, HandlerFor: r.handlerFor, Log: r.Log})
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: r.carried.Or(mux), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // handlerFor returns the handler for messages on a connection that another router opened. A router that has just started
--- a/io/router/resend_test.go
+++ b/io/router/resend_test.go
@@ -74,12 +74,14 @@
 	})
 	r.calls.router, r.peers.router = r, r
 	r.initCrashes()
+	r.initReach()
 	return &r.calls
 }
 
 // newCall returns a call to the service with an idempotency key.
 func newCall(method, body string) *serviceCall {
 	return &serviceCall{
+		dial:    (&net.Dialer{}).DialContext,
 		service: object.Service{Name: "rondas-app"}, method: method, path: "/visits", body: []byte(body), deadline: time.Second,
 		header: http.Header{idempotencyKeyHeader: {"0192"}},
 	}
@@ -90,7 +92,7 @@
 func TestCallIsSentOnceOnBrokenConnection(t *testing.T) {
 	s := newCuttingServer(t)
 	for n, body := range []string{"{}", "", "{}"} {
-		client, written := newSingleUseClient(time.Now().Add(time.Minute))
+		client, written := newSingleUseClient((&net.Dialer{}).DialContext, time.Now().Add(time.Minute))
 		if _, err := newCall(http.MethodPost, body).roundTrip(t.Context(), client, s.server.Listener.Addr().String()); err != nil {
 			t.Fatal(err)
 		}
@@ -99,7 +101,7 @@
 		}
 	}
 	// A call whose deadline has passed while its router connected is not sent.
-	client, written := newSingleUseClient(time.Now())
+	client, written := newSingleUseClient((&net.Dialer{}).DialContext, time.Now())
 	if _, err := newCall(http.MethodPost, "{}").roundTrip(t.Context(), client, s.server.Listener.Addr().String()); err == nil || written.Load() || s.requests.Load() != 3 {
 		t.Errorf("expired call: %v, written %t, %d requests", err, written.Load(), s.requests.Load())
 	}
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -12,9 +13,11 @@
 	"go.uber.org/zap"
 
 	"wasabiweir/core/clock"
+	"wasabiweir/io/engine"
 	"wasabiweir/io/guard"
 	"wasabiweir/io/metric"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 // Default values of Router fields.
@@ -31,8 +34,8 @@
 )
 
 // maxPeerConnections is the largest number of connections from routers and control processes; a system of the intended
-// size has 320 of them.
-const maxPeerConnections = 1024
+// size has 320 of them, besides those that a router carries.
+const maxPeerConnections = 1024 + tunnel.DefaultMaxConnections
 
 // Router serves callers on one instance: it routes their requests to engines and services, and continues generations
 // when an engine or a router fails. The exported fields must be set before Run.
@@ -67,6 +70,8 @@
 	Clock        clock.Clock
 	Log          *zap.Logger
 	Metrics      *metric.Scope
+	// DialDirect opens a connection to an endpoint; nil means with the operating system.
+	DialDirect tunnel.DialFunc
 
 	// incarnation is higher after each restart of the process.
 	incarnation uint64
@@ -84,7 +89,12 @@
 	sessions      sessionTable
 	calls         callSender
 	guard         serve.PanicGuard
-	prefixes      prefixTracker
+	// dialer opens connections to endpoints, if necessary through another router, and engines holds those to engines.
+	dialer  tunnel.Dialer
+	engines engine.Transport
+	// carried passes on the connections of other routers.
+	carried  tunnel.Server
+	prefixes prefixTracker
 	// crashes keeps prompts that crash engines away from them.
 	crashes guard.Guard
 	// ctx ends, by abort at the latest, when the router stops.
@@ -113,7 +123,9 @@
 		zap.String("peer-listen", r.PeerListen), zap.Uint64("incarnation", r.incarnation))
 	var g run.Group
 	serve.AddHTTPServer(&g, r.newCallerServer(r.guard.Handler(r.callerHandler())), serve.LimitListener(callers, r.MaxConnections), r.answerTime)
-	serve.AddHTTPServer(&g, r.newPeerServer(), serve.LimitListener(peers, maxPeerConnections), nil)
+	peerServer := r.newPeerServer()
+	peerServer.BaseContext = func(net.Listener) context.Context { return r.ctx }
+	serve.AddHTTPServer(&g, peerServer, serve.LimitListener(peers, maxPeerConnections), nil)
 	loops := []func(context.Context) error{
 		r.loop, r.feed.loop, r.dispatcher.loop, r.peers.loop, r.journal.loop, r.loopPollEngines, r.prefixes.loop,
 	}
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 	"wasabiweir/core/route"
 	"wasabiweir/core/stream"
 	"wasabiweir/io/engine"
+	"wasabiweir/io/tunnel"
 )
 
 const (
@@ -155,7 +157,7 @@
 		case r := <-s.replies:
 			s.sendMessages(s.owner.Handle(s.now(), r))
 		case reason := <-s.interruptChan():
-			s.loseAttempt(ctx, reason)
+			s.loseAttempt(ctx, reason, nil)
 		case <-s.crashChecked:
 			s.releaseHeld(ctx)
 		case <-s.resumeTurn:
@@ -229,11 +231,11 @@
 	case stream.AttemptComplete:
 		s.finishAttempt()
 	case stream.AttemptLost:
-		s.loseAttempt(ctx, common.RetryRefused)
+		s.loseAttempt(ctx, common.RetryRefused, nil)
 	case stream.AttemptMismatch:
 		s.log.Warn("software-mismatch", zap.String("endpoint", e.from.name), zap.String("began", s.owner.Software()), zap.String("engine", out.Software))
 		s.router.dispatcher.setSoftware(e.from.name, e.software)
-		s.loseAttempt(ctx, common.RetrySoftware)
+		s.loseAttempt(ctx, common.RetrySoftware, nil)
 	case stream.AttemptContinue, stream.AttemptCancel:
 	}
 }
@@ -259,7 +261,7 @@
 			return
 		}
 	}
-	s.loseAttempt(ctx, reason)
+	s.loseAttempt(ctx, reason, e.err)
 }
 
 // withGenerationOutcome sets the refusal's outcome to that of the whole generation. An engine that refuses a resume
@@ -271,9 +273,9 @@
 	return f
 }
 
-// loseAttempt gives up the current attempt on an engine for the reason and schedules another one. The generation fails
-// if it has no output yet and the retry budget is exhausted.
-func (s *session) loseAttempt(ctx context.Context, reason common.Reason) {
+// loseAttempt gives up the current attempt on an engine for the reason and schedules another one. err is the error of the connection to
+// the engine, if there was one. The generation fails if it has no output yet and the retry budget is exhausted.
+func (s *session) loseAttempt(ctx context.Context, reason common.Reason, err error) {
 	t := s.current
 	if t == nil {
 		return
@@ -282,12 +284,18 @@
 	t.cancel()
 	s.mayHaveRun = s.mayHaveRun || reason != common.RetryConnect
 	s.owner.EndAttempt(t.number)
-	s.router.dispatcher.attemptFailed(t.attempt, reason)
+	s.router.recordAttemptFailure(t.attempt, reason, err)
 	s.router.Metrics.CountRetry(reason)
 	s.failedEndpoints[t.name] = struct{}{}
-	s.lastProgress = s.now()
+	if !errors.Is(err, tunnel.ErrCutOff) {
+		s.lastProgress = s.now()
+	}
 	s.log.Info("attempt-lost", zap.Int("attempt", t.number), zap.String("endpoint", t.name),
 		zap.String("reason", string(reason)), zap.Int("tokens", s.owner.Tokens()))
+	if errors.Is(err, tunnel.ErrCutOff) {
+		s.awaitCarrier()
+		return
+	}
 	if s.owner.Tokens() == 0 && !s.chargeRestart(t, reason) {
 		s.failGeneration(&common.Refusal{Reason: common.ReasonRetryBudget, Outcome: s.outcome(), Message: "the engine was lost before the first token"})
 		return
@@ -299,6 +307,20 @@
 	s.scheduleAttempt(ctx, t.lastActivity())
 }
 
+// awaitCarrier fails a generation that has not begun when this router reaches no engine, neither itself nor through another router.
+// One that has begun tries again after a while.
+func (s *session) awaitCarrier() {
+	if s.owner.Tokens() == 0 {
+		s.failGeneration(newCutOffRefusal(s.outcome()))
+		return
+	}
+	s.failedEndpoints = route.NameSet{}
+	s.retryAt = s.now().Add(endpointRetryDelay)
+	if s.endpointWaitExpired() {
+		s.failGeneration(newCutOffRefusal(s.outcome()))
+	}
+}
+
 // chargeRestart charges the retry budget for starting the generation over and reports whether it is allowed, so that
 // lost engines cause no retry storm at peak load. Engines that can't be reached or refuse work have done none, so
 // retrying after them is free.
@@ -442,7 +464,7 @@
 		s.stallDetector.PostponeDeadline(late)
 	}
 	if s.current != nil && s.stallDetector.Stalled(now) && s.mustLeaveSilent(now) {
-		s.loseAttempt(ctx, common.RetrySilent)
+		s.loseAttempt(ctx, common.RetrySilent, nil)
 	}
 	if s.current == nil && !s.retryAt.IsZero() && !now.Before(s.retryAt) {
 		s.startAttempt(ctx)
--- a/io/router/state.go
+++ b/io/router/state.go
@@ -39,6 +39,7 @@
 	r.calls.router = r
 	r.prefixes.router = r
 	r.initCrashes()
+	r.initReach()
 	return r.feed.initStoredConfig(r)
 }
 
@@ -47,7 +48,7 @@
 	return wire.Report{
 		Name: r.Name, Incarnation: r.incarnation, Address: r.Address, PeerAddress: r.PeerAddress, Domain: r.Domain,
 		Fresh: r.configFresh(), Draining: r.draining.Load(), InFlight: r.dispatcher.jobCount(), Demand: r.dispatcher.demandByAccount(r.view.Load()),
-		Endpoints: r.dispatcher.slowEndpoints(),
+		Endpoints: r.dispatcher.slowEndpoints(), CutOff: r.dialer.IsCutOff(),
 	}
 }
 
@@ -161,7 +162,7 @@
 	defer r.guard.Recover("engine-poll")
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	client := engine.Client{Address: address}
+	client := engine.Client{Address: address, Transport: &r.engines}
 	if load, err := client.Metrics(ctx); err == nil {
 		r.dispatcher.setSoftware(name, load.Software)
 		r.dispatcher.recordLoadReport(name, route.LoadReport{Running: load.Running, Waiting: load.Waiting, At: r.Clock.Now()})
--- a/io/router/view.go
+++ b/io/router/view.go
@@ -22,6 +22,8 @@
 	intentsByService map[string][]object.Intent
 	// endpointNames are the sorted names of all endpoints; packedCounts refers to them by index.
 	endpointNames []string
+	// addresses holds the addresses of all endpoints.
+	addresses map[string]bool
 }
 
 // newConfigView builds the indexes for a revision of the configuration.
@@ -32,14 +34,16 @@
 		Graph:               g,
 		accountsByTokenHash: map[string]object.Account{},
 		intentsByService:    map[string][]object.Intent{},
+		addresses:           map[string]bool{},
 	}
 	for _, a := range g.Accounts {
 		for _, hash := range a.TokenHashes {
 			v.accountsByTokenHash[hash] = a
 		}
 	}
-	for name := range g.Endpoints {
+	for name, e := range g.Endpoints {
 		v.endpointNames = append(v.endpointNames, name)
+		v.addresses[e.Address] = true
 	}
 	slices.Sort(v.endpointNames)
 	for _, i := range g.Intents {
--- a/io/router/witness.go
+++ b/io/router/witness.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"time"
+
+	"wasabiweir/io/tunnel"
 )
 
 const (
@@ -21,9 +23,10 @@
 type witness struct{ conn net.Conn }
 
 // newWitness opens a witness; it is not open if the endpoint accepts no connection.
-func newWitness(ctx context.Context, address string) *witness {
-	d := net.Dialer{Timeout: witnessDialTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
+func newWitness(ctx context.Context, dial tunnel.DialFunc, address string) *witness {
+	ctx, cancel := context.WithTimeout(ctx, witnessDialTimeout)
+	defer cancel()
+	c, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return &witness{}
 	}
--- a/io/router/witness_test.go
+++ b/io/router/witness_test.go
@@ -36,7 +36,7 @@
 				_ = other.Close()
 			}
 		}()
-		x := &serviceCall{method: http.MethodGet, path: "/"}
+		x := &serviceCall{method: http.MethodGet, path: "/", dial: (&net.Dialer{}).DialContext}
 		out, err := x.roundTrip(t.Context(), &http.Client{}, l.Addr().String())
 		if (err != nil) != killed || err == nil && string(out.body) != "half" {
 			t.Errorf("killed %t: %v", killed, err)
