Let generations that may have run wait for a carrier

A generation at a router that is cut off was refused with the outcome unknown if an attempt had been lost without output and no other router could help at that moment. It now waits as one with output does, as on the relays; one that has not run is refused at once.

TestRouterThatNobodyCanHelp also follows a stream through the time without carriers: with every such generation refused, it ends with cut-off after 6 tokens; now it is whole. The case without output has no test.

--- a/io/itest/cutoff_test.go
+++ b/io/itest/cutoff_test.go
@@ -251,8 +251,8 @@
 	}
 }
 
-// Guards against requests that wait for their deadline, and endpoints that are suspended after the cut, if no router can help one that
-// is cut off.
+// Guards against requests that wait for their deadline, streams that break, and endpoints that are suspended after the cut, if no router
+// can help one that is cut off.
 func TestRouterThatNobodyCanHelp(t *testing.T) {
 	t.Parallel()
 	s := newCutSystem(t)
@@ -261,6 +261,7 @@
 	if completions, once, repeatable := s.countServed(2); min(completions, once, repeatable) < 2 {
 		t.Fatalf("%d completions, %d calls that run once and %d repeatable ones were served, want 2 each", completions, once, repeatable)
 	}
+	running := s.startCompletion(0, 300).readEvents(5)
 	s.cuts[1].cut(false)
 	s.cuts[2].cut(false)
 	time.Sleep(2 * time.Second)
@@ -280,6 +281,7 @@
 	if completions, once, repeatable := s.countServed(3); min(completions, once, repeatable) < 3 {
 		t.Errorf("after the cut, %d completions, %d calls that run once and %d repeatable ones were served, want 3 each", completions, once, repeatable)
 	}
+	running.readToEnd().verifyCompletion(300)
 }
 
 // Guards against a planned stop of a router that cuts off the connections that it carries for another one.
--- a/io/router/session.go
+++ b/io/router/session.go
@@ -307,10 +307,10 @@
 	s.scheduleAttempt(ctx, t.lastActivity())
 }
 
-// awaitCarrier fails a generation that has not begun when this router reaches no engine, neither itself nor through another router.
-// One that has begun tries again after a while.
+// awaitCarrier fails a generation that has not run when this router reaches no engine, neither itself nor through another router. One
+// that has begun, or may have run, tries again after a while.
 func (s *session) awaitCarrier() {
-	if s.owner.Tokens() == 0 {
+	if s.owner.Tokens() == 0 && !s.mayHaveRun {
 		s.failGeneration(newCutOffRefusal(s.outcome()))
 		return
 	}
