--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -56,7 +56,10 @@
 	connectedAt time.Time
 	// cutOffAt is when the latest evidence was found that this process is cut off from all endpoints; zero since it has connected to one.
 	cutOffAt time.Time
-	probedAt time.Time
+	// cutOffSince is when the first evidence of the current cut was found, and cutOffFailure how the direct connection failed.
+	cutOffSince   time.Time
+	cutOffFailure Result
+	probedAt      time.Time
 }
 
 // path is what is known of the way to one endpoint.
@@ -83,10 +86,14 @@
 	CarriedFirst bool
 	// Probe means that the endpoint is also dialled directly at once, to find out whether the cut has ended.
 	Probe bool
-	// Hopeless means that the process is cut off, no other can help now, and the end of the cut was looked for a moment ago.
-	Hopeless bool
+	// CarriedOnly means that the process is cut off, and the end of the cut was looked for a moment ago: the endpoint is not dialled
+	// directly.
+	CarriedOnly bool
 }
 
+// IsHopeless reports whether there is no way to open the connection.
+func (p *Plan) IsHopeless() bool { return p.CarriedOnly && !p.CarriedFirst }
+
 // Plan returns how to open a connection to the endpoint.
 func (t *Table) Plan(address string, now time.Time) Plan {
 	p := t.paths[address]
@@ -99,13 +106,20 @@
 		return plan
 	}
 	plan.CarriedFirst = len(plan.Carriers) > 0 || plan.Reserve != ""
-	if now.Sub(t.probedAt) >= probeInterval {
-		t.probedAt, plan.Probe = now, true
-	}
-	plan.Hopeless = !plan.CarriedFirst && !plan.Probe && t.IsCutOff(now)
+	plan.Probe = t.TakeProbe(now)
+	plan.CarriedOnly = !plan.Probe && t.IsCutOff(now)
 	return plan
 }
 
+// TakeProbe reports whether it is time to look whether a cut has ended.
+func (t *Table) TakeProbe(now time.Time) bool {
+	if now.Sub(t.probedAt) < probeInterval {
+		return false
+	}
+	t.probedAt = now
+	return true
+}
+
 // IsOutOfReach reports whether the endpoint is up and this process cannot connect to it.
 func (t *Table) IsOutOfReach(address string, now time.Time) bool {
 	p := t.paths[address]
@@ -117,14 +131,13 @@
 	return !p.outSince.IsZero() && now.Sub(p.confirmedAt) < verdictLifetime
 }
 
-// HangsSince returns when the endpoint was found out of reach with connections that hang, so that a direct connection that was opened
-// before is dead; it returns false if they do not.
+// HangsSince returns when the endpoint, or all endpoints, were found out of reach with connections that hang, so that a direct connection
+// that was opened before is dead; it returns false if they do not.
 func (t *Table) HangsSince(address string, now time.Time) (time.Time, bool) {
-	p := t.paths[address]
-	if p == nil || !p.isOut(now) || p.failure != Silent {
-		return time.Time{}, false
+	if p := t.paths[address]; p != nil && p.isOut(now) {
+		return p.outSince, p.failure == Silent
 	}
-	return p.outSince, true
+	return t.cutOffSince, t.IsCutOff(now) && t.cutOffFailure == Silent
 }
 
 // IsCutOff reports whether this process is cut off from all endpoints: several are out of reach, and it has connected to none since.
@@ -212,8 +225,11 @@
 		p.outSince = p.failedAt
 	}
 	p.confirmedAt = p.failedAt
-	if p.isOut(now) && p.failedAt.After(t.cutOffAt) && (t.IsCutOff(now) || t.isCutOffBy(now)) {
+	if isCutOff := t.IsCutOff(now); p.isOut(now) && p.failedAt.After(t.cutOffAt) && (isCutOff || t.isCutOffBy(now)) {
 		t.cutOffAt = p.failedAt
+		if !isCutOff {
+			t.cutOffSince, t.cutOffFailure = p.failedAt, p.failure
+		}
 	}
 	return !wasOut && p.isOut(now)
 }
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -137,7 +137,7 @@
 	tab.SetCarriers(nil)
 	probes := 0
 	for at := time.Duration(0); at < verdictLifetime; at += 10 * time.Millisecond {
-		if plan := tab.Plan(endpointName(5), testStart.Add(at)); !plan.Hopeless {
+		if plan := tab.Plan(endpointName(5), testStart.Add(at)); !plan.IsHopeless() {
 			probes++
 		}
 	}
@@ -186,6 +186,25 @@
 	}
 }
 
+// Guards against requests that are sent on connections which hang since the process was cut off from all endpoints, because their endpoint
+// itself was not dialled since.
+func TestConnectionsToAllEndpointsHang(t *testing.T) {
+	for failure, want := range map[Result]bool{Silent: true, Refused: false} {
+		tab := newTestTable()
+		for i := range cutOffEndpoints {
+			dial(tab, endpointName(i), true, false, failure, testStart)
+		}
+		now := testStart.Add(time.Second)
+		if since, hangs := tab.HangsSince("another", now); hangs != want || hangs && (since.Before(testStart) || since.After(now)) {
+			t.Errorf("failure %d: hangs %t since %s", failure, hangs, since)
+		}
+		tab.RecordDirect(endpointName(0), Connected, now)
+		if _, hangs := tab.HangsSince("another", now); hangs {
+			t.Errorf("failure %d: connections hang after the cut", failure)
+		}
+	}
+}
+
 // Guards against records that pile up, since each restart of an endpoint may bring a new address.
 func TestPathsAreBounded(t *testing.T) {
 	tab := newTestTable()
@@ -273,7 +292,7 @@
 		if !tab.IsCutOff(now) {
 			t.Fatalf("the verdict has lapsed after %s", at)
 		}
-		if plan := tab.Plan(endpointName(7), now); !plan.Hopeless {
+		if plan := tab.Plan(endpointName(7), now); !plan.IsHopeless() {
 			tab.RecordDirect(endpointName(7), Refused, now)
 		}
 	}
--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -50,7 +50,7 @@
 	}
 	t := time.NewTimer(carrierDelay)
 	defer t.Stop()
-	for r.pending > 0 {
+	for began := time.Now(); r.pending > 0 || r.hasUnasked() && time.Since(began) < dialTimeout; {
 		select {
 		case <-ctx.Done():
 			r.leave()
@@ -77,6 +77,11 @@
 	return nil, r.failure()
 }
 
+// hasUnasked reports whether the only ways left are carriers that were not asked since too many are being asked.
+func (r *race) hasUnasked() bool {
+	return r.plan.CarriedOnly && (len(r.plan.Carriers) > 0 || r.plan.Reserve != "")
+}
+
 // recordFailure keeps the error of an attempt.
 func (r *race) recordFailure(a *attempt) {
 	r.err = a.err
@@ -100,6 +105,10 @@
 	if err == nil {
 		err = r.err
 	}
+	if err == nil {
+		// Too many carriers are being asked.
+		err = ErrCutOff
+	}
 	return r.dialer.fail(err, r.down > 0)
 }
 
@@ -112,7 +121,7 @@
 		r.plan.Carriers = r.plan.Carriers[1:]
 	case r.plan.Reserve != "" && r.asked == 0 && r.startCarrier(ctx, r.plan.Reserve):
 		r.plan.Reserve = ""
-	case !r.directStarted:
+	case !r.directStarted && !r.plan.CarriedOnly:
 		r.startDirect(ctx)
 	}
 }
