Refuse with cut-off only if no carrier is left

While a relay was cut off and a dead endpoint's carriers could not tell that it was dead, the request that met it was refused at once though other endpoints could be carried (ErrNoCarrier now says that none would be). Both tests failed before.

--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -69,7 +69,7 @@
 	failure  Result
 	// carriedAt is when a carrier last connected to the endpoint.
 	carriedAt time.Time
-	// downAt is when a carrier last found the endpoint down.
+	// downAt is when enough carriers last found the endpoint down.
 	downAt time.Time
 	// outSince is when the endpoint was found out of reach, and confirmedAt when that was last confirmed; zero while it is not.
 	outSince    time.Time
@@ -184,18 +184,17 @@
 // RecordCarried records the result of a connection to the endpoint that a carrier was asked for. It reports whether the endpoint has just
 // been found out of reach.
 func (t *Table) RecordCarried(address string, r Result, now time.Time) (out bool) {
-	switch r {
-	case Unknown:
-	case Connected:
-		p := t.path(address, now)
-		p.carriedAt = now
-		out = t.update(p, now)
-	default:
-		t.path(address, now).downAt = now
+	if r != Connected {
+		return false
 	}
-	return out
+	p := t.path(address, now)
+	p.carriedAt = now
+	return t.update(p, now)
 }
 
+// RecordDown records that the endpoint is down by the word of several carriers, so that others need not be asked again at once.
+func (t *Table) RecordDown(address string, now time.Time) { t.path(address, now).downAt = now }
+
 // RecordCarrier records what came of asking a carrier. One that has not helped is not asked for a while.
 func (t *Table) RecordCarrier(address string, a Answer, now time.Time) {
 	t.carriers.record(address, a, now)
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -68,9 +68,12 @@
 	retrySpent bool
 }
 
-// isCutOff reports whether the attempt has failed because this relay is cut off from the endpoints.
+// isCutOff reports whether the attempt has failed because this relay is cut off from the endpoints, which shows nothing about its endpoint.
 func (r *attemptResult) isCutOff() bool { return errors.Is(r.err, tunnel.ErrCutOff) }
 
+// hasNoCarrier reports whether that is so and attempts at other endpoints would fail too.
+func (r *attemptResult) hasNoCarrier() bool { return errors.Is(r.err, tunnel.ErrNoCarrier) }
+
 // runProgress is how far an endpoint got with a stream in one attempt.
 type runProgress struct {
 	poison.Loss
@@ -142,7 +145,7 @@
 		return common.ReasonCrashesEngines, 0
 	case result.outcome == notExecuted && q.bodyStreamed:
 		return common.ReasonOverloaded, retrySoon
-	case result.isCutOff():
+	case result.hasNoCarrier():
 		return common.ReasonCutOff, retryElsewhere
 	}
 	return "", 0
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -177,7 +177,7 @@
 		if result.cause != common.RetryRefused {
 			return common.ReasonRetryBudget, result.retrySpent || s.relay.spendRetryOnLoss(s.service)
 		}
-	case result.isCutOff():
+	case result.hasNoCarrier():
 		return common.ReasonCutOff, s.awaitCarrier()
 	case result.cause == common.RetryConnect:
 		// Nothing has reached an endpoint, so the next attempt does not count against the retry budget.
@@ -195,7 +195,7 @@
 
 // recordCutOff records whether an attempt has failed because the relay is cut off, which says nothing about the endpoint.
 func (s *streamRequest) recordCutOff(e place.Endpoint, result attemptResult) {
-	if !result.isCutOff() {
+	if !result.hasNoCarrier() {
 		s.cutOffSince = time.Time{}
 		return
 	}
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -210,7 +210,7 @@
 			return out, nil
 		}
 		failed[a.name] = struct{}{}
-		if errors.Is(err, tunnel.ErrCutOff) {
+		if errors.Is(err, tunnel.ErrNoCarrier) {
 			return nil, newCutOffRefusal(x.outcome())
 		}
 		if ctx.Err() != nil {
--- a/io/router/execution.go
+++ b/io/router/execution.go
@@ -250,7 +250,7 @@
 		if err == nil || written.Load() {
 			return out, true, err
 		}
-		if errors.Is(err, tunnel.ErrCutOff) {
+		if errors.Is(err, tunnel.ErrNoCarrier) {
 			return nil, false, newCutOffRefusal(common.OutcomeNotRun)
 		}
 		if ctx.Err() != nil {
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -37,6 +37,9 @@
 // endpoint.
 var ErrCutOff = eris.New("this process is cut off from the endpoints")
 
+// ErrNoCarrier wraps ErrCutOff if no other process carries connections now, so that those to other endpoints would fail too.
+var ErrNoCarrier = fmt.Errorf("%w, and no other process connects it", ErrCutOff)
+
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -150,13 +153,13 @@
 }
 
 // DialContext opens a connection to the endpoint at the address: directly, or through carriers if that fails or takes long. It fails
-// with ErrCutOff if nothing shows whether the endpoint is up.
+// with ErrCutOff if nothing shows whether the endpoint is up, and with ErrNoCarrier if that is so for all endpoints.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	d.mu.Lock()
 	plan := d.table.Plan(address, d.Clock.Now())
 	d.mu.Unlock()
 	if plan.IsHopeless() {
-		return nil, ErrCutOff
+		return nil, ErrNoCarrier
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	r := &race{dialer: d, network: network, address: address, plan: plan, cancel: cancel, out: make(chan *attempt)}
@@ -278,10 +281,9 @@
 	return d.table.MayJudge(d.Clock.Now())
 }
 
-// fail returns the error of a connection that could not be opened. shown is true if anything shows that the endpoint is down.
-func (d *Dialer) fail(err error, shown bool) error {
-	if !shown && d.IsCutOff() {
-		return fmt.Errorf("%w: %w", ErrCutOff, err)
-	}
-	return err
+// recordDown records that several carriers have found the endpoint at the address down.
+func (d *Dialer) recordDown(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.RecordDown(address, d.Clock.Now())
 }
--- a/io/tunnel/dialer_test.go
+++ b/io/tunnel/dialer_test.go
@@ -214,3 +214,39 @@
 		}
 	}
 }
+
+// Guards against requests that are refused because one endpoint is down while this process is cut off: carriers that can't tell are no
+// sign that those to other endpoints would fail too.
+func TestUnsureCarrierIsNotMissing(t *testing.T) {
+	for result, want := range map[string]bool{resultUnsure: false, resultCutOff: true, resultBusy: true} {
+		d := newTestDialer(func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED })
+		d.SetCarriers([]reach.Carrier{{Address: newTestCarrier(t, "")}})
+		for _, a := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} {
+			c, err := d.DialContext(t.Context(), "tcp", a)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.Close()
+		}
+		d.SetCarriers([]reach.Carrier{{Address: newTestCarrier(t, result)}})
+		_, err := d.DialContext(t.Context(), "tcp", "10.0.0.4:1")
+		if !errors.Is(err, ErrCutOff) || errors.Is(err, ErrNoCarrier) != want {
+			t.Errorf("carrier says %s: error %v, no carrier expected: %t", result, err, want)
+		}
+	}
+}
+
+// Guards against connections that are not carried because one carrier, which may be cut off too, has just found the endpoint down.
+func TestWordOfOneCarrierKeepsOthersAsked(t *testing.T) {
+	d := newTestDialer(func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED })
+	d.SetCarriers([]reach.Carrier{{Address: newTestCarrier(t, resultRefused)}})
+	if _, err := d.DialContext(t.Context(), "tcp", "10.0.0.1:1"); err == nil {
+		t.Fatal("connected to an endpoint that is down")
+	}
+	d.SetCarriers([]reach.Carrier{{Address: newTestCarrier(t, "")}})
+	c, err := d.DialContext(t.Context(), "tcp", "10.0.0.1:1")
+	if err != nil {
+		t.Fatalf("no carrier was asked: %v", err)
+	}
+	_ = c.Close()
+}
--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -29,8 +30,8 @@
 	directStarted bool
 	// directErr is the error of the direct connection, and err that of the latest attempt.
 	directErr, err error
-	// down counts the carriers that found the endpoint down.
-	down int
+	// down counts the carriers that found the endpoint down, and unsure those that could not tell.
+	down, unsure int
 }
 
 // attempt is one attempt of a race; carrier is empty for a direct connection.
@@ -40,6 +41,8 @@
 	conn    net.Conn
 	err     error
 	result  reach.Result
+	// answer is what came of asking the carrier.
+	answer reach.Answer
 }
 
 // run runs the race and returns the connection.
@@ -90,8 +93,11 @@
 		return
 	}
 	r.asked--
-	if a.result == reach.Refused || a.result == reach.Silent {
+	switch {
+	case a.result == reach.Refused || a.result == reach.Silent:
 		r.down++
+	case a.answer == reach.Unsure:
+		r.unsure++
 	}
 }
 
@@ -101,15 +107,23 @@
 
 // failure returns the error of a race in which no attempt succeeded.
 func (r *race) failure() error {
+	if r.isDecided() {
+		r.dialer.recordDown(r.address)
+	}
 	err := r.directErr
 	if err == nil {
 		err = r.err
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		// Too many carriers are being asked.
-		err = ErrCutOff
+		return ErrNoCarrier
+	case r.down > 0 || !r.dialer.IsCutOff():
+		return err
+	case r.unsure > 0:
+		return fmt.Errorf("%w: %w", ErrCutOff, err)
 	}
-	return r.dialer.fail(err, r.down > 0)
+	return fmt.Errorf("%w: %w", ErrNoCarrier, err)
 }
 
 // startNext starts the next attempt, if there is one.
@@ -193,13 +207,12 @@
 	ctx, cancel := context.WithTimeout(ctx, carrierTimeout)
 	defer cancel()
 	defer func() { <-d.asked }()
-	var answer reach.Answer
-	a.conn, a.result, answer, a.err = d.dialThrough(ctx, a.carrier, a.race.address)
+	a.conn, a.result, a.answer, a.err = d.dialThrough(ctx, a.carrier, a.race.address)
 	if errors.Is(ctx.Err(), context.Canceled) && a.err != nil {
 		return
 	}
 	d.record(a.race.address, func(t *reach.Table, now time.Time) bool {
-		t.RecordCarrier(a.carrier, answer, now)
+		t.RecordCarrier(a.carrier, a.answer, now)
 		return t.RecordCarried(a.race.address, a.result, now)
 	})
 	d.count(resultLabel(a.result))
