Count versions as complete only while lists arrive

A relay or keeper that had once known all software versions of the last two minutes counted as knowing them for ever: a process that was cut off or stood still took the versions that it had seen for all, and a cut-off keeper said so to relays (Complete in its replies).

After five seconds without a list, a process is incomplete again until it has had lists for the lifetime of a record, or merges what a complete one knows. The reply of a keeper counts for the time at which it was asked.

TestVersionsSeenLately asserted that one list, two minutes old, shows a single version. It now asserts that with a list each second, and the opposite without. TestVersionsAreIncompleteAfterTimeWithoutLists and TestCompleteSourceClosesGap are new; before, nothing ended completeness (MarkComplete had no time).

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -103,9 +103,17 @@
 	}
 	var x, started Versions
 	x.Observe(list("v1"), start)
-	if x.AreSeveral("m", start.Add(time.Hour)) || !x.MayBeSeveral("m", start) || x.MayBeSeveral("m", start.Add(Lifetime)) {
+	var steady Versions
+	steady.Observe(list("v1"), start)
+	for at := time.Duration(0); at <= Lifetime; at += time.Second {
+		steady.Reaffirm(start.Add(at))
+	}
+	if x.AreSeveral("m", start.Add(time.Hour)) || !x.MayBeSeveral("m", start) || steady.MayBeSeveral("m", start.Add(Lifetime)) {
 		t.Error("one version counts as several, or as the only one before others could have been seen")
 	}
+	if !x.MayBeSeveral("m", start.Add(Lifetime)) {
+		t.Error("one version counts as the only one without a list since")
+	}
 	x.Observe(list("v1", "v2"), start.Add(time.Second))
 	draining := list("v1", "v2")
 	draining[0].Draining = true
@@ -125,3 +133,61 @@
 		}
 	}
 }
+
+// versionList returns a list of endpoints of the service m with one of each version.
+func versionList(versions ...string) (out []place.Endpoint) {
+	for _, v := range versions {
+		out = append(out, place.Endpoint{ID: v, Service: "m", Version: v})
+	}
+	return out
+}
+
+// Guards against a process that has missed versions while it stood still or was cut off, and takes what it knows for all.
+func TestVersionsAreIncompleteAfterTimeWithoutLists(t *testing.T) {
+	var x Versions
+	x.MarkComplete(start)
+	x.Observe(versionList("v1"), start)
+	now := start.Add(maxListGap)
+	x.Reaffirm(now)
+	if !x.IsComplete(now) {
+		t.Error("a process that gets lists is incomplete")
+	}
+	if x.IsComplete(now.Add(maxListGap + 1)) {
+		t.Error("a process without lists is complete")
+	}
+	now = now.Add(maxListGap + 1)
+	x.Reaffirm(now)
+	if x.IsComplete(now) {
+		t.Error("the list after a gap makes a process complete")
+	}
+	told := x
+	told.MarkComplete(now)
+	if !told.IsComplete(now) {
+		t.Error("a process that was told everything is incomplete")
+	}
+	for range Lifetime / maxListGap {
+		now = now.Add(maxListGap)
+		x.Reaffirm(now)
+	}
+	if !x.IsComplete(now) {
+		t.Error("a process is incomplete that has had lists for the lifetime of a record")
+	}
+}
+
+// Guards against what another process knows being lost because the next list comes after the same gap, and against news of the past that
+// close a gap.
+func TestCompleteSourceClosesGap(t *testing.T) {
+	var x, late Versions
+	now := start.Add(time.Minute)
+	for _, v := range []*Versions{&x, &late} {
+		v.MarkComplete(start)
+		v.Observe(versionList("v1"), start)
+	}
+	x.MarkComplete(now)
+	x.Observe(versionList("v1"), now.Add(time.Second))
+	late.MarkComplete(start.Add(time.Second))
+	late.Observe(versionList("v1"), now)
+	if !x.IsComplete(now.Add(time.Second)) || late.IsComplete(now) {
+		t.Errorf("complete: %v, and by old news: %v", x.IsComplete(now.Add(time.Second)), late.IsComplete(now))
+	}
+}
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -7,8 +7,13 @@
 	"wasabiweir/core/place"
 )
 
-// maxSightings bounds the versions that are remembered.
-const maxSightings = 4096
+const (
+	// maxSightings bounds the versions that are remembered.
+	maxSightings = 4096
+	// maxListGap is the longest time between two lists of the same process that leaves nothing unseen: an endpoint that leaves is listed
+	// as draining for several seconds. Processes read or get a list every second or so, and a relay without keepers within four seconds.
+	maxListGap = 5 * time.Second
+)
 
 // Sighting is a software version of a service that has been listed.
 type Sighting struct {
@@ -24,21 +29,15 @@
 	listed map[Origin]bool
 	// lastListed holds when versions were listed last that are no longer, or that other processes have seen.
 	lastListed map[Origin]time.Time
-	// observedFrom is the time of the first list, and complete is true if another source made up for the time before it.
-	observedFrom time.Time
-	complete     bool
+	// observedAt is the time until which what was listed is known, and completeFrom the time since which; zero before the first list.
+	observedAt   time.Time
+	completeFrom time.Time
 }
 
-// Observe records the platform's latest list of endpoints.
+// Observe records a list of endpoints that replaces the one before.
 func (v *Versions) Observe(endpoints []place.Endpoint, now time.Time) {
-	if v.observedFrom.IsZero() {
-		v.observedFrom = now
-	}
-	listed := map[Origin]bool{}
-	for i := range endpoints {
-		o := Origin{Service: endpoints[i].Service, Version: endpoints[i].Version}
-		listed[o] = listed[o] || !endpoints[i].Draining
-	}
+	v.Reaffirm(now)
+	listed := versionsOf(endpoints)
 	for o := range v.listed {
 		if _, ok := listed[o]; !ok {
 			v.remember(o, now, now)
@@ -47,6 +46,24 @@
 	v.listed = listed
 }
 
+// Reaffirm records that another list has arrived with the same content as the one before.
+func (v *Versions) Reaffirm(now time.Time) {
+	if v.completeFrom.IsZero() || !v.observedAt.IsZero() && now.Sub(v.observedAt) > maxListGap {
+		v.completeFrom = now
+	}
+	v.observedAt = now
+}
+
+// versionsOf returns the listed versions, with whether an endpoint of each is not draining.
+func versionsOf(endpoints []place.Endpoint) map[Origin]bool {
+	listed := map[Origin]bool{}
+	for i := range endpoints {
+		o := Origin{Service: endpoints[i].Service, Version: endpoints[i].Version}
+		listed[o] = listed[o] || !endpoints[i].Draining
+	}
+	return listed
+}
+
 // remember records that the version was listed at the given time.
 func (v *Versions) remember(o Origin, at, now time.Time) {
 	if v.lastListed == nil {
@@ -69,14 +86,22 @@
 	}
 }
 
-// MarkComplete records that everything is known that was listed within Lifetime, as a process knows it that has merged all of one
-// that does.
-func (v *Versions) MarkComplete() { v.complete = true }
+// MarkComplete records that everything is known that was listed within Lifetime before the given time, as a process knows it that has
+// merged all of one that does.
+func (v *Versions) MarkComplete(at time.Time) {
+	if from := at.Add(-Lifetime); v.completeFrom.IsZero() || from.Before(v.completeFrom) {
+		v.completeFrom = from
+	}
+	if !v.observedAt.IsZero() && at.After(v.observedAt) {
+		v.observedAt = at
+	}
+}
 
 // IsComplete reports whether everything is known that was listed within Lifetime. If not, a single version may only look like the only
-// one.
+// one. It is not after a time without lists, as in a process that stood still or was cut off.
 func (v *Versions) IsComplete(now time.Time) bool {
-	return v.complete || !v.observedFrom.IsZero() && now.Sub(v.observedFrom) >= Lifetime
+	current := v.observedAt.IsZero() || now.Sub(v.observedAt) <= maxListGap
+	return !v.completeFrom.IsZero() && now.Sub(v.completeFrom) >= Lifetime && current
 }
 
 // All returns the versions that are listed or were within Lifetime.
--- a/io/keeper/origins.go
+++ b/io/keeper/origins.go
@@ -58,7 +58,7 @@
 	now := s.keeper.Clock.Now()
 	s.versions.Merge(o.Versions, now)
 	if o.Complete {
-		s.versions.MarkComplete()
+		s.versions.MarkComplete(now)
 	}
 	news := s.table.Add(o.Records, now)
 	if len(s.unsaved)+len(news) <= maxUnsaved {
@@ -78,7 +78,7 @@
 func (s *originExchange) markComplete() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.versions.MarkComplete()
+	s.versions.MarkComplete(s.keeper.Clock.Now())
 }
 
 // restore adds what was read from the disk.
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -282,11 +282,13 @@
 		f.listReadAt, f.listContent = readAt, list.ContentHash
 	}
 	f.mu.Unlock()
-	if !newer || same {
+	if !newer {
 		return
 	}
-	f.relay.withTable(func(t *place.EndpointTable, now time.Time) { t.Update(list.Endpoints, now) })
-	f.relay.origins.observe(list.Endpoints)
+	if !same {
+		f.relay.withTable(func(t *place.EndpointTable, now time.Time) { t.Update(list.Endpoints, now) })
+	}
+	f.relay.origins.observe(list.Endpoints, same)
 	f.closeInitialisedWhenReady()
 }
 
--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -47,10 +47,14 @@
 	o.relay = r
 }
 
-// observe records the platform's latest list of endpoints.
-func (o *streamOrigins) observe(endpoints []place.Endpoint) {
+// observe records a list of endpoints that replaces the one before, or that another one with the same content has arrived.
+func (o *streamOrigins) observe(endpoints []place.Endpoint, same bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if same {
+		o.versions.Reaffirm(o.relay.Clock.Now())
+		return
+	}
 	o.versions.Observe(endpoints, o.relay.Clock.Now())
 }
 
@@ -112,7 +116,7 @@
 	if known {
 		return found, "relay"
 	}
-	reply, err := o.askKeeper(ctx, a)
+	reply, askedAt, err := o.askKeeper(ctx, a)
 	if err != nil {
 		o.relay.Log.Info("origin-not-asked", zap.Error(err))
 		return found, ""
@@ -120,7 +124,7 @@
 	o.mu.Lock()
 	o.versions.Merge(reply.Versions, o.relay.Clock.Now())
 	if reply.Complete {
-		o.versions.MarkComplete()
+		o.versions.MarkComplete(askedAt)
 	}
 	o.mu.Unlock()
 	if reply.Known {
@@ -130,8 +134,8 @@
 }
 
 // askKeeper asks the followed keeper for the origin of a stream, or any other one that answers. It asks again while links fail: what breaks
-// the connections of callers often breaks those to keepers too.
-func (o *streamOrigins) askKeeper(ctx context.Context, a origin.Attempt) (reply wire.OriginReply, err error) {
+// the connections of callers often breaks those to keepers too. The reply is not older than askedAt.
+func (o *streamOrigins) askKeeper(ctx context.Context, a origin.Attempt) (reply wire.OriginReply, askedAt time.Time, err error) {
 	began := o.relay.Clock.Now()
 	err = errNotConfirmed
 	silent := false
@@ -140,6 +144,7 @@
 		if l == nil || silent {
 			l = o.spareLink(ctx)
 		}
+		askedAt = o.relay.Clock.Now()
 		if l != nil {
 			callCtx, cancel := context.WithTimeout(ctx, originTimeout)
 			err = l.Call(callCtx, wire.KindFindOrigin, "", wire.OriginRequest{Attempt: a}, &reply)
@@ -147,12 +152,12 @@
 			cancel()
 			var refused *wire.RemoteError
 			if err == nil || errors.As(err, &refused) {
-				return reply, err
+				return reply, askedAt, err
 			}
 		}
 		waited := o.relay.Clock.Now().Sub(began)
 		if waited >= maxOriginTimeout || waited >= originTimeout && !o.mayBeSeveralAnywhere() || !serve.Sleep(ctx, keeperPollInterval) {
-			return reply, err
+			return reply, askedAt, err
 		}
 	}
 }
