Confirm the only version before an unknown stream goes on at it

A relay that was out of step while engines of a new version joined (cut off from its keepers, or standing still) was asked to take up a stream that had begun there through another relay. It answered 200 and joined the old version's text to it (origin-sought with source only-version).

Versions.Only asked which versions had been seen, not when, and a keeper's reply counted however old its list was.

New keepers' reply to old relays and the reverse as before: the fields are optional.

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -142,6 +142,33 @@
 	return out
 }
 
+// Guards against a version that counts as the only one by a list that is older than the caller's stream: other versions may have joined
+// since it was read, and it may have waited on its way.
+func TestOnlyVersionNeedsListReadSince(t *testing.T) {
+	var x Versions
+	x.MarkComplete(start)
+	x.Observe(versionList("v1"), start)
+	if _, ok := x.Only("m", start, start); ok {
+		t.Error("a list that another process has sent shows the only version")
+	}
+	x.Confirm(versionList("v1"), start, start.Add(200*time.Millisecond))
+	if v, ok := x.Only("m", start, start.Add(time.Second)); !ok || v != "v1" {
+		t.Errorf("version %q, %v; want v1", v, ok)
+	}
+	if _, ok := x.Only("m", start.Add(time.Millisecond), start.Add(200*time.Millisecond)); ok {
+		t.Error("a list whose read began before the caller came shows the only version")
+	}
+	x.Confirm(versionList("v1", "v2"), start.Add(time.Second), start.Add(time.Second))
+	x.Observe(versionList("v1"), start.Add(time.Second))
+	if _, ok := x.Only("m", start.Add(time.Second), start.Add(2*time.Second)); ok {
+		t.Error("an old list that arrives late hides a version")
+	}
+	x.Confirm(versionList("v1"), start.Add(time.Second/2), start.Add(2*time.Second))
+	if !x.IsConfirmed(start.Add(time.Second)) {
+		t.Error("a read that took longer replaces a later one")
+	}
+}
+
 // Guards against a process that has missed versions while it stood still or was cut off, and takes what it knows for all.
 func TestVersionsAreIncompleteAfterTimeWithoutLists(t *testing.T) {
 	var x Versions
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -32,9 +32,12 @@
 	// observedAt is the time until which what was listed is known, and completeFrom the time since which; zero before the first list.
 	observedAt   time.Time
 	completeFrom time.Time
+	// confirmedAt is the latest time at which no version was in use that is not known here.
+	confirmedAt time.Time
 }
 
-// Observe records a list of endpoints that replaces the one before.
+// Observe records a list of endpoints that replaces the one before. It may have been sent by another process and have waited on its
+// way, so it shows nothing of the time at which it arrives; Confirm does.
 func (v *Versions) Observe(endpoints []place.Endpoint, now time.Time) {
 	v.Reaffirm(now)
 	listed := versionsOf(endpoints)
@@ -54,6 +57,26 @@
 	v.observedAt = now
 }
 
+// Confirm records a list of endpoints that this process has read itself, and whose read began at readAt.
+func (v *Versions) Confirm(endpoints []place.Endpoint, readAt, now time.Time) {
+	// The list that is observed may be a later one without some of these versions.
+	for o := range versionsOf(endpoints) {
+		v.remember(o, now, now)
+	}
+	v.MarkConfirmed(readAt)
+}
+
+// MarkConfirmed records that all versions are known here that could be in use at the given time, as those of another process which was asked
+// at that time and has confirmed that it is current.
+func (v *Versions) MarkConfirmed(at time.Time) {
+	if at.After(v.confirmedAt) {
+		v.confirmedAt = at
+	}
+}
+
+// IsConfirmed reports whether the versions are known to be those in use at the given time or later.
+func (v *Versions) IsConfirmed(since time.Time) bool { return !v.confirmedAt.Before(since) }
+
 // versionsOf returns the listed versions, with whether an endpoint of each is not draining.
 func versionsOf(endpoints []place.Endpoint) map[Origin]bool {
 	listed := map[Origin]bool{}
@@ -136,9 +159,10 @@
 }
 
 // Only returns the only version of the service that is listed or was within Lifetime, or false if there may be several. It is empty
-// if none was.
-func (v *Versions) Only(service string, now time.Time) (version string, ok bool) {
-	if v.MayBeSeveral(service, now) {
+// if none was. The caller of a stream may have got its events from an endpoint that had joined just before, so the versions must be
+// confirmed for the time at which the caller came, or a later one.
+func (v *Versions) Only(service string, since, now time.Time) (version string, ok bool) {
+	if !v.IsConfirmed(since) || v.MayBeSeveral(service, now) {
 		return "", false
 	}
 	for _, s := range v.Of(service, now) {
--- a/io/keeper/frames.go
+++ b/io/keeper/frames.go
@@ -99,7 +99,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return k.origins.find(ctx, p.Attempt), nil
+		return k.origins.find(ctx, p), nil
 	}
 	return nil, errUnknownKind
 }
--- a/io/keeper/lists.go
+++ b/io/keeper/lists.go
@@ -21,6 +21,8 @@
 	// maxListAge is the age of the list of endpoints after which a keeper that is not the leader reads it from the
 	// platform itself.
 	maxListAge = 1500 * time.Millisecond
+	// currentListAge is the age up to which a list counts as the latest: the leader reads the next one before.
+	currentListAge = 2 * listReadInterval
 )
 
 // endpointLists reads the platform's list of endpoints for all processes. The leader of the Raft group reads it; other
@@ -76,6 +78,13 @@
 	return s.keeper.Clock.Now().Sub(s.readAt) > maxListAge
 }
 
+// isCurrent reports whether this keeper has a list of endpoints that is not older than currentListAge.
+func (s *endpointLists) isCurrent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.Clock.Now().Sub(s.readAt) <= currentListAge
+}
+
 // readAndSendList reads the list of endpoints from the platform and sends it to the relays and the other keepers.
 func (s *endpointLists) readAndSendList(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listReadTimeout)
--- a/io/keeper/origins.go
+++ b/io/keeper/origins.go
@@ -142,15 +142,27 @@
 }
 
 // find returns the reply to a relay that asks for the origin of the attempt's stream.
-func (s *originExchange) find(ctx context.Context, a origin.Attempt) wire.OriginReply {
-	reply, mayBeSeveral := s.lookUp(a)
+func (s *originExchange) find(ctx context.Context, req wire.OriginRequest) wire.OriginReply {
+	confirmed := req.Confirm && s.confirm(ctx)
+	reply, mayBeSeveral := s.lookUp(req.Attempt)
 	if !reply.Known && mayBeSeveral && serve.Sleep(ctx, originWait) {
-		reply, _ = s.lookUp(a)
+		reply, _ = s.lookUp(req.Attempt)
 	}
+	reply.Confirmed = confirmed
 	s.keeper.Log.Debug("origin-asked", zap.Bool("known", reply.Known), zap.String("version", reply.Origin.Version))
 	return reply
 }
 
+// confirm reports whether this keeper knows the versions that the leader knew when it was called or later. The leader's lists arrive on the
+// same connections as the messages of the quorum, and before them.
+func (s *originExchange) confirm(ctx context.Context) bool {
+	if err := s.keeper.confirmApplied(ctx); err != nil {
+		s.keeper.Log.Info("versions-not-confirmed", zap.Error(err))
+		return false
+	}
+	return s.keeper.lists.isCurrent()
+}
+
 // lookUp returns what is known now of the origin of the attempt's stream, and whether it matters because several versions may serve.
 func (s *originExchange) lookUp(a origin.Attempt) (reply wire.OriginReply, mayBeSeveral bool) {
 	s.mu.Lock()
--- a/io/relay/feed.go
+++ b/io/relay/feed.go
@@ -292,6 +292,14 @@
 	f.closeInitialisedWhenReady()
 }
 
+// hasListSince reports whether the read of the current list began at the given time or later, as far as its sender and this process have
+// not stood still since.
+func (f *keeperFeed) hasListSince(since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.listReadAt.Before(since)
+}
+
 // handleKeepers stores a keeper's message with the addresses of keepers and relays. Only the followed keeper
 // determines among which relays the endpoints are divided, because a keeper that is partitioned from the others does
 // not know most relays.
@@ -402,23 +410,24 @@
 		if age < maxListAge || f.relay.uptime() < maxListAge {
 			continue
 		}
-		f.readList(ctx)
+		f.readList(ctx, "no keeper sends it")
 	}
 	return ctx.Err()
 }
 
-// readList reads the list of endpoints from the platform and applies it.
-func (f *keeperFeed) readList(ctx context.Context) {
+// readList reads the list of endpoints from the platform, for the reason, and applies it.
+func (f *keeperFeed) readList(ctx context.Context, reason string) {
 	ctx, cancel := context.WithTimeout(ctx, listReadTimeout)
 	defer cancel()
 	start := f.relay.Clock.Now()
 	endpoints, err := f.relay.EndpointLister.Read(ctx)
 	if err != nil {
-		reason := serve.FailureReason(err)
-		f.relay.meter.countReason("list-failures", reason)
-		f.relay.Log.Warn("list-not-read", zap.String("reason", reason), zap.Error(err))
+		failure := serve.FailureReason(err)
+		f.relay.meter.countReason("list-failures", failure)
+		f.relay.Log.Warn("list-not-read", zap.String("reason", failure), zap.Error(err))
 		return
 	}
-	f.relay.Log.Info("list-read", zap.Int("endpoints", len(endpoints)), zap.String("reason", "no keeper sends it"))
+	f.relay.Log.Info("list-read", zap.Int("endpoints", len(endpoints)), zap.String("reason", reason))
 	f.applyList(place.NewList(endpoints, f.relay.Clock.Now().Sub(start)))
+	f.relay.origins.confirm(endpoints, start)
 }
--- a/io/wire/messages.go
+++ b/io/wire/messages.go
@@ -117,6 +117,8 @@
 // OriginRequest asks a keeper where the stream of a caller's attempt began.
 type OriginRequest struct {
 	Attempt origin.Attempt `cbor:"1,keyasint"`
+	// Confirm asks whether a quorum confirms that the keeper's versions are current.
+	Confirm bool `cbor:"2,keyasint,omitempty"`
 }
 
 // OriginReply is a keeper's reply to an OriginRequest.
@@ -128,4 +130,7 @@
 	Versions []origin.Sighting `cbor:"3,keyasint,omitempty"`
 	// Complete is set if Versions holds all that were listed within origin.Lifetime.
 	Complete bool `cbor:"4,keyasint,omitempty"`
+	// Confirmed is set if a quorum has confirmed, after the request arrived, that Versions holds all that the keepers knew then, and the
+	// keepers have a current list.
+	Confirmed bool `cbor:"5,keyasint,omitempty"`
 }
