Read an old list before a known version counts as gone

A relay whose list of endpoints was older than the engines of a stream's version refused the stream with software-gone, though a keeper had named the version and engines of it served. The list is now read first if it was read more than a second before the caller came; if it can't be, the stream waits as for engines that have crashed.

Before, TestVersionUnknownToOldListIsNotGone: 503 software-gone. After: passes.

--- a/io/relay/origins.go
+++ b/io/relay/origins.go
@@ -211,6 +211,13 @@
 	return o.versions.MayBeSeveralAnywhere(o.relay.Clock.Now())
 }
 
+// isServing reports whether an endpoint of that version is listed that is not draining.
+func (o *streamOrigins) isServing(x origin.Origin) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.IsServing(x)
+}
+
 // isGone reports whether no endpoint of that version is listed that is not draining, while others of the service are. A crashed one stays
 // listed until its restart shows.
 func (o *streamOrigins) isGone(x origin.Origin) bool {
@@ -363,6 +370,9 @@
 		}
 	}
 	isKnown := source != "" && s.route.HasService(found.Service)
+	if isKnown && !o.isServing(found) {
+		s.listIsOld = !s.renewList()
+	}
 	if source != "" && !isKnown {
 		confirmed = s.confirmVersions()
 	}
@@ -402,9 +412,10 @@
 	return s.relay.origins.renewList(ctx, s.startedAt.Add(-oldListAge))
 }
 
-// isSoftwareGone reports whether the stream can not go on because all endpoints of its version have left or are leaving.
+// isSoftwareGone reports whether the stream can not go on because all endpoints of its version have left or are leaving. A list that may be
+// older than the stream does not show that: they may have joined since.
 func (s *streamRequest) isSoftwareGone() bool {
-	return s.version != "" && s.relay.origins.isGone(origin.Origin{Service: s.service, Version: s.version})
+	return s.version != "" && !s.listIsOld && s.relay.origins.isGone(origin.Origin{Service: s.service, Version: s.version})
 }
 
 // recordOrigin records at which version the stream has begun or gone on, under the id of this attempt and of the one that the caller has
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -52,6 +52,8 @@
 	firstVersion string
 	// resumedAttempt is the caller's attempt that got the first event of a stream that the caller takes up.
 	resumedAttempt origin.Attempt
+	// listIsOld is true if the list of endpoints has none of the version of a stream that the caller takes up, but is old.
+	listIsOld bool
 	// originRecorded is true once this attempt has told the keepers where the stream began.
 	originRecorded bool
 	// copies records which engine holds the latest copy of the stream's KV cache.
