Pass on whole responses of endpoints that have closed their connection

Callers of a relay that is cut off from the endpoints could see a large response break off in the middle, although the endpoint had sent all of it.

Cause: a write of a carrier that was blocked for 100 ms looked whether the other side had closed. That is right for the process that asked, which has then left, but the end of an endpoint is part of a regular response: with a slow reader, the carrier reset the connection before it had passed on the rest.

The other direction still notices the end of the process that asked, so that an endpoint that does not read is released as before.

--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -201,7 +201,8 @@
 	}
 }
 
-// write writes to the other side. While that does not read, the end of this one is noticed all the same.
+// write writes to the other side. While an endpoint does not read, it is noticed all the same that the process that asked has left. The
+// end of an endpoint is none of its response: what it sent before is still to be written.
 func (d *pipeDirection) write(b []byte) bool {
 	for {
 		if d.to.SetWriteDeadline(time.Now().Add(writeCheckInterval)) != nil {
@@ -212,7 +213,7 @@
 			return true
 		}
 		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() || serve.HasPeerClosed(d.from) {
+		if !errors.As(err, &timeout) || !timeout.Timeout() || d.from == d.pipe.peer && serve.HasPeerClosed(d.from) {
 			return false
 		}
 		b = b[n:]
