Don't hold a request's deadline against a carrier

Callers of a relay that is cut off from the endpoints could be refused although a sound carrier was listed.

Cause: an attempt through a carrier that the deadline of the request ended, not carrierTimeout, counted as one that the carrier had not answered in time, so that it was not asked again for 0.5 to 4 s. Requests with little time left, failovers and probes all have such deadlines. Found by reading; no play was traced to it.

TestDeadlineOfRequestIsNoFaultOfCarrier, go test ./io/tunnel -run TestDeadlineOf -count=5: failed in each run before, passed in 5 of 5 after. An attempt whose request has ended records nothing, as before for one that was cancelled.

--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
@@ -179,14 +178,15 @@
 }
 
 // dialCarrier asks the carrier for a connection.
-func (a *attempt) dialCarrier(ctx context.Context) {
+func (a *attempt) dialCarrier(outer context.Context) {
 	d := a.race.dialer
-	ctx, cancel := context.WithTimeout(ctx, carrierTimeout)
+	ctx, cancel := context.WithTimeout(outer, carrierTimeout)
 	defer cancel()
 	defer func() { <-d.asked }()
 	var answer reach.Answer
 	a.conn, a.result, answer, a.err = d.dialThrough(ctx, a.carrier, a.race.address)
-	if errors.Is(ctx.Err(), context.Canceled) && a.err != nil {
+	if outer.Err() != nil && a.err != nil {
+		// The request has ended, by its deadline or otherwise, which shows nothing about the carrier.
 		return
 	}
 	d.record(a.race.address, func(t *reach.Table, now time.Time) bool {
