Don't count an endpoint as lost to a relay that is cut off

At a relay that is cut off from the endpoints, and whose new connections are refused, requests could count as having crashed an endpoint: their parts are then announced to the other relays, and refused after a few such records.

Cause: the error of a connection of a relay that is cut off wraps both ErrCutOff and the error of the direct connection. The check of an endpoint looked at the first for lost and at the second for refused, and a refusal alone records a loss.

An endpoint counts as refusing only if it is lost.

--- a/io/relay/losscheck.go
+++ b/io/relay/losscheck.go
@@ -80,7 +80,8 @@
 	defer cancel()
 	nc, err := l.relay.pool.dialEndpoint(ctx, e.Address)
 	if err != nil {
-		c.lost, c.refused = l.relay.ctx.Err() == nil && !errors.Is(err, tunnel.ErrCutOff), errors.Is(err, syscall.ECONNREFUSED)
+		c.lost = l.relay.ctx.Err() == nil && !errors.Is(err, tunnel.ErrCutOff)
+		c.refused = c.lost && errors.Is(err, syscall.ECONNREFUSED)
 	} else {
 		conn := newEndpointConn(nc, e)
 		serve.Sleep(ctx, lossRecheckDelay)
