Record no crash of a model engine by a relay that is cut off

At a relay that is cut off from the endpoints, a plain request to a model engine whose connection the cut has reset counted as having crashed that engine: its parts are then announced to the other relays, and refused after a few such records.

Cause: the probe that decides whether the engine is lost fails with ErrCutOff, and every failed probe counted as a lost engine. The probes of streams leave ErrCutOff out already; this one was missed.

--- a/io/relay/cutoffcheck_test.go
+++ b/io/relay/cutoffcheck_test.go
@@ -13,6 +13,7 @@
 
 	"wasabiweir/core/place"
 	"wasabiweir/core/reach"
+	"wasabiweir/io/tunnel"
 )
 
 // Guards against requests that count as having crashed an endpoint that a relay cannot reach because it is cut off.
@@ -46,3 +47,34 @@
 		t.Errorf("the endpoint counts as lost %v, as refusing connections %v", c.lost, c.refused)
 	}
 }
+
+// failingEngine is an engine client whose calls fail with the error.
+type failingEngine struct {
+	EngineClient
+	err error
+}
+
+// Report fails.
+func (e *failingEngine) Report(context.Context, string) (EngineReport, error) {
+	return EngineReport{}, e.err
+}
+
+// Guards against requests that count as having crashed a model engine whose connection a cut has reset: that the probe of a relay that is
+// cut off fails shows nothing.
+func TestCutOffRelayRecordsNoCrashOfModelEngine(t *testing.T) {
+	for _, x := range []struct {
+		err     error
+		crashes bool
+	}{
+		{syscall.ECONNREFUSED, true},
+		{fmt.Errorf("%w: %w", tunnel.ErrCutOff, syscall.ECONNREFUSED), false},
+	} {
+		r := newTestRelay(t)
+		r.Engines = &failingEngine{err: x.err}
+		q := &request{relay: r, ctx: t.Context(), id: "1", parts: []string{"p"}}
+		q.recordCrash(place.Endpoint{ID: "e", Address: "10.0.0.1:1"}, time.Now())
+		if got := r.crashes.HasCrashes(); got != x.crashes {
+			t.Errorf("probe fails with %v: a crash is recorded: %t", x.err, got)
+		}
+	}
+}
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -143,12 +143,12 @@
 }
 
 // isUnresponsive reports whether the engine does not respond to a liveness probe that started at the given time or
-// later.
+// later. That the probe of a relay that is cut off fails shows nothing.
 func (p *prober) isUnresponsive(ctx context.Context, e place.Endpoint, since time.Time) bool {
 	pr := p.startProbeSince(e, since)
 	select {
 	case <-pr.done:
-		return !pr.alive
+		return !pr.alive && !errors.Is(pr.err, tunnel.ErrCutOff)
 	case <-ctx.Done():
 		return false
 	}
