--- a/io/serve/writelimit.go
+++ b/io/serve/writelimit.go
@@ -60,3 +60,6 @@
 // HasPeerClosed reports whether the peer has closed its end of the connection, even if data that it sent before is unread. It
 // returns false if that is not known.
 func HasPeerClosed(nc net.Conn) bool { return hasSocketEvent(nc, syscall.EPOLLRDHUP) }
+
+// HasPeerReset reports whether the peer has reset the connection, which drops what it sent before. It returns false if that is not known.
+func HasPeerReset(nc net.Conn) bool { return hasSocketEvent(nc, 0) }
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -201,8 +201,8 @@
 	}
 }
 
-// write writes to the other side. While an endpoint does not read, it is noticed all the same that the process that asked has left. The
-// end of an endpoint is none of its response: what it sent before is still to be written.
+// write writes to the other side. While that does not read, it is noticed all the same that the process that asked has left, and that the
+// endpoint has reset its connection. A regular end of the endpoint's leaves what it sent before still to be written.
 func (d *pipeDirection) write(b []byte) bool {
 	for {
 		if d.to.SetWriteDeadline(time.Now().Add(writeCheckInterval)) != nil {
@@ -213,9 +213,17 @@
 			return true
 		}
 		var timeout net.Error
-		if !errors.As(err, &timeout) || !timeout.Timeout() || d.from == d.pipe.peer && serve.HasPeerClosed(d.from) {
+		if !errors.As(err, &timeout) || !timeout.Timeout() || d.hasLeft() {
 			return false
 		}
 		b = b[n:]
 	}
 }
+
+// hasLeft reports whether the side that sends has ended the connection so that nothing needs to be written any more.
+func (d *pipeDirection) hasLeft() bool {
+	if d.from == d.pipe.peer {
+		return serve.HasPeerClosed(d.from)
+	}
+	return serve.HasPeerReset(d.from)
+}
