Don't blame an endpoint for a silence that began in a cut

The table now remembers when connections were last found to hang, and a carried connection's silence counts against no endpoint.

--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -59,6 +59,8 @@
 	// cutOffSince is when the first evidence of the current cut was found, and cutOffFailure how the direct connection failed.
 	cutOffSince   time.Time
 	cutOffFailure Result
+	// hungAt is when connections to any endpoint out of reach were last found to hang.
+	hungAt time.Time
 	probedAt      time.Time
 }
 
@@ -176,11 +178,18 @@
 			// Without a carrier, no more evidence would arise while the cut goes on.
 			t.cutOffAt = now
 		}
+		if r == Silent && t.IsCutOff(now) {
+			t.hungAt = now
+		}
 		out = t.update(p, now)
 	}
 	return out
 }
 
+// HasHungSince reports whether connections to endpoints out of reach have been found to hang at the given time or later. The silence of one
+// that was in use then shows nothing about its endpoint.
+func (t *Table) HasHungSince(since time.Time) bool { return !t.hungAt.IsZero() && !t.hungAt.Before(since) }
+
 // RecordCarried records the result of a connection to the endpoint that a carrier was asked for. It reports whether the endpoint has just
 // been found out of reach.
 func (t *Table) RecordCarried(address string, r Result, now time.Time) (out bool) {
@@ -224,6 +233,9 @@
 		p.outSince = p.failedAt
 	}
 	p.confirmedAt = p.failedAt
+	if p.isOut(now) && p.failure == Silent && p.failedAt.After(t.hungAt) {
+		t.hungAt = p.failedAt
+	}
 	if isCutOff := t.IsCutOff(now); p.isOut(now) && p.failedAt.After(t.cutOffAt) && (isCutOff || t.isCutOffBy(now)) {
 		t.cutOffAt = p.failedAt
 		if !isCutOff {
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -301,3 +301,18 @@
 		t.Error("cut off after a direct connection")
 	}
 }
+
+// Guards against an endpoint that is blamed for a silence which began in a cut and is noticed after its end.
+func TestHungConnectionsAreRememberedAfterCut(t *testing.T) {
+	for failure, want := range map[Result]bool{Silent: true, Refused: false} {
+		tab := newTestTable()
+		dial(tab, "e", true, false, failure, testStart)
+		tab.RecordDirect("e", Connected, testStart.Add(time.Second))
+		if got := tab.HasHungSince(testStart.Add(100 * time.Millisecond)); got != want {
+			t.Errorf("failure %d: hung since the beginning of the cut: %t", failure, got)
+		}
+		if tab.HasHungSince(testStart.Add(2 * time.Second)) {
+			t.Errorf("failure %d: hung since a time after the cut", failure)
+		}
+	}
+}
--- a/io/relay/crashes.go
+++ b/io/relay/crashes.go
@@ -101,7 +101,7 @@
 		q.relay.crashes.RecordSign(e.ID)
 	}
 	switch {
-	case q.isAbandoned() || result.connDead || len(q.parts) == 0 && q.bodyReader != nil:
+	case q.isAbandoned() || result.mayHaveHung || len(q.parts) == 0 && q.bodyReader != nil:
 	case result.outcome == completed:
 		q.recordAnswer(result.res.StatusCode)
 	case result.outcome != outcomeUnknown || result.cause != common.RetryReset && result.cause != common.RetrySilent:
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -62,8 +62,8 @@
 	unreadConn *endpointConn
 	// run is how far the endpoint got with a stream.
 	run runProgress
-	// connDead is true if nothing arrived because the relay has lost the way to the endpoint on which the connection was opened.
-	connDead bool
+	// mayHaveHung is true if nothing arrived and that may come from a cut between the relay and the endpoint.
+	mayHaveHung bool
 	// retrySpent is true if the next attempt was taken from the retry budget before this one was given up.
 	retrySpent bool
 }
@@ -293,7 +293,7 @@
 		c.abort()
 		if result.outcome == outcomeUnknown && ctx.Err() != nil {
 			result.cause = common.RetrySilent
-			result.connDead = q.relay.pool.dialer.Hangs(c.Conn, e.Address, c.openedAt)
+			result.mayHaveHung = q.relay.pool.dialer.MayHaveHung(c.Conn, q.sentAt)
 		}
 	}
 	return result
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -146,6 +146,17 @@
 	return d.hangs(address, opened, d.Clock.Now())
 }
 
+// MayHaveHung reports whether the silence on a connection that was in use since the given time may come from a cut, or from its carrier, and
+// not from the endpoint.
+func (d *Dialer) MayHaveHung(nc net.Conn, since time.Time) bool {
+	if _, ok := nc.(*Conn); ok {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.HasHungSince(since)
+}
+
 // hangs does what Hangs does for a direct connection. The caller must hold mu.
 func (d *Dialer) hangs(address string, opened, now time.Time) bool {
 	since, hangs := d.table.HangsSince(address, now)
