Don't drop a whole response because this relay is cut off from its endpoint

A response without a length counts once its endpoint has answered health requests. While a relay was cut off with nobody to carry, the refusal of its own connection was taken for the endpoint's, although the error says that it shows nothing, and the response was dropped at once. The check now goes on until a way is found or its time is over. Found in the review by reading; no test of its own.

--- a/io/relay/identity.go
+++ b/io/relay/identity.go
@@ -16,6 +16,7 @@
 	"wasabiweir/core/place"
 	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/tunnel"
 )
 
 const (
@@ -100,7 +101,12 @@
 		if answers+failures > 0 && !serve.Sleep(ctx, lossRecheckDelay) {
 			break
 		}
-		if err = l.sendHealthRequest(ctx, c.endpoint, c.path); errors.Is(err, errOtherEndpoint) || errors.Is(err, syscall.ECONNREFUSED) {
+		err = l.sendHealthRequest(ctx, c.endpoint, c.path)
+		if errors.Is(err, tunnel.ErrCutOff) && serve.Sleep(ctx, lossRecheckDelay) {
+			// The endpoint may well go on; a way to it may be found in time.
+			continue
+		}
+		if errors.Is(err, errOtherEndpoint) || errors.Is(err, syscall.ECONNREFUSED) {
 			break
 		}
 		if err != nil {
