Don't leave unsure carriers out for long

Found in the review: sound relays that open few connections are unsure of each endpoint that crashes. That counted as a failure of theirs with a doubling backoff, so that after four crashes 5 s apart a relay that was cut off found no carrier but a keeper, which carries 100 connections.

--- a/core/reach/carrier.go
+++ b/core/reach/carrier.go
@@ -85,6 +85,9 @@
 	case s == nil:
 	case a == Helped:
 		s.failures, s.backoffUntil, s.declined = 0, time.Time{}, false
+	case a == Unsure:
+		// Quiet processes are unsure of each endpoint that is down, which is no reason to leave them out for long.
+		s.backoffUntil, s.declined = now.Add(initialBackoff), false
 	case !now.Before(s.backoffUntil):
 		// Connections that fail side by side count once.
 		s.backoffUntil = now.Add(min(initialBackoff<<min(s.failures, 8), maxBackoff))
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -316,3 +316,19 @@
 		}
 	}
 }
+
+// Guards against sound carriers that are left out for seconds because they were unsure of endpoints which had crashed.
+func TestUnsureCarrierIsSoonAskedAgain(t *testing.T) {
+	tab := newTestTable()
+	now := testStart
+	for range 5 {
+		for _, c := range []string{"a1", "b1", "b2", "c1"} {
+			tab.RecordCarrier(c, Unsure, now)
+		}
+		now = now.Add(5 * time.Second)
+	}
+	now = now.Add(initialBackoff - 5*time.Second)
+	if p := tab.Plan("e", now); len(p.Carriers) != maxCarriers {
+		t.Errorf("plan %+v, want %d carriers", p, maxCarriers)
+	}
+}
