--- a/io/relay/losscheck.go
+++ b/io/relay/losscheck.go
@@ -84,6 +84,7 @@
 		c.refused = c.lost && errors.Is(err, syscall.ECONNREFUSED)
 	} else {
 		conn := newEndpointConn(nc, e)
+		conn.openedAt = l.relay.Clock.Now()
 		serve.Sleep(ctx, lossRecheckDelay)
 		if c.lost = !conn.isReusable(); c.lost {
 			_ = conn.Close()
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -22,8 +22,8 @@
 	carriedDialTimeout = 150 * time.Millisecond
 	// DefaultMaxConnections is the number of connections that a carrier passes on at the same time; each takes two file descriptors.
 	DefaultMaxConnections = 500
-	// keepAliveIdle, keepAliveInterval and keepAliveCount find a process that asked and is gone without a reset, after 8 s: no
-	// TCP_USER_TIMEOUT is set, so the count of probes decides.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount find a process that asked and is gone without a reset, after 8 s without
+	// unacknowledged data: no TCP_USER_TIMEOUT is set, so the count of probes decides. With such data, writes fail after several minutes.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
