--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -60,8 +60,8 @@
 	cutOffSince   time.Time
 	cutOffFailure Result
 	// hungAt is when connections to any endpoint out of reach were last found to hang.
-	hungAt time.Time
-	probedAt      time.Time
+	hungAt   time.Time
+	probedAt time.Time
 }
 
 // path is what is known of the way to one endpoint.
@@ -188,7 +188,9 @@
 
 // HasHungSince reports whether connections to endpoints out of reach have been found to hang at the given time or later. The silence of one
 // that was in use then shows nothing about its endpoint.
-func (t *Table) HasHungSince(since time.Time) bool { return !t.hungAt.IsZero() && !t.hungAt.Before(since) }
+func (t *Table) HasHungSince(since time.Time) bool {
+	return !t.hungAt.IsZero() && !t.hungAt.Before(since)
+}
 
 // RecordCarried records the result of a connection to the endpoint that a carrier was asked for. It reports whether the endpoint has just
 // been found out of reach.
