--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -60,7 +60,8 @@
 	cutOffSince   time.Time
 	cutOffFailure Result
 	// hungAt is when connections to any endpoint out of reach were last found to hang.
-	hungAt   time.Time
+	hungAt time.Time
+	// probedAt is when the end of a cut was last looked for.
 	probedAt time.Time
 }
 
@@ -142,6 +143,12 @@
 	return t.cutOffSince, t.IsCutOff(now) && t.cutOffFailure == Silent
 }
 
+// HasHungSince reports whether connections to endpoints out of reach have been found to hang at the given time or later. The silence of one
+// that was in use then shows nothing about its endpoint.
+func (t *Table) HasHungSince(since time.Time) bool {
+	return !t.hungAt.IsZero() && !t.hungAt.Before(since)
+}
+
 // IsCutOff reports whether this process is cut off from all endpoints: several are out of reach, and it has connected to none since.
 func (t *Table) IsCutOff(now time.Time) bool {
 	return !t.cutOffAt.IsZero() && now.Sub(t.cutOffAt) < verdictLifetime
@@ -177,21 +184,15 @@
 		if t.IsCutOff(now) {
 			// Without a carrier, no more evidence would arise while the cut goes on.
 			t.cutOffAt = now
-		}
-		if r == Silent && t.IsCutOff(now) {
-			t.hungAt = now
+			if r == Silent {
+				t.hungAt = now
+			}
 		}
 		out = t.update(p, now)
 	}
 	return out
 }
 
-// HasHungSince reports whether connections to endpoints out of reach have been found to hang at the given time or later. The silence of one
-// that was in use then shows nothing about its endpoint.
-func (t *Table) HasHungSince(since time.Time) bool {
-	return !t.hungAt.IsZero() && !t.hungAt.Before(since)
-}
-
 // RecordCarried records the result of a connection to the endpoint that a carrier was asked for. It reports whether the endpoint has just
 // been found out of reach.
 func (t *Table) RecordCarried(address string, r Result, now time.Time) (out bool) {
@@ -221,8 +222,8 @@
 // IsCarrier reports whether the process at the peer address may carry connections, so that one that it carries may be used again.
 func (t *Table) IsCarrier(address string) bool { return t.carriers.has(address) }
 
-// update finds out from the latest results for an endpoint whether it is out of reach, and reports whether it was not before. A carried connection alone does not show that a
-// cut goes on, so that only failures of direct ones prolong it.
+// update finds out from the latest results for an endpoint whether it is out of reach, and reports whether it was not before. A carried
+// connection alone does not show that a cut goes on, so that only failures of direct ones prolong it.
 func (t *Table) update(p *path, now time.Time) (out bool) {
 	if p.failedAt.IsZero() || p.carriedAt.IsZero() {
 		return false
