Refuse with cut-off when all endpoints that could be tried are out of reach

The other routers were cut off too and unsure, so that the call went on to the next endpoint (since cut-off stands for no carrier at all), and there was none. When nothing is left to try and the latest attempt failed because of the cut, calls, requests and streams are refused with cut-off, also at relays.

--- a/io/relay/limits.go
+++ b/io/relay/limits.go
@@ -73,6 +73,10 @@
 		q.failRequest(common.ReasonEndpointLimit, q.spreadForRoom(req, turn))
 		return
 	}
+	if q.cutOff {
+		q.failRequest(common.ReasonCutOff, retryElsewhere)
+		return
+	}
 	q.failRequest(common.ReasonNoEndpoint, retryAfterCrash)
 }
 
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -210,6 +210,7 @@
 		q.attempts++
 		q.mayHaveRun = true
 	}
+	q.cutOff = result.isCutOff()
 	abandoned := q.isAbandoned()
 	var suspended time.Duration
 	q.relay.withTable(func(t *place.EndpointTable, now time.Time) {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -86,6 +86,8 @@
 	tried map[string]bool
 	// carrier is the peer address of the relay or keeper that passes on the connection of the current attempt; empty if none does.
 	carrier string
+	// cutOff is true if the latest attempt failed because the relay is cut off from the endpoints.
+	cutOff bool
 	// sentAt is when the current attempt was sent.
 	sentAt time.Time
 	// timeToFirstSend is the time from arrival to the first attempt.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -255,6 +255,9 @@
 			if _, limited := s.firstTurn(); limited {
 				return streamAttempt{}, common.ReasonEndpointLimit
 			}
+			if s.cutOff {
+				return streamAttempt{}, common.ReasonCutOff
+			}
 			return streamAttempt{}, common.ReasonNoEndpoint
 		}
 	}
--- a/io/router/call.go
+++ b/io/router/call.go
@@ -197,8 +197,12 @@
 	ctx, cancel := context.WithDeadline(ctx, notAfter)
 	defer cancel()
 	failed := route.NameSet{}
+	var lastErr error
 	for {
 		a, err := c.pickEndpoint(ctx, x, failed)
+		if err != nil && errors.Is(lastErr, tunnel.ErrCutOff) {
+			return nil, newCutOffRefusal(x.outcome())
+		}
 		if err != nil {
 			f := *common.AsRefusal(err)
 			f.Outcome = x.outcome()
@@ -210,7 +214,8 @@
 			return out, nil
 		}
 		failed[a.name] = struct{}{}
-		if errors.Is(err, tunnel.ErrNoCarrier) {
+		lastErr = err
+		if errors.Is(err, tunnel.ErrNoCarrier) || errors.Is(err, tunnel.ErrCutOff) && !x.hasAttemptsLeft() {
 			return nil, newCutOffRefusal(x.outcome())
 		}
 		if ctx.Err() != nil {
--- a/io/router/execution.go
+++ b/io/router/execution.go
@@ -242,6 +242,9 @@
 	failed := route.NameSet{}
 	for e.call.hasAttemptsLeft() {
 		a, pickErr := e.calls.pickEndpoint(ctx, e.call, failed)
+		if pickErr != nil && errors.Is(err, tunnel.ErrCutOff) {
+			return nil, false, newCutOffRefusal(common.OutcomeNotRun)
+		}
 		if pickErr != nil {
 			return nil, false, pickErr
 		}
@@ -250,7 +253,7 @@
 		if err == nil || written.Load() {
 			return out, true, err
 		}
-		if errors.Is(err, tunnel.ErrNoCarrier) {
+		if errors.Is(err, tunnel.ErrNoCarrier) || errors.Is(err, tunnel.ErrCutOff) && !e.call.hasAttemptsLeft() {
 			return nil, false, newCutOffRefusal(common.OutcomeNotRun)
 		}
 		if ctx.Err() != nil {
