--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -204,7 +204,8 @@
 		// The engine goes on; only its response to the probe is late.
 		return
 	}
-	if errors.Is(pr.err, tunnel.ErrCutOff) || p.relay.pool.dialer.IsCutOff() && lossProbeResult(p.relay.ctx, pr.err) == poison.ProbeSilent {
+	d := &p.relay.pool.dialer
+	if errors.Is(pr.err, tunnel.ErrCutOff) || (d.IsCutOff() || d.IsOutOfReach(e.Address)) && lossProbeResult(p.relay.ctx, pr.err) == poison.ProbeSilent {
 		// The time for a probe may not be enough to find a way to the engine.
 		return
 	}
