Open connections to endpoints in one place

The pool, the check of a lost endpoint and the check of its identity each made an endpointConn of a dialled connection, two of them with the time at which it was opened. No change of behaviour.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -190,7 +190,12 @@
 		}
 		_ = c.Close()
 	}
-	nc, err := p.dialEndpoint(ctx, e.Address)
+	return p.dialEndpoint(ctx, e)
+}
+
+// dialEndpoint opens a new connection to an endpoint.
+func (p *connPool) dialEndpoint(ctx context.Context, e place.Endpoint) (*endpointConn, error) {
+	nc, err := p.dialer.DialContext(ctx, "tcp", e.Address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", e.Address, err)
 	}
@@ -199,11 +204,6 @@
 	return c, nil
 }
 
-// dialEndpoint opens a connection to an endpoint's address.
-func (p *connPool) dialEndpoint(ctx context.Context, address string) (net.Conn, error) {
-	return p.dialer.DialContext(ctx, "tcp", address)
-}
-
 // takeIdle removes from the pool and returns the most recently used connection to an endpoint, or returns nil if all
 // connections to it have been idle for too long.
 func (p *connPool) takeIdle(id string, maxIdle time.Duration) *endpointConn {
--- a/io/relay/cutoffcheck_test.go
+++ b/io/relay/cutoffcheck_test.go
@@ -31,7 +31,7 @@
 	var e place.Endpoint
 	for n := range 3 {
 		e = place.Endpoint{ID: fmt.Sprint("e", n), Address: fmt.Sprintf("10.0.0.%d:1", n)}
-		c, err := r.pool.dialEndpoint(t.Context(), e.Address)
+		c, err := r.pool.dialEndpoint(t.Context(), e)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/relay/identity.go
+++ b/io/relay/identity.go
@@ -128,15 +128,14 @@
 // responds, with whatever status. An endpoint that is not the one which the request names answers 421.
 func (l *identityChecker) sendHealthRequest(ctx context.Context, e place.Endpoint, path string) error {
 	ctx = l.relay.withControlCall(ctx, e)
-	nc, err := l.relay.pool.dialEndpoint(ctx, e.Address)
+	c, err := l.relay.pool.dialEndpoint(ctx, e)
 	if err != nil {
-		return fmt.Errorf("connect to %s: %w", e.Address, err)
+		return err
 	}
-	defer func() { _ = nc.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	defer func() { _ = c.Close() }()
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	names := &l.relay.Names
-	c := newEndpointConn(nc, e)
 	header := http.Header{"Connection": {"close"}}
 	header.Set(names.ExpectedEndpoint, e.ID)
 	if _, err := c.writeRequest(&outgoingRequest{method: http.MethodGet, requestURI: path, host: e.Address, header: header}); err != nil {
--- a/io/relay/losscheck.go
+++ b/io/relay/losscheck.go
@@ -78,13 +78,11 @@
 	defer close(c.done)
 	ctx, cancel := context.WithTimeout(l.relay.ctx, checkTimeout)
 	defer cancel()
-	nc, err := l.relay.pool.dialEndpoint(ctx, e.Address)
+	conn, err := l.relay.pool.dialEndpoint(ctx, e)
 	if err != nil {
 		c.lost = l.relay.ctx.Err() == nil && !errors.Is(err, tunnel.ErrCutOff)
 		c.refused = c.lost && errors.Is(err, syscall.ECONNREFUSED)
 	} else {
-		conn := newEndpointConn(nc, e)
-		conn.openedAt = l.relay.Clock.Now()
 		serve.Sleep(ctx, lossRecheckDelay)
 		if c.lost = !conn.isReusable(); c.lost {
 			_ = conn.Close()
