--- a/io/serve/conns.go
+++ b/io/serve/conns.go
@@ -166,7 +166,7 @@
 }
 
 // SyscallConn returns the raw connection, or an error if the listener is no socket of the operating system.
-func (l *trackedListener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
+func (l *trackedListener) SyscallConn() (syscall.RawConn, error) { return RawConn(l.Listener) }
 
 // connPhase is what a connection is used for at the moment.
 type connPhase int
@@ -271,7 +271,7 @@
 }
 
 // SyscallConn returns the raw connection, or an error if the connection is no socket of the operating system.
-func (c *clientConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+func (c *clientConn) SyscallConn() (syscall.RawConn, error) { return RawConn(c.Conn) }
 
 // beginRead records that a read of at most n bytes waits for bytes. A read for less than an empty buffer means that net/http
 // has read the first bytes of the request together with the request before.
--- a/io/serve/limit.go
+++ b/io/serve/limit.go
@@ -43,7 +43,7 @@
 }
 
 // SyscallConn returns the raw connection, or an error if the listener is no socket of the operating system.
-func (l *limitedListener) SyscallConn() (syscall.RawConn, error) { return rawConn(l.Listener) }
+func (l *limitedListener) SyscallConn() (syscall.RawConn, error) { return RawConn(l.Listener) }
 
 // limitedConn is a connection that counts towards the limit of its listener until it is closed.
 type limitedConn struct {
@@ -63,11 +63,11 @@
 }
 
 // SyscallConn returns the raw connection, or an error if the connection is no socket of the operating system.
-func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) { return RawConn(c.Conn) }
 
-// rawConn returns the raw connection of a connection or a listener, or an error if it is no socket of the operating
+// RawConn returns the raw connection of a connection or a listener, or an error if it is no socket of the operating
 // system.
-func rawConn(c any) (syscall.RawConn, error) {
+func RawConn(c any) (syscall.RawConn, error) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return nil, errNoSocket
--- a/io/serve/resetconn.go
+++ b/io/serve/resetconn.go
@@ -35,4 +35,4 @@
 }
 
 // SyscallConn returns the raw connection, or an error if the connection is no socket of the operating system.
-func (c *ResetConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+func (c *ResetConn) SyscallConn() (syscall.RawConn, error) { return RawConn(c.Conn) }
--- a/io/serve/socket.go
+++ b/io/serve/socket.go
@@ -5,7 +5,7 @@
 // hasSocketEvent reports whether one of the epoll events is pending on a connection or a listener, or an error or a hang-up, which
 // epoll always reports. It returns false if that is not known.
 func hasSocketEvent(c any, events uint32) bool {
-	raw, err := rawConn(c)
+	raw, err := RawConn(c)
 	if err != nil {
 		return false
 	}
--- a/io/serve/writelimit.go
+++ b/io/serve/writelimit.go
@@ -41,7 +41,7 @@
 
 // setLinger sets what the kernel does at the end of the connection.
 func setLinger(nc net.Conn, l *syscall.Linger) error {
-	raw, err := rawConn(nc)
+	raw, err := RawConn(nc)
 	if err != nil {
 		return err
 	}
--- a/io/tunnel/conn.go
+++ b/io/tunnel/conn.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"wasabiweir/core/reach"
+	"wasabiweir/io/serve"
 )
 
 const (
@@ -45,16 +46,7 @@
 }
 
 // SyscallConn returns the raw connection to the carrier, or an error if the connection is no socket of the operating system.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errNoSocket
-	}
-	return s.SyscallConn() //nolint:wrapcheck // the callers add the context
-}
-
-// errNoSocket is returned for a connection that is no socket of the operating system.
-var errNoSocket = eris.New("no socket of the operating system")
+func (c *Conn) SyscallConn() (syscall.RawConn, error) { return serve.RawConn(c.Conn) }
 
 // dialThrough asks a carrier to connect to the endpoint at the address. The result tells what that shows about the endpoint, and the
 // answer what it shows about the carrier.
