--- a/io/router/session.go
+++ b/io/router/session.go
@@ -287,15 +287,13 @@
 	s.router.recordAttemptFailure(t.attempt, reason, err)
 	s.router.Metrics.CountRetry(reason)
 	s.failedEndpoints[t.name] = struct{}{}
-	if !errors.Is(err, tunnel.ErrCutOff) {
-		s.lastProgress = s.now()
-	}
 	s.log.Info("attempt-lost", zap.Int("attempt", t.number), zap.String("endpoint", t.name),
 		zap.String("reason", string(reason)), zap.Int("tokens", s.owner.Tokens()))
 	if errors.Is(err, tunnel.ErrCutOff) {
 		s.awaitCarrier()
 		return
 	}
+	s.lastProgress = s.now()
 	if s.owner.Tokens() == 0 && !s.chargeRestart(t, reason) {
 		s.failGeneration(&common.Refusal{Reason: common.ReasonRetryBudget, Outcome: s.outcome(), Message: "the engine was lost before the first token"})
 		return
