--- a/io/relay/finder.go
+++ b/io/relay/finder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 	runSearchTimeout = 150 * time.Millisecond
 )
 
-// engineSearch asks all engines of a service what they have, for all streams that need it at about the same time.
+// engineSearch asks the engines of a service what they have, for all streams that need it at about the same time.
 type engineSearch struct {
 	relay *Relay
 	// name is the name of the search in the logs.
@@ -37,15 +38,14 @@
 	rounds map[string]*searchRound
 }
 
-// searchRound is one round of queries to all engines of a service.
+// searchRound is one round of queries to the engines of a service.
 type searchRound struct {
 	startedAt time.Time
 	// done is closed when all queries have a result.
 	done chan struct{}
 
-	mu sync.Mutex
-	// pending is the number of queries without a result.
-	pending int
+	mu     sync.Mutex
+	search *place.Search
 	// found holds the engines that have something, by its key.
 	found map[string][]place.Endpoint
 }
@@ -110,12 +110,24 @@
 // find returns the engines of a service that have what the key names.
 func (x *engineSearch) find(ctx context.Context, service, key string) []place.Endpoint {
 	s := x.latestRound(service)
+	s.mu.Lock()
+	s.search.Await(x.relay.Clock.Now().Add(x.timeout))
+	s.mu.Unlock()
 	t := time.NewTimer(x.timeout)
 	defer t.Stop()
-	select {
-	case <-s.done:
-	case <-t.C:
-	case <-ctx.Done():
+	next := time.NewTicker(place.LateQueryTime)
+	defer next.Stop()
+	for waits := true; waits; {
+		x.askNext(s)
+		select {
+		case <-next.C:
+		case <-s.done:
+			waits = false
+		case <-t.C:
+			waits = false
+		case <-ctx.Done():
+			waits = false
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -132,19 +144,29 @@
 	}
 	var list []place.Endpoint
 	x.relay.withTable(func(t *place.EndpointTable, now time.Time) { list = x.engines(t, service, now) })
-	s := &searchRound{startedAt: now, done: make(chan struct{}), pending: len(list), found: map[string][]place.Endpoint{}}
+	s := &searchRound{
+		startedAt: now, done: make(chan struct{}), found: map[string][]place.Endpoint{},
+		search: place.NewSearch(list, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
 	x.rounds[service] = s
 	if len(list) == 0 {
 		close(s.done)
 	}
-	for _, e := range list {
-		q := &searchQuery{search: x, round: s, endpoint: e}
-		go q.run()
-	}
 	x.relay.Log.Info(x.name+"-search-started", zap.String("service", service), zap.Int("engines", len(list)))
 	return s
 }
 
+// askNext asks the engines of a round that are to be asked now.
+func (x *engineSearch) askNext(s *searchRound) {
+	s.mu.Lock()
+	list := s.search.Start(x.relay.Clock.Now())
+	s.mu.Unlock()
+	for _, e := range list {
+		x.relay.meter.countReason("search-queries", x.name)
+		go (&searchQuery{search: x, round: s, endpoint: e}).run()
+	}
+}
+
 // searchQuery asks one engine in a round of a search.
 type searchQuery struct {
 	search   *engineSearch
@@ -162,13 +184,19 @@
 	if err != nil {
 		r.Log.Debug(q.search.name+"-query-failed", zap.String("endpoint", q.endpoint.ID), zap.Error(err))
 	}
-	s := q.round
+	q.round.end(q.endpoint, keys)
+	q.search.askNext(q.round)
+}
+
+// end adds what an engine has to the results of the round.
+func (s *searchRound) end(e place.Endpoint, keys []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, key := range keys {
-		s.found[key] = append(s.found[key], q.endpoint)
+		s.found[key] = append(s.found[key], e)
 	}
-	if s.pending--; s.pending == 0 {
+	s.search.End(e.ID)
+	if s.search.IsComplete() {
 		close(s.done)
 	}
 }
