--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -493,3 +494,39 @@
 	}
 	m.check(t)
 }
+
+// Guards against requests that are sent to an endpoint after their caller has closed its connection, at a relay that is too late to
+// have noticed that.
+func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
+	var sent atomic.Int64
+	g := newForwardRig(t, func(c net.Conn, header string) { sent.Add(1); soundResponse(c, header) })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for _, route := range []string{"safe", "unsafe", "stream"} {
+		caller, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer accepted.Close()
+		_ = caller.Close()
+		// No server reads from the connection, as one that has not come to it.
+		req := httptest.NewRequestWithContext(serve.ContextWithConn(t.Context(), accepted), http.MethodGet, "/"+route, http.NoBody)
+		req.Host, req.RequestURI = "h", "/"+route
+		req.Header.Set("X-Id", "r")
+		func() {
+			defer func() { _ = recover() }()
+			time.Sleep(10 * time.Millisecond)
+			g.relay.ServeHTTP(httptest.NewRecorder(), req)
+		}()
+		if n := sent.Swap(0); n != 0 {
+			t.Errorf("%s: %d requests were sent to the endpoint", route, n)
+		}
+	}
+}
