--- a/io/relay/lossprobe.go
+++ b/io/relay/lossprobe.go
@@ -41,7 +41,11 @@
 	ctx, cancel := context.WithTimeout(p.relay.ctx, timeout)
 	defer cancel()
 	startedAt := p.relay.uptime()
-	early := time.AfterFunc(probeTimeout, func() { p.recordFailure(e, startedAt, aliveLabel(false), context.DeadlineExceeded) })
+	early := time.AfterFunc(probeTimeout, func() {
+		if !p.wasLate(startedAt) {
+			p.recordFailure(e, startedAt, aliveLabel(false), context.DeadlineExceeded)
+		}
+	})
 	_, err := p.relay.Engines.Report(p.relay.withControlCall(ctx, e), e.Address)
 	pr.result = lossProbeResult(p.relay.ctx, err)
 	p.relay.meter.countReason("engine-questions", aliveLabel(pr.result == poison.ProbeAnswered))
--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -103,6 +103,13 @@
 	return p.startProbeSince(e, p.relay.Clock.Now().Add(-probeInterval))
 }
 
+const (
+	// maxProbeDelay is the time after its timeout within which a probe must have ended to show that an engine is silent.
+	maxProbeDelay = 30 * time.Millisecond
+	// maxLateProbes is how often a probe is repeated that does not show that.
+	maxLateProbes = 2
+)
+
 // lossRecheckDelay is the pause before an engine that has closed a connection and still responds is probed again: an
 // engine that ends may respond for a moment after that.
 const lossRecheckDelay = 50 * time.Millisecond
@@ -186,15 +193,18 @@
 	}
 }
 
-// run sends a liveness probe to an engine and suspends the engine if it does not respond.
+// run sends a liveness probe to an engine and suspends the engine if it does not respond. A probe without a response is repeated if this
+// relay was late itself.
 func (p *prober) run(pr *livenessProbe, e place.Endpoint) {
 	defer p.relay.guard.Recover("liveness-probe")
 	defer close(pr.done)
-	ctx, cancel := context.WithTimeout(p.relay.ctx, probeTimeout)
-	defer cancel()
 	startedAt := p.relay.uptime()
-	pr.report, pr.err = p.relay.Engines.Report(p.relay.withControlCall(ctx, e), e.Address)
-	pr.alive = pr.err == nil || errors.Is(pr.err, ErrCallRefused)
+	p.ask(pr, e)
+	for n := 0; n < maxLateProbes && !pr.alive && p.wasLate(startedAt); n++ {
+		p.relay.meter.scope.Counter("late-probes").Inc(1)
+		startedAt = p.relay.uptime()
+		p.ask(pr, e)
+	}
 	p.relay.meter.countReason("engine-questions", pr.result())
 	if pr.alive {
 		p.recordResponse(e.ID, p.relay.uptime())
@@ -203,6 +213,20 @@
 	p.recordFailure(e, startedAt, pr.result(), pr.err)
 }
 
+// ask sends a liveness request to an engine and stores the result in the probe.
+func (p *prober) ask(pr *livenessProbe, e place.Endpoint) {
+	ctx, cancel := context.WithTimeout(p.relay.ctx, probeTimeout)
+	defer cancel()
+	pr.report, pr.err = p.relay.Engines.Report(p.relay.withControlCall(ctx, e), e.Address)
+	pr.alive = pr.err == nil || errors.Is(pr.err, ErrCallRefused)
+}
+
+// wasLate reports whether a probe that began at the given time since the start of the process ends so long after its timeout that the
+// response may have arrived meanwhile: this relay had no processor time.
+func (p *prober) wasLate(startedAt time.Duration) bool {
+	return p.relay.uptime()-startedAt > probeTimeout+maxProbeDelay
+}
+
 // recordFailure suspends an engine that did not respond to a probe which began at the given time since the start of the process, unless
 // that shows nothing about the engine.
 func (p *prober) recordFailure(e place.Endpoint, startedAt time.Duration, result string, err error) {
--- a/io/relay/prober_test.go
+++ b/io/relay/prober_test.go
@@ -103,3 +103,34 @@
 		t.Error("an engine that responds again counts as silent")
 	}
 }
+
+// lateEngine is an engine whose response this relay comes to read only after the probe's timeout, for the given number of requests.
+type lateEngine struct {
+	EngineClient
+	late     int64
+	requests atomic.Int64
+}
+
+// Report fails after the end of ctx and a further moment, or succeeds.
+func (e *lateEngine) Report(ctx context.Context, _ string) (EngineReport, error) {
+	if e.requests.Add(1) > e.late {
+		return EngineReport{}, nil
+	}
+	<-ctx.Done()
+	time.Sleep(2 * maxProbeDelay)
+	return EngineReport{}, ctx.Err()
+}
+
+// Guards against sound engines that are suspended, and left by their streams, because this relay had no processor time to read their
+// responses to probes; and against engines that are silent and never found so because the relay is always late.
+func TestLateRelayTakesNoEngineForSilent(t *testing.T) {
+	for late, alive := range map[int64]bool{0: true, 1: true, maxLateProbes: true, 1 << 30: false} {
+		r := newTestRelay(t)
+		r.Engines = &lateEngine{late: late}
+		e := place.Endpoint{ID: "e", Service: "m", Address: "x"}
+		r.table.Update([]place.Endpoint{e}, time.Now())
+		if p := r.prober.awaitProbe(t.Context(), e); p.alive != alive || r.isEndpointUp("e") != alive {
+			t.Errorf("late %d times: alive %v, up %v, want %v", late, p.alive, r.isEndpointUp("e"), alive)
+		}
+	}
+}
