--- a/io/router/call.go
+++ b/io/router/call.go
@@ -200,6 +200,10 @@
 	failed := route.NameSet{}
 	var lastErr error
 	for {
+		if serve.HasPeerClosed(serve.ConnOf(ctx)) {
+			// A router that is late may not have come to notice it.
+			return nil, &common.Refusal{Reason: common.ReasonDeadline, Outcome: x.outcome(), Message: "the caller has disconnected"}
+		}
 		a, err := c.pickEndpoint(ctx, x, failed)
 		if err != nil && errors.Is(lastErr, tunnel.ErrCutOff) {
 			return nil, newCutOffRefusal(x.outcome())
--- a/io/router/callcrashes_test.go
+++ b/io/router/callcrashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"wasabiweir/core/clock"
 	"wasabiweir/core/common"
 	"wasabiweir/core/poison"
+	"wasabiweir/io/serve"
 )
 
 // callServer answers each call with a status, or breaks the connection if the status is zero, and counts the calls.
@@ -71,3 +73,36 @@
 		t.Errorf("after an answer the call is refused with %v and sent %d times", f, s.calls.Load())
 	}
 }
+
+// Guards against calls that are sent to an endpoint after their caller has closed its connection, at a router that is too late to have
+// noticed that.
+func TestCallOfCallerThatLeftIsNotSent(t *testing.T) {
+	s, c := newCallServer(t)
+	s.status.Store(http.StatusOK)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	ctx := serve.ContextWithConn(t.Context(), accepted)
+	if _, err := c.sendIdempotent(ctx, newCall(http.MethodGet, "")); err != nil {
+		t.Fatal(err)
+	}
+	_ = caller.Close()
+	time.Sleep(10 * time.Millisecond)
+	if _, err = c.sendIdempotent(ctx, newCall(http.MethodGet, "")); err == nil || s.calls.Load() != 1 {
+		t.Fatalf("%v; the endpoint got %d calls, want 1", err, s.calls.Load())
+	}
+	if f := common.AsRefusal(err); f.Outcome != common.OutcomeNotRun {
+		t.Errorf("the outcome is %s", f.Outcome)
+	}
+}
