Share the check of a caller that left, and the pair of connections of its tests

From the last read: a relay's uploads and attempts ended a request whose caller has closed its connection in two copies of one check; two tests made the same pair of connections; the wait for a search repeated its end three times.

--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -429,8 +429,7 @@
 	nc := serve.ConnOf(u.request.r.Context())
 	var probedAt time.Duration
 	for wait := uploadCheckInterval; serve.Sleep(ctx, wait); {
-		if serve.HasPeerClosed(nc) {
-			u.request.cancel(errCallerDisconnected)
+		if u.request.endIfCallerLeft(nc) {
 			return
 		}
 		wait = uploadCheckInterval
--- a/io/relay/finder.go
+++ b/io/relay/finder.go
@@ -117,17 +117,16 @@
 	defer t.Stop()
 	next := time.NewTicker(place.LateQueryTime)
 	defer next.Stop()
-	for waits := true; waits; {
+	for {
 		x.askNext(s)
 		select {
 		case <-next.C:
+			continue
 		case <-s.done:
-			waits = false
 		case <-t.C:
-			waits = false
 		case <-ctx.Done():
-			waits = false
 		}
+		break
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/relay/forward_test.go
+++ b/io/relay/forward_test.go
@@ -21,6 +21,7 @@
 	"wasabiweir/core/place"
 	"wasabiweir/core/state"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/stand"
 )
 
 const (
@@ -500,17 +501,8 @@
 func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
 	var sent atomic.Int64
 	g := newForwardRig(t, func(c net.Conn, header string) { sent.Add(1); soundResponse(c, header) })
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	for _, route := range []string{"safe", "unsafe", "stream"} {
-		caller, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		accepted, err := l.Accept()
+		caller, accepted, err := stand.ConnPair()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -318,9 +318,8 @@
 		q.relay.pool.returnUnused(c)
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryRefused, err: errPaused}
 	}
-	if serve.HasPeerClosed(serve.ConnOf(q.r.Context())) {
+	if q.endIfCallerLeft(serve.ConnOf(q.r.Context())) {
 		// A relay that is late may not have come to notice it.
-		q.cancel(errCallerDisconnected)
 		q.relay.pool.returnUnused(c)
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryConnect, err: errCallerDisconnected}
 	}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -334,6 +335,15 @@
 // errCallerDisconnected is the cause with which a request ends whose caller has closed its connection in the middle of the body.
 var errCallerDisconnected = errors.New("the caller has closed its connection")
 
+// endIfCallerLeft ends the request if its caller has closed the connection nc, and reports whether it has.
+func (q *request) endIfCallerLeft(nc net.Conn) bool {
+	if !serve.HasPeerClosed(nc) {
+		return false
+	}
+	q.cancel(errCallerDisconnected)
+	return true
+}
+
 // hasCallerDisconnected reports whether the caller has closed its connection, or the server has ended the request.
 func (q *request) hasCallerDisconnected() bool {
 	return q.r.Context().Err() != nil || errors.Is(context.Cause(q.ctx), errCallerDisconnected)
--- a/io/router/callcrashes_test.go
+++ b/io/router/callcrashes_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 	"wasabiweir/core/common"
 	"wasabiweir/core/poison"
 	"wasabiweir/io/serve"
+	"wasabiweir/io/stand"
 )
 
 // callServer answers each call with a status, or breaks the connection if the status is zero, and counts the calls.
@@ -79,16 +79,7 @@
 func TestCallOfCallerThatLeftIsNotSent(t *testing.T) {
 	s, c := newCallServer(t)
 	s.status.Store(http.StatusOK)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	caller, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	accepted, err := l.Accept()
+	caller, accepted, err := stand.ConnPair()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/stand/loopback.go
+++ b/io/stand/loopback.go
@@ -63,3 +63,20 @@
 	t.Cleanup(func() { _ = l.Close() })
 	return l
 }
+
+// ConnPair returns the two ends of a connection on the loopback host.
+func ConnPair() (client, server net.Conn, err error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(LoopbackHost(), "0"))
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen for a pair of connections: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		return nil, nil, fmt.Errorf("connect a pair: %w", err)
+	}
+	if server, err = l.Accept(); err != nil {
+		_ = client.Close()
+		return nil, nil, fmt.Errorf("accept a pair: %w", err)
+	}
+	return client, server, nil
+}
