Ask a second process in reserve when the first declines

Cause: a plan for a connection named one process in reserve only. If that one was the keeper that stops, it declined, and the race had nobody left to ask.

Ruled out: the keeper's planned stop itself; connections that it carries go on until their ends.

Before: io/tunnel TestReserveThatDeclinesIsNotTheLast fails with the direct connection's error. After: it passes.

Why it works: the plan names two in reserve, and the race asks the second when the first has answered without a connection.

--- a/core/reach/carrier.go
+++ b/core/reach/carrier.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// maxCarriers is the number of carriers that are asked for one connection.
+	// maxCarriers is the number of carriers that are asked for one connection, and maxReserves that of carriers in reserve.
 	maxCarriers = 3
+	maxReserves = 2
 	// initialBackoff and maxBackoff bound the time for which a carrier that has not helped is not asked again; it doubles with each
 	// failure.
 	initialBackoff = 500 * time.Millisecond
@@ -97,10 +98,10 @@
 }
 
 // choose returns the carriers to ask for one connection: one of the process's own failure domain, since traffic between domains may
-// be dear, then one of another, since a whole domain may be cut off, and then any. The reserve is one to ask if all of these fail, or
-// empty. Only if all have failed lately, those are asked again that have not said themselves that they cannot help: a single late answer
+// be dear, then one of another, since a whole domain may be cut off, and then any. The reserves are to be asked in turn if all of these fail.
+// Only if all have failed lately, those are asked again that have not said themselves that they cannot help: a single late answer
 // is no reason to refuse requests.
-func (t *carrierTable) choose(domain string, r *rand.Rand, now time.Time) (out []string, reserve string) {
+func (t *carrierTable) choose(domain string, r *rand.Rand, now time.Time) (out, reserves []string) {
 	usable := t.usable(func(s *carrierState) bool { return !now.Before(s.backoffUntil) })
 	if len(usable) == 0 {
 		usable = t.usable(func(s *carrierState) bool { return !s.declined })
@@ -110,13 +111,13 @@
 	moveForward(usable, 1, func(s *carrierState) bool { return !s.Reserve && s.Domain != domain })
 	for _, s := range usable {
 		switch {
-		case s.Reserve && reserve == "":
-			reserve = s.Address
+		case s.Reserve && len(reserves) < maxReserves:
+			reserves = append(reserves, s.Address)
 		case !s.Reserve && len(out) < maxCarriers:
 			out = append(out, s.Address)
 		}
 	}
-	return out, reserve
+	return out, reserves
 }
 
 // usable returns the carriers that the filter selects.
--- a/core/reach/table.go
+++ b/core/reach/table.go
@@ -83,8 +83,9 @@
 type Plan struct {
 	// Carriers are the peer addresses of the processes that may carry the connection, in the order in which to ask them.
 	Carriers []string
-	// Reserve is the peer address of a process that may carry the connection if none of the carriers does; empty if there is none.
-	Reserve string
+	// Reserves are the peer addresses of processes that may carry the connection if none of the carriers does. They are asked one after
+	// the other.
+	Reserves []string
 	// CarriedFirst means that carriers are asked before the endpoint is dialled directly.
 	CarriedFirst bool
 	// Probe means that the endpoint is also dialled directly at once, to find out whether the cut has ended.
@@ -104,11 +105,11 @@
 		return Plan{}
 	}
 	var plan Plan
-	plan.Carriers, plan.Reserve = t.carriers.choose(t.Domain, t.Rand, now)
+	plan.Carriers, plan.Reserves = t.carriers.choose(t.Domain, t.Rand, now)
 	if !t.IsOutOfReach(address, now) && !t.IsCutOff(now) {
 		return plan
 	}
-	plan.CarriedFirst = len(plan.Carriers) > 0 || plan.Reserve != ""
+	plan.CarriedFirst = len(plan.Carriers) > 0 || len(plan.Reserves) > 0
 	plan.Probe = t.TakeProbe(now)
 	plan.CarriedOnly = !plan.Probe && t.IsCutOff(now)
 	return plan
--- a/core/reach/table_test.go
+++ b/core/reach/table_test.go
@@ -259,13 +259,13 @@
 	tab := newTestTable()
 	tab.SetCarriers([]Carrier{{Address: "k1", Reserve: true}, {Address: "b1", Domain: "b"}, {Address: "k2", Reserve: true}, {Address: "k3", Reserve: true}})
 	for range 100 {
-		if p := tab.Plan("e", testStart); !slices.Equal(p.Carriers, []string{"b1"}) || p.Reserve == "" || p.Reserve == "b1" {
-			t.Fatalf("plan %+v, want b1 and one of the others in reserve", p)
+		if p := tab.Plan("e", testStart); !slices.Equal(p.Carriers, []string{"b1"}) || len(p.Reserves) != maxReserves || slices.Contains(p.Reserves, "b1") {
+			t.Fatalf("plan %+v, want b1 and %d of the others in reserve", p, maxReserves)
 		}
 	}
 	tab.RecordCarrier("b1", Declined, testStart)
-	if p := tab.Plan("e", testStart); len(p.Carriers) > 0 || p.Reserve == "" {
-		t.Errorf("plan %+v, want one in reserve only", p)
+	if p := tab.Plan("e", testStart); len(p.Carriers) > 0 || len(p.Reserves) != maxReserves {
+		t.Errorf("plan %+v, want %d in reserve only", p, maxReserves)
 	}
 }
 
--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -81,7 +81,7 @@
 
 // hasUnasked reports whether the only ways left are carriers that were not asked since too many are being asked.
 func (r *race) hasUnasked() bool {
-	return r.plan.CarriedOnly && (len(r.plan.Carriers) > 0 || r.plan.Reserve != "")
+	return r.plan.CarriedOnly && len(r.plan.Carriers)+len(r.plan.Reserves) > 0
 }
 
 // recordFailure keeps the error of an attempt.
@@ -134,8 +134,8 @@
 		r.startDirect(ctx)
 	case len(r.plan.Carriers) > 0 && r.startCarrier(ctx, r.plan.Carriers[0]):
 		r.plan.Carriers = r.plan.Carriers[1:]
-	case r.plan.Reserve != "" && r.asked == 0 && r.startCarrier(ctx, r.plan.Reserve):
-		r.plan.Reserve = ""
+	case len(r.plan.Reserves) > 0 && r.asked == 0 && r.startCarrier(ctx, r.plan.Reserves[0]):
+		r.plan.Reserves = r.plan.Reserves[1:]
 	case !r.directStarted && !r.plan.CarriedOnly:
 		r.startDirect(ctx)
 	}
--- a/io/tunnel/race_test.go
+++ b/io/tunnel/race_test.go
@@ -210,3 +210,20 @@
 	}
 	wg.Wait()
 }
+
+// Guards against connections that are refused because the one process asked in reserve stops, while others would carry them.
+func TestReserveThatDeclinesIsNotTheLast(t *testing.T) {
+	e := startEndpoint(t)
+	sound := startCarrier(t, e, nil)
+	declines := startCarrier(t, e, nil)
+	declines.stopped.Store(true)
+	for range 20 {
+		d := newCutOffDialer()
+		d.SetCarriers([]reach.Carrier{{Address: declines.address, Reserve: true}, {Address: sound.address, Reserve: true}})
+		nc, err := d.DialContext(t.Context(), "tcp", e.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = nc.Close()
+	}
+}
