Let connections wait in order for their turn to ask a carrier

Cause: a process asks 64 carriers at the same time. A race that got no turn looked again each 40 ms, and gave up after 250 ms: whoever came between two looks took the turn, and of 256 races that look in the same millisecond, 64 a look, the last ones have their fourth look at 240 ms.

Why it works: a race that waits sends to the channel of turns, which serves those that wait in order and at once.

--- a/io/tunnel/race.go
+++ b/io/tunnel/race.go
@@ -25,6 +25,8 @@
 	pending int
 	// asked is the number of carriers that have not answered.
 	asked int
+	// isQueued is true while the next carrier is not asked since too many are being asked, and late once it is too late to wait for that.
+	isQueued, late bool
 	// directStarted is true once the endpoint is dialled directly.
 	directStarted bool
 	// directErr is the error of the direct connection, and err that of the latest attempt.
@@ -52,11 +54,18 @@
 	}
 	t := time.NewTimer(carrierDelay)
 	defer t.Stop()
-	for began := time.Now(); r.pending > 0 || r.hasUnasked() && time.Since(began) < dialTimeout; {
+	giveUp := time.NewTimer(dialTimeout)
+	defer giveUp.Stop()
+	for r.pending > 0 || r.mustAsk() {
 		select {
 		case <-ctx.Done():
 			r.leave()
 			return nil, ctx.Err() //nolint:wrapcheck // callers compare it with the errors of contexts
+		case <-giveUp.C:
+			r.late = true
+		case r.freeSlot() <- struct{}{}:
+			r.askNext(ctx)
+			t.Reset(carrierDelay)
 		case <-t.C:
 			r.startNext(ctx)
 			t.Reset(carrierDelay)
@@ -79,9 +88,20 @@
 	return nil, r.failure()
 }
 
-// hasUnasked reports whether the only ways left are carriers that were not asked since too many are being asked.
-func (r *race) hasUnasked() bool {
-	return r.plan.CarriedOnly && len(r.plan.Carriers)+len(r.plan.Reserves) > 0
+// mustAsk reports whether the only ways left are carriers that were not asked since too many are being asked, and one may still be.
+func (r *race) mustAsk() bool { return r.plan.CarriedOnly && r.isQueued && !r.late }
+
+// freeSlot returns the channel that takes an element once another carrier may be asked, or nil if the race waits for none.
+func (r *race) freeSlot() chan<- struct{} {
+	if r.isQueued && r.hasNextCarrier() {
+		return r.dialer.asked
+	}
+	return nil
+}
+
+// hasNextCarrier reports whether there is a carrier to ask now.
+func (r *race) hasNextCarrier() bool {
+	return len(r.plan.Carriers) > 0 || len(r.plan.Reserves) > 0 && r.asked == 0
 }
 
 // recordFailure keeps the error of an attempt.
@@ -132,27 +152,39 @@
 	switch {
 	case !r.plan.CarriedFirst && !r.directStarted:
 		r.startDirect(ctx)
-	case len(r.plan.Carriers) > 0 && r.startCarrier(ctx, r.plan.Carriers[0]):
-		r.plan.Carriers = r.plan.Carriers[1:]
-	case len(r.plan.Reserves) > 0 && r.asked == 0 && r.startCarrier(ctx, r.plan.Reserves[0]):
-		r.plan.Reserves = r.plan.Reserves[1:]
+	case r.hasNextCarrier() && r.takeSlot():
+		r.askNext(ctx)
 	case !r.directStarted && !r.plan.CarriedOnly:
 		r.startDirect(ctx)
 	}
 }
 
-// startCarrier asks a carrier for the connection, unless too many are being asked.
-func (r *race) startCarrier(ctx context.Context, carrier string) bool {
+// takeSlot reports whether another carrier may be asked. If too many are being asked, the race waits for its turn.
+func (r *race) takeSlot() bool {
 	select {
 	case r.dialer.asked <- struct{}{}:
+		return true
 	default:
+	}
+	if !r.isQueued {
+		r.isQueued = true
 		r.dialer.count("not-asked")
-		return false
 	}
+	return false
+}
+
+// askNext asks the next carrier for the connection; a slot was taken for it.
+func (r *race) askNext(ctx context.Context) {
+	r.isQueued = false
+	list := &r.plan.Carriers
+	if len(*list) == 0 {
+		list = &r.plan.Reserves
+	}
+	carrier := (*list)[0]
+	*list = (*list)[1:]
 	r.pending++
 	r.asked++
 	go (&attempt{race: r, carrier: carrier}).run(ctx)
-	return true
 }
 
 // startDirect dials the endpoint directly.
--- a/io/tunnel/race_test.go
+++ b/io/tunnel/race_test.go
@@ -174,10 +174,9 @@
 	}
 }
 
-// Guards against connections that are refused at once, though a carrier would help, because many others are being asked at that moment.
-func TestManyConnectionsAtOnce(t *testing.T) {
-	e := startEndpoint(t)
-	c := startCarrier(t, e, nil)
+// newBusyDialer returns the dialer of a process that knows that it is cut off and is asking as many carriers as it may.
+func newBusyDialer(t *testing.T, c *testCarrier) *Dialer {
+	t.Helper()
 	d := newCutOffDialer(c)
 	now := time.Now()
 	for _, address := range []string{"e1", "e2", "e3"} {
@@ -190,6 +189,29 @@
 	for range maxAsked {
 		d.asked <- struct{}{}
 	}
+	return d
+}
+
+// Guards against connections that others overtake while they wait for their turn to ask a carrier, until it is too late for them.
+func TestConnectionsAskCarriersInOrder(t *testing.T) {
+	e := startEndpoint(t)
+	d := newBusyDialer(t, startCarrier(t, e, nil))
+	time.AfterFunc(carrierDelay*3/2, func() {
+		<-d.asked
+		time.Sleep(carrierDelay / 4)
+		d.asked <- struct{}{}
+	})
+	nc, err := d.DialContext(t.Context(), "tcp", e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = nc.Close()
+}
+
+// Guards against connections that are refused at once, though a carrier would help, because many others are being asked at that moment.
+func TestManyConnectionsAtOnce(t *testing.T) {
+	e := startEndpoint(t)
+	d := newBusyDialer(t, startCarrier(t, e, nil))
 	time.AfterFunc(100*time.Millisecond, func() {
 		for range maxAsked {
 			<-d.asked
