Let requests that may have run wait for a carrier

Cause: a relay that is cut off and finds no carrier for the next attempt refused a plain request at once. That is right for one that has not run, whose caller asks another relay; one that may have run ended with 502, which its caller must not repeat. Streams waited already.

Ruled out: the change of the route: TestRequestAwaitsCarrierAfterLoss has none.

Before: that test fails with 502 cut-off after one run, for both kinds of route; after, it passes. A request that has not run is still refused at once (TestRequestThatHasNotRunAwaitsNoCarrier, which passes before too).

Why it works: the decision (core/reach ShouldAwaitCarrier) is one for plain requests and streams. The wait is bounded by 3 s and the deadline, and endpoints that were not reached because of the cut may be tried again.

--- a/core/reach/carrier.go
+++ b/core/reach/carrier.go
@@ -10,6 +10,8 @@
 	// maxCarriers is the number of carriers that are asked for one connection, and maxReserves that of carriers in reserve.
 	maxCarriers = 3
 	maxReserves = 2
+	// maxCarrierWait bounds how long a request waits for a carrier.
+	maxCarrierWait = 3 * time.Second
 	// initialBackoff and maxBackoff bound the time for which a carrier that has not helped is not asked again; it doubles with each
 	// failure.
 	initialBackoff = 500 * time.Millisecond
@@ -40,6 +42,13 @@
 	NoAnswer
 )
 
+// ShouldAwaitCarrier reports whether a request should wait while nobody can carry its connection, after it has failed to get one for some
+// time. One that has not run is better refused, since another process may serve it at once; the caller of one that may have run could not
+// ask again.
+func ShouldAwaitCarrier(mayHaveRun bool, waited time.Duration) bool {
+	return mayHaveRun && waited <= maxCarrierWait
+}
+
 // carrierState is a carrier and what came of asking it.
 type carrierState struct {
 	Carrier
--- a/io/relay/cutoffcheck_test.go
+++ b/io/relay/cutoffcheck_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -17,19 +20,13 @@
 	"wasabiweir/io/tunnel"
 )
 
-// newCutOffRelay returns a relay that is cut off from all endpoints, one of these, and a switch that makes its only carrier decline.
-func newCutOffRelay(t *testing.T) (r *Relay, e place.Endpoint, declines *atomic.Bool) {
+// cutOff cuts the relay off from all endpoints, so that only the carrier connects it, and returns one of these.
+func cutOff(t *testing.T, r *Relay, carrier http.Handler) (e place.Endpoint) {
 	t.Helper()
-	declines = &atomic.Bool{}
-	carrier := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if declines.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	}))
-	t.Cleanup(carrier.Close)
-	r = newTestRelay(t)
+	s := httptest.NewServer(carrier)
+	t.Cleanup(s.Close)
 	r.pool.dialer.DialDirect = func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
-	r.pool.dialer.SetCarriers([]reach.Carrier{{Address: carrier.Listener.Addr().String()}})
+	r.pool.dialer.SetCarriers([]reach.Carrier{{Address: s.Listener.Addr().String()}})
 	for n := range 3 {
 		e = place.Endpoint{ID: fmt.Sprint("e", n), Address: fmt.Sprintf("10.0.0.%d:1", n)}
 		c, err := r.pool.dialEndpoint(t.Context(), e)
@@ -41,7 +38,19 @@
 	if !r.pool.dialer.IsCutOff() {
 		t.Fatal("the relay does not know that it is cut off")
 	}
-	return r, e, declines
+	return e
+}
+
+// newCutOffRelay returns a relay that is cut off from all endpoints, one of these, and a switch that makes its only carrier decline.
+func newCutOffRelay(t *testing.T) (r *Relay, e place.Endpoint, declines *atomic.Bool) {
+	t.Helper()
+	declines = &atomic.Bool{}
+	r = newTestRelay(t)
+	return r, cutOff(t, r, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if declines.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})), declines
 }
 
 // Guards against requests that count as having crashed an endpoint that a relay cannot reach because it is cut off.
@@ -116,3 +125,66 @@
 		}
 	}
 }
+
+// busyCarrier is a carrier that passes its first connection on to one endpoint, declines for a while, and passes all others on to another.
+type busyCarrier struct {
+	first, second *cutEndpoint
+	busyFor       time.Duration
+
+	mu        sync.Mutex
+	busyUntil time.Time
+}
+
+// ServeHTTP passes a connection on or declines; those to endpoints that do not exist it only accepts.
+func (c *busyCarrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.Host, "10.0.0.") {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.busyUntil) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(nc, "HTTP/1.1 200 Connected\r\n\r\n")
+	e := c.second
+	if c.busyUntil.IsZero() {
+		e, c.busyUntil = c.first, time.Now().Add(c.busyFor)
+	}
+	go e.serve(nc)
+}
+
+// Guards against requests that end with 502 because nobody can carry a connection at the moment of their second attempt.
+func TestRequestAwaitsCarrierAfterLoss(t *testing.T) {
+	text, head := wholeAnswer(formLength, "", []byte("history of 7"))
+	for _, route := range []string{"safe", "message"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			broken := startCutEndpoint(t, &cutEndpoint{id: "b", text: text[:head+3]})
+			sound := startCutEndpoint(t, &cutEndpoint{id: "s", text: text})
+			r := newEndingRelay(t, 3, broken, sound)
+			cutOff(t, r, &busyCarrier{first: broken, second: sound, busyFor: 300 * time.Millisecond})
+			res, whole := callRelay(t, r, route)
+			if !whole || res.Code != http.StatusOK || broken.runs.Load() != 1 || sound.runs.Load() != 1 {
+				t.Errorf("status %d %q, whole %t, after %d and %d runs", res.Code, res.Body, whole, broken.runs.Load(), sound.runs.Load())
+			}
+		})
+	}
+}
+
+// Guards against callers that wait while nobody can carry the connection of a request that has not run, which another relay could serve.
+func TestRequestThatHasNotRunAwaitsNoCarrier(t *testing.T) {
+	r := newEndingRelay(t, 3, startCutEndpoint(t, &cutEndpoint{id: "e"}))
+	cutOff(t, r, &busyCarrier{busyUntil: time.Now().Add(time.Minute)})
+	for _, route := range []string{"safe", "unsafe", "message", "stream"} {
+		began := time.Now()
+		res, _ := callRelay(t, r, route)
+		if took := time.Since(began); res.Code != http.StatusServiceUnavailable || took > 200*time.Millisecond {
+			t.Errorf("%s: status %d after %s", route, res.Code, took)
+		}
+	}
+}
--- a/io/relay/limits.go
+++ b/io/relay/limits.go
@@ -73,7 +73,7 @@
 		q.failRequest(common.ReasonEndpointLimit, q.spreadForRoom(req, turn))
 		return
 	}
-	if q.cutOff {
+	if q.isCutOff() {
 		q.failRequest(common.ReasonCutOff, retryElsewhere)
 		return
 	}
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -85,16 +85,12 @@
 	defer q.releaseReserved()
 	refusals := 0
 	for {
-		if !q.endsBeforeRelay() {
-			q.failRequest(common.ReasonDraining, retryElsewhere)
-			return
-		}
-		if !q.passesQuarantine() {
-			q.failRequest(common.ReasonCrashesEngines, q.quarantineRetryAfter())
+		if reason, retryAfter := q.reasonToEnd(); reason != "" {
+			q.failRequest(reason, retryAfter)
 			return
 		}
 		e, ok := q.chooseEndpoint()
-		if !ok && (q.awaitTurn() || q.awaitSilent()) {
+		if !ok && (q.awaitTurn() || q.awaitSilent() || q.awaitCarrier()) {
 			continue
 		}
 		if !ok {
@@ -112,6 +108,11 @@
 		case result.outcome == completed && !q.isRetryableFailure(result):
 			q.writeResponse(e, result)
 			return
+		case result.hasNoCarrier():
+			if !q.awaitCarrier() {
+				q.failRequest(common.ReasonCutOff, retryElsewhere)
+				return
+			}
 		case result.cause == common.RetryConnect && result.outcome == notExecuted:
 			// Nothing has reached an endpoint, so the next attempt does not count against the retry budget.
 		case result.cause == common.RetryLeaving && q.mayRetryAfter(result):
@@ -136,6 +137,17 @@
 	}
 }
 
+// reasonToEnd returns why no attempt may begin, wherever it would be sent, or an empty reason.
+func (q *request) reasonToEnd() (reason common.Reason, retryAfter time.Duration) {
+	switch {
+	case !q.endsBeforeRelay():
+		return common.ReasonDraining, retryElsewhere
+	case !q.passesQuarantine():
+		return common.ReasonCrashesEngines, q.quarantineRetryAfter()
+	}
+	return "", 0
+}
+
 // mayRetryAfter reports whether the retry budget pays for another attempt after one that has failed; it may have been asked before.
 func (q *request) mayRetryAfter(result attemptResult) bool {
 	return result.retrySpent || q.spendRetry(place.AfterRefusal)
@@ -148,8 +160,6 @@
 		return common.ReasonCrashesEngines, 0
 	case result.outcome == notExecuted && q.bodyStreamed:
 		return common.ReasonOverloaded, retrySoon
-	case result.hasNoCarrier():
-		return common.ReasonCutOff, retryElsewhere
 	}
 	return "", 0
 }
@@ -205,7 +215,7 @@
 		q.attempts++
 		q.mayHaveRun = true
 	}
-	q.cutOff = result.isCutOff()
+	q.recordCutOff(e, result)
 	abandoned := q.isAbandoned()
 	var suspended time.Duration
 	q.relay.withTable(func(t *place.EndpointTable, now time.Time) {
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -19,6 +19,7 @@
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/place"
+	"wasabiweir/core/reach"
 	"wasabiweir/core/state"
 	"wasabiweir/io/serve"
 )
@@ -94,8 +95,10 @@
 	silentSince time.Time
 	// carrier is the peer address of the relay or keeper that passes on the connection of the current attempt; empty if none does.
 	carrier string
-	// cutOff is true if the latest attempt failed because the relay is cut off from the endpoints.
-	cutOff bool
+	// cutOffSince is when the latest attempts began to fail because the relay is cut off from the endpoints; zero if the last one did not.
+	cutOffSince time.Time
+	// unreached holds the ids of the endpoints that these attempts did not reach.
+	unreached []string
 	// sentAt is when the current attempt was sent.
 	sentAt time.Time
 	// timeToFirstSend is the time from arrival to the first attempt.
@@ -107,6 +110,34 @@
 	mayHaveRun bool
 }
 
+// isCutOff reports whether the latest attempt failed because the relay is cut off from the endpoints.
+func (q *request) isCutOff() bool { return !q.cutOffSince.IsZero() }
+
+// recordCutOff records whether an attempt has failed because the relay is cut off, which says nothing about the endpoint.
+func (q *request) recordCutOff(e place.Endpoint, result attemptResult) {
+	if !result.isCutOff() {
+		q.cutOffSince, q.unreached = time.Time{}, nil
+		return
+	}
+	q.unreached = append(q.unreached, e.ID)
+	if q.cutOffSince.IsZero() {
+		q.cutOffSince = q.relay.Clock.Now()
+	}
+}
+
+// awaitCarrier waits before the next attempt while the relay is cut off and nobody can carry the connection, and allows the endpoints that
+// were not reached again. It returns false if that takes too long, and at once for a request that another relay can serve as well.
+func (q *request) awaitCarrier() bool {
+	if !q.isCutOff() || !reach.ShouldAwaitCarrier(q.mayHaveRun, q.relay.Clock.Now().Sub(q.cutOffSince)) {
+		return false
+	}
+	for _, id := range q.unreached {
+		delete(q.tried, id)
+	}
+	q.unreached = nil
+	return q.sleep(resumeRetryInterval)
+}
+
 // ServeHTTP forwards a request or refuses it.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	q := &request{
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -81,8 +81,6 @@
 	lastEventAt      time.Time
 	// longestPause is the longest pause between two events.
 	longestPause time.Duration
-	// cutOffSince is when the latest attempts began to fail because the relay is cut off; zero if they did not.
-	cutOffSince time.Time
 }
 
 // nextPromptEndpoint returns an endpoint that is alive and still has the stream's prompt in its KV cache, even if an
@@ -127,7 +125,6 @@
 		}
 		result := s.run(a)
 		s.recordResult(a.endpoint, result)
-		s.recordCutOff(a.endpoint, result)
 		s.recordStreamCrash(a, result)
 		s.allowHolderRetry(a, result)
 		if result.outcome == outcomeUnknown {
@@ -213,27 +210,6 @@
 	return true
 }
 
-// recordCutOff records whether an attempt has failed because the relay is cut off, which says nothing about the endpoint.
-func (s *streamRequest) recordCutOff(e place.Endpoint, result attemptResult) {
-	if !result.hasNoCarrier() {
-		s.cutOffSince = time.Time{}
-		return
-	}
-	delete(s.tried, e.ID)
-	if s.cutOffSince.IsZero() {
-		s.cutOffSince = s.relay.Clock.Now()
-	}
-}
-
-// awaitCarrier waits before the next attempt of a stream while nobody can carry its connection. It returns false if that takes too long,
-// and at once for a stream that another relay can begin as well.
-func (s *streamRequest) awaitCarrier() bool {
-	if !s.headerSent && !s.mayHaveRun || s.relay.Clock.Now().Sub(s.cutOffSince) > maxResumeWait {
-		return false
-	}
-	return s.sleep(resumeRetryInterval)
-}
-
 // nextAttempt chooses the next endpoint for a stream: the holder of its KV cache copy if there is one, otherwise the
 // endpoint with the lowest cost. It waits while no endpoint accepts requests. If there is no attempt, it returns the
 // reason.
@@ -273,7 +249,7 @@
 			if _, limited := s.firstTurn(); limited {
 				return streamAttempt{}, common.ReasonEndpointLimit
 			}
-			if s.cutOff {
+			if s.isCutOff() {
 				return streamAttempt{}, common.ReasonCutOff
 			}
 			return streamAttempt{}, common.ReasonNoEndpoint
