Let calls that may have run wait for a carrier, on our own interface

A call that may be repeated, and whose first attempt broke while the router was cut off, was refused with an unknown outcome if nobody could carry the second one at that moment.

Why it works: as for relays; a call that has not run is still refused at once.

--- a/io/router/call.go
+++ b/io/router/call.go
@@ -18,6 +18,7 @@
 
 	"wasabiweir/core/common"
 	"wasabiweir/core/object"
+	"wasabiweir/core/reach"
 	"wasabiweir/core/route"
 	"wasabiweir/io/serve"
 	"wasabiweir/io/tunnel"
@@ -31,6 +32,8 @@
 	defaultCallTimeout = 10 * time.Second
 	// maxResponseBytes is the largest response body of a plain service in bytes.
 	maxResponseBytes = 8 << 20
+	// carrierRetryInterval is the pause between two attempts of a call while nobody can carry its connection.
+	carrierRetryInterval = 25 * time.Millisecond
 	// maxCallAttempts is the largest number of endpoints that one call may reach.
 	maxCallAttempts = 3
 	// maxRefusedConnections is the largest number of endpoints that are tried for one call and accept no connection.
@@ -86,6 +89,8 @@
 	deadline time.Duration
 	// sent counts the attempts that may have reached an endpoint, and unconnected the others that failed.
 	sent, unconnected int
+	// cutOffSince is when the latest attempts began to fail because the router is cut off from the endpoints; zero if the last one did not.
+	cutOffSince time.Time
 	crashRecord
 }
 
@@ -220,6 +225,10 @@
 		}
 		failed[a.name] = struct{}{}
 		lastErr = err
+		if errors.Is(err, tunnel.ErrNoCarrier) && c.awaitCarrier(ctx, x) {
+			delete(failed, a.name)
+			continue
+		}
 		if errors.Is(err, tunnel.ErrNoCarrier) || errors.Is(err, tunnel.ErrCutOff) && !x.hasAttemptsLeft() {
 			return nil, newCutOffRefusal(x.outcome())
 		}
@@ -237,6 +246,20 @@
 	}
 }
 
+// awaitCarrier waits before the next attempt of a call while the router is cut off and nobody can carry the call's connection. It returns
+// false if that takes too long, and at once for a call that another router can serve as well.
+func (c *callSender) awaitCarrier(ctx context.Context, x *serviceCall) bool {
+	now := c.router.Clock.Now()
+	if x.cutOffSince.IsZero() {
+		x.cutOffSince = now
+	}
+	if !reach.ShouldAwaitCarrier(x.sent > 0, now.Sub(x.cutOffSince)) {
+		return false
+	}
+	x.unconnected = 0
+	return serve.Sleep(ctx, carrierRetryInterval)
+}
+
 // extraWork returns the work of repeating the call after the error of an attempt.
 func (c *serviceCall) extraWork(log *zap.Logger, err error) extraWork {
 	return extraWork{log: log.With(zap.String("request", c.request), zap.String("service", c.service.Name)), reason: callRetryReason(err), tokens: callRetryCost}
@@ -244,6 +267,9 @@
 
 // countFailure counts a failed attempt.
 func (c *serviceCall) countFailure(err error) {
+	if !errors.Is(err, tunnel.ErrCutOff) {
+		c.cutOffSince = time.Time{}
+	}
 	if callRetryReason(err) == common.RetryConnect {
 		c.unconnected++
 	} else {
--- a/io/router/reach_test.go
+++ b/io/router/reach_test.go
@@ -1,12 +1,16 @@
 package router
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +20,7 @@
 	"wasabiweir/core/reach"
 	"wasabiweir/core/route"
 	"wasabiweir/io/tunnel"
+	"wasabiweir/io/wall"
 )
 
 // Guards against the suspension of endpoints that are up and that only this router does not reach.
@@ -78,3 +83,67 @@
 		t.Error("an endpoint that is down is not suspended")
 	}
 }
+
+// busyCarrier is a carrier that passes one connection on to the endpoint, declines for a while, and passes on all others.
+type busyCarrier struct {
+	endpoint *callServer
+	busyFor  time.Duration
+
+	mu        sync.Mutex
+	busyUntil time.Time
+}
+
+// ServeHTTP handles the request for a connection, on which it answers a call itself.
+func (c *busyCarrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case strings.HasPrefix(r.Host, deadNet):
+		return
+	case time.Now().Before(c.busyUntil):
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	nc, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	_, _ = io.WriteString(nc, "HTTP/1.1 200 Connected\r\n\r\n")
+	if _, err := http.ReadRequest(bufio.NewReader(nc)); err != nil {
+		return
+	}
+	if c.endpoint.calls.Add(1) == 1 {
+		c.busyUntil = time.Now().Add(c.busyFor)
+		return
+	}
+	_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+}
+
+// deadNet begins the addresses of endpoints to which a busyCarrier passes nothing on.
+const deadNet = "198.51.100."
+
+// Guards against calls that end with an unknown outcome because nobody can carry a connection at the moment of their second attempt.
+func TestCallAwaitsCarrierAfterLoss(t *testing.T) {
+	c := newCalls(t, "192.0.2.1:1", "192.0.2.2:1", "192.0.2.3:1")
+	r := c.router
+	r.Clock = wall.Clock{}
+	r.DialDirect = func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	r.initReach()
+	endpoint := &callServer{}
+	carrier := httptest.NewServer(&busyCarrier{endpoint: endpoint, busyFor: 300 * time.Millisecond})
+	defer carrier.Close()
+	r.dialer.SetCarriers([]reach.Carrier{{Address: carrier.Listener.Addr().String()}})
+	for i := range 3 {
+		conn, err := r.dialer.DialContext(t.Context(), "tcp", fmt.Sprintf("%s%d:1", deadNet, i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.Close()
+	}
+	x := newCall(http.MethodGet, "")
+	x.deadline = 3 * time.Second
+	if _, err := c.sendIdempotent(t.Context(), x); err != nil || endpoint.calls.Load() != 2 {
+		t.Errorf("%v after %d calls", err, endpoint.calls.Load())
+	}
+}
