Open a connection for the attempt that follows silence on a kept one

Cause: each attempt took a kept connection to another endpoint, although what makes one connection silent (a cut, or a device on the way that has lost track of its connections) mostly does so to others of the same age.

Ruled out: endpoints that are silent themselves; new connections to them work.

Why it works: a dial shows whether there is a way to the endpoint, and in a cut it goes through a carrier. It costs one connection for a request that has already been given up once.

--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -215,6 +215,7 @@
 		q.attempts++
 		q.mayHaveRun = true
 	}
+	q.avoidsKept = q.avoidsKept || q.sentOnKept && result.cause == common.RetrySilent
 	q.recordCutOff(e, result)
 	abandoned := q.isAbandoned()
 	var suspended time.Duration
@@ -313,13 +314,23 @@
 	return true
 }
 
+// getConn returns a connection to the endpoint for the next attempt.
+func (q *request) getConn(ctx context.Context, e place.Endpoint, idle time.Duration) (*endpointConn, error) {
+	if q.avoidsKept {
+		return q.relay.pool.dialEndpoint(ctx, e)
+	}
+	c, err := q.relay.pool.getConn(ctx, e, idle)
+	q.sentOnKept = err == nil && !c.idleSince.IsZero()
+	return c, err
+}
+
 // sendRequest sends the request to the endpoint, with the headers that addHeaders sets if it is not nil, unless that
 // returns false because the attempt was given up. The connection is closed when ctx ends unless stop is called before.
 // If the request could not be sent, failed is the result.
 func (q *request) sendRequest(
 	ctx context.Context, e place.Endpoint, idle time.Duration, addHeaders func(http.Header) bool,
 ) (c *endpointConn, stop func() bool, failed *attemptResult) {
-	c, err := q.relay.pool.getConn(ctx, e, idle)
+	c, err := q.getConn(ctx, e, idle)
 	q.carrier = c.carrier()
 	if err != nil {
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryConnect, err: err}
--- a/io/relay/pool_test.go
+++ b/io/relay/pool_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +17,8 @@
 
 	"wasabiweir/core/clock"
 	"wasabiweir/core/place"
+	"wasabiweir/core/state"
+	"wasabiweir/io/stand"
 )
 
 // answerAll answers each request on the listener's first connection with an empty response of its id.
@@ -171,3 +175,74 @@
 		}
 	}
 }
+
+// forgetfulEndpoint is an endpoint whose first connection is silent, as if something on the way had lost track of it.
+type forgetfulEndpoint struct {
+	listener net.Listener
+	opened   atomic.Int64
+}
+
+// startForgetfulEndpoint starts the endpoint.
+func startForgetfulEndpoint(t *testing.T) *forgetfulEndpoint {
+	t.Helper()
+	e := &forgetfulEndpoint{listener: stand.Listen(t)}
+	go e.run()
+	return e
+}
+
+// run accepts connections.
+func (e *forgetfulEndpoint) run() {
+	for {
+		c, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(c, e.opened.Add(1))
+	}
+}
+
+// serve answers the requests on the n-th connection.
+func (e *forgetfulEndpoint) serve(c net.Conn, n int64) {
+	defer c.Close()
+	text, _ := wholeAnswer(formLength, "", []byte("history of 7"))
+	for br := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if n > 1 {
+			_, _ = io.WriteString(c, text)
+		}
+	}
+}
+
+// Guards against requests all of whose attempts are made on connections that were kept from others and have fallen silent, while new ones
+// work.
+func TestSecondAttemptOpensConnection(t *testing.T) {
+	const endpoints = 4
+	r := newTestRelay(t)
+	route := endingRoute("safe", state.Safe, "p", 3)
+	route.LatencyObjective = 40 * time.Millisecond
+	r.index.Store(state.NewConfigIndex(&state.State{
+		Limits: state.RequestLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20}, Services: []state.Service{{Name: "p"}}, Routes: []state.Route{route},
+	}))
+	var list []place.Endpoint
+	for n := range endpoints {
+		address := startForgetfulEndpoint(t).listener.Addr().String()
+		list = append(list, place.Endpoint{ID: fmt.Sprint("e", n), Service: "p", Address: address, Domain: "a", Slots: 4})
+	}
+	r.table.Update(list, time.Now())
+	for _, e := range list {
+		c, err := r.pool.dialEndpoint(t.Context(), e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.pool.returnUnused(c)
+	}
+	began := time.Now()
+	res, _ := callRelay(t, r, "safe")
+	if took := time.Since(began); res.Code != http.StatusOK || took > time.Second {
+		t.Errorf("status %d after %s", res.Code, took)
+	}
+}
--- a/io/relay/request.go
+++ b/io/relay/request.go
@@ -99,6 +99,9 @@
 	cutOffSince time.Time
 	// unreached holds the ids of the endpoints that these attempts did not reach.
 	unreached []string
+	// sentOnKept is true if the current attempt was sent on a connection that was kept from another request, and avoidsKept once one that
+	// was has got no response: what made the connection silent may have done so to others.
+	sentOnKept, avoidsKept bool
 	// sentAt is when the current attempt was sent.
 	sentAt time.Time
 	// timeToFirstSend is the time from arrival to the first attempt.
