Have carriers end connections of processes that are out of their reach

The engine before works on for seconds while the stream goes on at another one.

Cause: a relay that cannot reach an engine has another one carry the connection of a stream. If the two are cut off from each other, the first relay takes the engine for silent and sends the stream to one that it reaches itself. The end of the connection does not arrive at the carrier, which goes on reading the engine's events for as long as the kernel keeps unacknowledged data, minutes.

Why it works: beside the connections that it has carried, a process keeps one to the carrier, on which nothing waits for a reader: the carrier sends a byte each 0.1 s, and the kernel of the process acknowledges it, also while the process stands still. Without that for 0.6 s, the carrier ends all connections of that process, 0.7 s after the cut; the stream goes on elsewhere after 0.4 s at the earliest, and 0.4 s more are allowed. A presence that ends otherwise, or does not come, ends nothing. TestConnectionsEndWithoutTheirAsker, TestConnectionsOutlivePresence.

--- a/io/serve/writelimit.go
+++ b/io/serve/writelimit.go
@@ -39,6 +39,27 @@
 // EndOnClose undoes ResetOnClose: the end of the connection is a regular one, after all data that were sent.
 func EndOnClose(nc net.Conn) error { return setLinger(nc, &syscall.Linger{}) }
 
+// LimitUnacknowledged makes the connection fail once the kernel of the other side has not acknowledged sent data for the given time.
+func LimitUnacknowledged(nc net.Conn, limit time.Duration) error {
+	raw, err := RawConn(nc)
+	if err != nil {
+		return err
+	}
+	var failed error
+	if err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(limit.Milliseconds()))
+	}); err != nil {
+		return fmt.Errorf("access the socket of a connection: %w", err)
+	}
+	if failed != nil {
+		return fmt.Errorf("limit the time of unacknowledged data: %w", failed)
+	}
+	return nil
+}
+
+// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which the package syscall lacks.
+const tcpUserTimeout = 0x12
+
 // setLinger sets what the kernel does at the end of the connection.
 func setLinger(nc net.Conn, l *syscall.Linger) error {
 	raw, err := RawConn(nc)
--- a/io/tunnel/conn.go
+++ b/io/tunnel/conn.go
@@ -43,6 +43,14 @@
 	net.Conn
 	// Carrier is the peer address of the carrier.
 	Carrier string
+
+	release func()
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.release()
+	return c.Conn.Close() //nolint:wrapcheck // callers compare it with the errors of sockets
 }
 
 // SyscallConn returns the raw connection to the carrier, or an error if the connection is no socket of the operating system.
@@ -51,6 +59,15 @@
 // dialThrough asks a carrier to connect to the endpoint at the address. The result tells what that shows about the endpoint, and the
 // answer what it shows about the carrier.
 func (d *Dialer) dialThrough(ctx context.Context, carrier, address string) (net.Conn, reach.Result, reach.Answer, error) {
+	nc, result, answer, err := d.request(ctx, carrier, address)
+	if err != nil {
+		return nil, result, answer, err
+	}
+	return &Conn{Conn: nc, Carrier: carrier, release: d.holdPresence(carrier)}, result, answer, nil
+}
+
+// request connects to a carrier and asks for a connection to the address, which it returns.
+func (d *Dialer) request(ctx context.Context, carrier, address string) (net.Conn, reach.Result, reach.Answer, error) {
 	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", carrier)
 	if err != nil {
 		return nil, reach.Unknown, reach.NoAnswer, fmt.Errorf("connect to the carrier %s: %w", carrier, err)
@@ -64,12 +81,12 @@
 		_ = nc.Close()
 		return nil, result, answer, err
 	}
-	return &Conn{Conn: nc, Carrier: carrier}, reach.Connected, reach.Helped, nil
+	return nc, reach.Connected, reach.Helped, nil
 }
 
 // requestConnection sends the request for a connection to a carrier and reads its reply.
 func (d *Dialer) requestConnection(nc net.Conn, carrier, address string) (reach.Result, reach.Answer, error) {
-	request := "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\nAuthorization: Bearer " + d.Key + "\r\n\r\n"
+	request := "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\nAuthorization: Bearer " + d.Key + "\r\n" + askerHeader + ": " + d.id + "\r\n\r\n"
 	if _, err := nc.Write([]byte(request)); err != nil {
 		return reach.Unknown, reach.NoAnswer, fmt.Errorf("ask the carrier %s: %w", carrier, err)
 	}
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	cryptorand "crypto/rand"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -62,6 +63,11 @@
 	// Metrics counts connections through carriers; nil means that nothing counts them.
 	Metrics tally.Scope
 
+	// id names this process to carriers.
+	id string
+	// presences are the connections that show carriers that this process is in their reach, by the carrier's peer address.
+	presenceMu sync.Mutex
+	presences  map[string]*presence
 	// asked has an element for each carrier that is being asked.
 	asked chan struct{}
 
@@ -79,6 +85,7 @@
 		d.Metrics = tally.NoopScope
 	}
 	d.asked = make(chan struct{}, maxAsked)
+	d.id, d.presences = cryptorand.Text(), map[string]*presence{}
 	d.table.Domain, d.table.Rand = d.Domain, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
--- /dev/null
+++ b/io/tunnel/presence_test.go
@@ -0,0 +1,162 @@
+package tunnel
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"wasabiweir/io/serve"
+	"wasabiweir/io/stand"
+)
+
+// losableConn is a connection that a test can make fail as one does whose other side acknowledges nothing any more.
+type losableConn struct {
+	net.Conn
+	lost *atomic.Bool
+}
+
+func (c *losableConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.lost.Load() {
+		return 0, os.NewSyscallError("read", syscall.ETIMEDOUT)
+	}
+	return n, err
+}
+
+func (c *losableConn) Write(b []byte) (int, error) {
+	if c.lost.Load() {
+		return 0, os.NewSyscallError("write", syscall.ETIMEDOUT)
+	}
+	return c.Conn.Write(b)
+}
+
+// SyscallConn returns the raw connection.
+func (c *losableConn) SyscallConn() (syscall.RawConn, error) { return serve.RawConn(c.Conn) }
+
+// losableListener is the listener of a carrier whose connections a test can make fail.
+type losableListener struct {
+	net.Listener
+	lost atomic.Bool
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// Accept returns the next connection.
+func (l *losableListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, nc)
+	return &losableConn{nc, &l.lost}, nil
+}
+
+// lose makes all connections fail.
+func (l *losableListener) lose() {
+	l.lost.Store(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, nc := range l.conns {
+		_ = nc.SetReadDeadline(time.Now())
+	}
+}
+
+// startSecondListener has the carrier serve on another address, too.
+func startSecondListener(t *testing.T, c *testCarrier) (l *losableListener) {
+	t.Helper()
+	l = &losableListener{Listener: stand.Listen(t)}
+	s := &http.Server{Handler: &c.Server}
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l
+}
+
+// Guards against endpoints that work on for a process which has lost its carrier and sent the request elsewhere: the end of the connection
+// does not arrive at the carrier. Connections of other processes stay.
+func TestConnectionsEndWithoutTheirAsker(t *testing.T) {
+	e := startEndpoint(t)
+	c := startCarrier(t, e, nil)
+	presences := startSecondListener(t, c)
+	d := newCutOffDialer()
+	// The kernel cannot be made to lose a connection, so only the presence fails, which is on another address.
+	peer, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	lost := e.next(t)
+	other, kept := dialThroughTo(t, c, e)
+	defer other.Close()
+	defer d.holdPresence(presences.Addr().String())()
+	eventually(t, "presence", func() bool {
+		presences.mu.Lock()
+		defer presences.mu.Unlock()
+		return len(presences.conns) > 0
+	})
+	time.Sleep(2 * presenceInterval)
+	presences.lose()
+	_ = lost.SetReadDeadline(time.Now().Add(presenceInterval + 200*time.Millisecond))
+	if _, err := lost.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+		t.Errorf("the connection to the endpoint has not ended: %v", err)
+	}
+	_ = kept.SetReadDeadline(time.Now().Add(presenceInterval))
+	if _, err := kept.Read(make([]byte, 1)); !os.IsTimeout(err) {
+		t.Errorf("the connection of another process has ended: %v", err)
+	}
+}
+
+// Guards against connections that end because the process which asked for them stands still or closes its presence.
+func TestConnectionsOutlivePresence(t *testing.T) {
+	e := startEndpoint(t)
+	c := startCarrier(t, e, nil)
+	d := newCutOffDialer()
+	peer, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	endpoint := e.next(t)
+	nc, _, _, err := d.request(t.Context(), c.address, presenceAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Nobody reads from it, as if the process stood still.
+	time.Sleep(2 * presenceTimeout)
+	_ = nc.Close()
+	_ = endpoint.SetReadDeadline(time.Now().Add(2 * presenceInterval))
+	if _, err := endpoint.Read(make([]byte, 1)); !os.IsTimeout(err) {
+		t.Errorf("the connection has ended: %v", err)
+	}
+}
+
+// Guards against presences that stay open when the carrier passes on no connection any more, or that are opened for each connection.
+func TestPresenceLastsWhileCarried(t *testing.T) {
+	e := startEndpoint(t)
+	c := startCarrier(t, e, nil)
+	d := newCutOffDialer()
+	for range 3 {
+		peer, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer peer.Close()
+		time.AfterFunc(100*time.Millisecond, func() { _, _ = peer.Close(), peer.Close() })
+	}
+	eventually(t, "presence", func() bool { return c.asked.Load() == 4 })
+	eventually(t, "end of the presence", func() bool {
+		d.presenceMu.Lock()
+		defer d.presenceMu.Unlock()
+		return len(d.presences) == 0
+	})
+	if n := c.asked.Load(); n != 4 || c.Open() != 0 {
+		t.Errorf("%d connections to the carrier, %d are open, want 4 and none", n, c.Open())
+	}
+}
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -40,7 +40,8 @@
 	// MaxConnections bounds the connections that are passed on; 0 means DefaultMaxConnections.
 	MaxConnections int64
 
-	open atomic.Int64
+	open   atomic.Int64
+	askers askerTable
 }
 
 // Or returns a handler that leaves all requests but those for connections to another one.
@@ -57,8 +58,22 @@
 // Open returns the number of connections that are passed on now.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
-// ServeHTTP connects to the endpoint that a CONNECT request names and passes bytes on in both directions until either side ends.
+// ServeHTTP connects to the endpoint that a CONNECT request names and passes bytes on in both directions until either side ends, or watches
+// the process that asks for connections.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case !wire.IsAuthorised(s.Dialer.Key, r.Header.Get("Authorization")):
+		s.Dialer.Log.Warn("peer-refused", zap.String("remote", r.RemoteAddr), zap.String("reason", "wrong peer key"))
+		http.Error(w, "wrong peer key", http.StatusUnauthorized)
+	case r.Host == presenceAddress:
+		s.watchAsker(w, r)
+	default:
+		s.connect(w, r)
+	}
+}
+
+// connect connects to the endpoint that the request names and passes bytes on in both directions until either side ends.
+func (s *Server) connect(w http.ResponseWriter, r *http.Request) {
 	address, d := r.Host, s.Dialer
 	limit := s.MaxConnections
 	if limit == 0 {
@@ -67,10 +82,6 @@
 	n := s.open.Add(1)
 	defer s.open.Add(-1)
 	switch {
-	case !wire.IsAuthorised(d.Key, r.Header.Get("Authorization")):
-		d.Log.Warn("peer-refused", zap.String("remote", r.RemoteAddr), zap.String("reason", "wrong peer key"))
-		http.Error(w, "wrong peer key", http.StatusUnauthorized)
-		return
 	case s.IsClosed() || n > limit:
 		s.refuse(w, http.StatusServiceUnavailable, resultBusy)
 		return
@@ -89,25 +100,39 @@
 		return
 	}
 	defer func() { _ = endpoint.Close() }()
-	peer, rw, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		d.Log.Warn("connection-not-carried", zap.String("address", address), zap.Error(err))
+	peer := s.takeOver(w)
+	if peer == nil {
 		return
 	}
 	defer func() { _ = peer.Close() }()
 	s.count("carried")
-	if rw.Reader.Buffered() > 0 || peer.SetDeadline(time.Time{}) != nil {
-		return
-	}
 	keepAlive(peer)
-	if _, err := peer.Write([]byte("HTTP/1.1 200 Connected\r\n\r\n")); err != nil {
-		return
-	}
 	p := &pipe{peer: peer, endpoint: endpoint, ended: make(chan struct{}, 2)}
+	if asker := r.Header.Get(askerHeader); asker != "" {
+		s.askers.add(asker, p)
+		defer s.askers.remove(asker, p)
+	}
 	defer context.AfterFunc(r.Context(), p.close)()
 	p.run()
 }
 
+// takeOver answers that a connection is there and returns the one on which the request came, which is not that of the HTTP server any more,
+// or nil if that fails.
+func (s *Server) takeOver(w http.ResponseWriter) net.Conn {
+	peer, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.Dialer.Log.Warn("connection-not-taken-over", zap.Error(err))
+		return nil
+	}
+	if rw.Reader.Buffered() == 0 && peer.SetDeadline(time.Time{}) == nil {
+		if _, err := peer.Write([]byte("HTTP/1.1 200 Connected\r\n\r\n")); err == nil {
+			return peer
+		}
+	}
+	_ = peer.Close()
+	return nil
+}
+
 // refuseResult refuses a connection that could not be opened.
 func (s *Server) refuseResult(w http.ResponseWriter, r reach.Result) {
 	switch {
