--- a/io/relay/cutoffcheck_test.go
+++ b/io/relay/cutoffcheck_test.go
@@ -137,7 +137,12 @@
 
 // ServeHTTP passes a connection on or declines; those to endpoints that do not exist it only accepts.
 func (c *busyCarrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.Host, "10.0.0.") {
+	switch {
+	case strings.HasPrefix(r.Host, "10.0.0."):
+		return
+	case !strings.Contains(r.Host, ":"):
+		// It is no endpoint that is asked for.
+		w.WriteHeader(http.StatusForbidden)
 		return
 	}
 	c.mu.Lock()
--- a/io/router/reach_test.go
+++ b/io/router/reach_test.go
@@ -100,6 +100,10 @@
 	switch {
 	case strings.HasPrefix(r.Host, deadNet):
 		return
+	case !strings.Contains(r.Host, ":"):
+		// It is no endpoint that is asked for.
+		w.WriteHeader(http.StatusForbidden)
+		return
 	case time.Now().Before(c.busyUntil):
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
