Look whether an endpoint has left before a request is sent to it

Cause: an endpoint is chosen, then a connection to it is opened, which takes up to half a second, and longer at a late relay; what the list says meanwhile was not looked at again before the request was sent.

Before: TestRequestIsNotSentToEndpointThatHasLeft: the endpoint that was listed as draining since two seconds while the relay connected runs the request, for all three routes. After: another one runs it.

Why it works: the check comes right before the bytes. Nothing was sent, so the next attempt is free and can go anywhere. Endpoints that have been draining for up to a second still get what was chosen for them, as before.

--- a/core/place/table.go
+++ b/core/place/table.go
@@ -356,6 +356,13 @@
 	return s.isUp(now) && (!s.Draining || now.Sub(s.drainingSince) <= maxDrainResume)
 }
 
+// HasLeft reports whether the endpoint with the id must not be sent any request: it is not in the platform's list any more, or has been
+// draining there for longer than maxDrainResume.
+func (t *EndpointTable) HasLeft(id string, now time.Time) bool {
+	s := t.endpoints.Get(id)
+	return s != nil && (!s.listed || s.Draining && now.Sub(s.drainingSince) > maxDrainResume)
+}
+
 // isUp reports whether the endpoint is in the platform's list, is not in backoff after a failure, and has not lost its
 // address to another endpoint.
 func (s *endpointState) isUp(now time.Time) bool {
--- a/io/relay/announcements.go
+++ b/io/relay/announcements.go
@@ -15,6 +15,9 @@
 // errPaused is the error of an attempt that was not sent because the endpoint has asked for a pause meanwhile.
 var errPaused = eris.New("the endpoint wants no requests for some time")
 
+// errLeft is the error of an attempt that was not sent because the endpoint has left meanwhile.
+var errLeft = eris.New("the endpoint has left")
+
 // recordAnnouncement records what an endpoint's answer to the request says of the endpoint. Status 421 comes from another
 // endpoint at the address.
 func (q *request) recordAnnouncement(id string, res *http.Response) {
@@ -101,6 +104,12 @@
 	return paused
 }
 
+// hasLeft reports whether the endpoint must not be sent any request because it is leaving or gone by the platform's list.
+func (r *Relay) hasLeft(id string) (left bool) {
+	r.withTable(func(t *place.EndpointTable, now time.Time) { left = t.HasLeft(id, now) })
+	return left
+}
+
 // keepsCopies reports whether the endpoint is up and not about to end with the KV cache copies that it holds.
 func (r *Relay) keepsCopies(id string) (ok bool) {
 	r.withTable(func(t *place.EndpointTable, now time.Time) { ok = t.KeepsCopies(id, now) })
--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -339,6 +339,11 @@
 		q.relay.pool.returnUnused(c)
 		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryRefused, err: errPaused}
 	}
+	if q.relay.hasLeft(e.ID) {
+		// The connection took a while, or this relay is late.
+		q.relay.pool.returnUnused(c)
+		return nil, nil, &attemptResult{outcome: notExecuted, cause: common.RetryConnect, err: errLeft}
+	}
 	if q.endIfCallerLeft(serve.ConnOf(q.r.Context())) {
 		// A relay that is late may not have come to notice it.
 		q.relay.pool.returnUnused(c)
--- a/io/relay/pool_test.go
+++ b/io/relay/pool_test.go
@@ -246,3 +246,36 @@
 		t.Errorf("status %d after %s", res.Code, took)
 	}
 }
+
+// Guards against requests that are sent to an endpoint which has left since it was chosen, because the connection took a while.
+func TestRequestIsNotSentToEndpointThatHasLeft(t *testing.T) {
+	text, _ := wholeAnswer(formLength, "", []byte("history of 7"))
+	for _, route := range []string{"safe", "unsafe", "message"} {
+		first, second := startCutEndpoint(t, &cutEndpoint{id: "a", text: text}), startCutEndpoint(t, &cutEndpoint{id: "b", text: text})
+		r := newEndingRelay(t, 3, first, second)
+		var left atomic.Pointer[cutEndpoint]
+		r.pool.dialer.DialDirect = func(ctx context.Context, network, address string) (net.Conn, error) {
+			chosen := first
+			if address == second.listener.Addr().String() {
+				chosen = second
+			}
+			if left.CompareAndSwap(nil, chosen) {
+				r.withTable(func(t *place.EndpointTable, now time.Time) {
+					var list []place.Endpoint
+					for _, e := range []*cutEndpoint{first, second} {
+						for _, service := range []string{"p", "m"} {
+							a := e.listener.Addr().String()
+							list = append(list, place.Endpoint{ID: e.id + service, Service: service, Address: a, Domain: "a", Slots: 4, Draining: e == chosen})
+						}
+					}
+					t.Update(list, now.Add(-2*time.Second))
+				})
+			}
+			return dialSlowly(ctx, network, address)
+		}
+		res, _ := callRelay(t, r, route)
+		if n := left.Load().runs.Load(); n != 0 || res.Code != http.StatusOK {
+			t.Errorf("%s: the endpoint that has left ran %d requests; status %d", route, n, res.Code)
+		}
+	}
+}
