Bound the probes of silent engines over all requests of a relay

Cause: each request that waits for an engine probes all that are silent, again each 150 ms. With hundreds of them, falsely suspended, the responses to the probes keep the relay late, so that it takes further engines for silent.

Before: io/relay TestProbesOfSilentEnginesAreFew, 300 silent engines and 50 streams that wait: 300 probes at the same time.

Why it works: core/place ProbeRoom leaves room for 32 probes without a result; the engines to probe are drawn at random, so that the first that respond are found soon, and each response makes room. Surveys and moves of streams still ask three engines each, without a common bound.

--- a/io/relay/prober.go
+++ b/io/relay/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,8 @@
 	mu sync.Mutex
 	// probes holds the latest probe of each engine by its id.
 	probes map[string]*livenessProbe
+	// running is the number of liveness probes that have no result yet.
+	running int
 	// lossProbes holds the loss probes in flight by the engine's id.
 	lossProbes map[string]*lossProbe
 	// lastActivity is when each engine last sent data on any stream, as time since the start of the process.
@@ -166,16 +169,48 @@
 func (p *prober) startProbeSince(e place.Endpoint, since time.Time) *livenessProbe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	pr, _ := p.startLocked(e, since)
+	return pr
+}
+
+// startProbes starts probes of engines that were not probed for probeInterval, in random order, as long as not too many have no result yet.
+func (p *prober) startProbes(engines []place.Endpoint) {
+	rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+	since := p.relay.Clock.Now().Add(-probeInterval)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	room := place.ProbeRoom(p.running)
+	for _, e := range engines {
+		if room == 0 {
+			return
+		}
+		if _, started := p.startLocked(e, since); started {
+			room--
+		}
+	}
+}
+
+// startLocked does what startProbeSince does, and reports whether it has started a probe. The caller must hold mu.
+func (p *prober) startLocked(e place.Endpoint, since time.Time) (pr *livenessProbe, started bool) {
 	now := p.relay.Clock.Now()
-	pr := p.probes[e.ID]
+	pr = p.probes[e.ID]
 	if pr != nil && !pr.startedAt.Before(since) {
-		return pr
+		return pr, false
 	}
 	p.dropOldProbes(now)
 	pr = &livenessProbe{startedAt: now, done: make(chan struct{})}
 	p.probes[e.ID] = pr
+	p.running++
 	go p.run(pr, e)
-	return pr
+	return pr, true
+}
+
+// end records that a liveness probe has its result.
+func (p *prober) end(pr *livenessProbe) {
+	p.mu.Lock()
+	p.running--
+	p.mu.Unlock()
+	close(pr.done)
 }
 
 // probeLifetime is the age after which the result of an engine's liveness probe is deleted. An engine gets a new id
@@ -197,7 +232,7 @@
 // relay was late itself.
 func (p *prober) run(pr *livenessProbe, e place.Endpoint) {
 	defer p.relay.guard.Recover("liveness-probe")
-	defer close(pr.done)
+	defer p.end(pr)
 	startedAt := p.relay.uptime()
 	p.ask(pr, e)
 	for n := 0; n < maxLateProbes && !pr.alive && p.wasLate(startedAt); n++ {
--- a/io/relay/prober_test.go
+++ b/io/relay/prober_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -134,3 +136,57 @@
 		}
 	}
 }
+
+// crowdedEngines counts the requests for reports that have no response yet. None gets one before the given time.
+type crowdedEngines struct {
+	EngineClient
+	until         time.Time
+	running, most atomic.Int64
+}
+
+// Report waits until the engines respond.
+func (e *crowdedEngines) Report(ctx context.Context, _ string) (EngineReport, error) {
+	n := e.running.Add(1)
+	defer e.running.Add(-1)
+	for most := e.most.Load(); n > most && !e.most.CompareAndSwap(most, n); {
+		most = e.most.Load()
+	}
+	if !serve.Sleep(ctx, max(time.Millisecond, time.Until(e.until))) {
+		return EngineReport{}, ctx.Err()
+	}
+	return EngineReport{}, nil
+}
+
+// Guards against a relay that probes hundreds of engines at once, many times a second, since it has taken all of them for silent, and
+// against engines that it uses again late.
+func TestProbesOfSilentEnginesAreFew(t *testing.T) {
+	const engines, streams = 300, 50
+	r := newTestRelay(t)
+	var list []place.Endpoint
+	for n := range engines {
+		list = append(list, place.Endpoint{ID: fmt.Sprint("e", n), Service: "m", Address: fmt.Sprintf("10.0.0.%d:1", n), Domain: "a", Slots: 4})
+	}
+	x := &crowdedEngines{until: time.Now().Add(600 * time.Millisecond)}
+	r.Engines = x
+	r.table.Update(list, time.Now())
+	for _, e := range list {
+		r.prober.suspend(e, aliveLabel(false), context.DeadlineExceeded)
+	}
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for r.probeSilent("m", nil) && time.Since(x.until) < 2*time.Second {
+				time.Sleep(resumeRetryInterval)
+			}
+		}()
+	}
+	wg.Wait()
+	if late := time.Since(x.until); late > time.Second {
+		t.Errorf("all engines are used again %s after they respond", late)
+	}
+	if most := x.most.Load(); most > 50 {
+		t.Errorf("%d probes ran at the same time", most)
+	}
+}
--- a/io/relay/silence.go
+++ b/io/relay/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -326,17 +327,15 @@
 	return common.ReasonNoEndpoint
 }
 
-// probeSilent probes the silent engines of a service without those in exclude, so that they are used again as soon as they respond, and
+// probeSilent probes silent engines of a service without those in exclude, so that they are used again as soon as they respond, and
 // reports whether there are any.
 func (r *Relay) probeSilent(service string, exclude map[string]bool) bool {
 	var silent []place.Endpoint
 	r.withTable(func(t *place.EndpointTable, now time.Time) { silent = t.SilentEndpoints(service, now) })
-	found := false
-	for _, e := range silent {
-		if !exclude[e.ID] {
-			r.prober.startProbe(e)
-			found = true
-		}
+	silent = slices.DeleteFunc(silent, func(e place.Endpoint) bool { return exclude[e.ID] })
+	if len(silent) == 0 {
+		return false
 	}
-	return found
+	r.prober.startProbes(silent)
+	return true
 }
