--- a/io/tunnel/presence.go
+++ b/io/tunnel/presence.go
@@ -88,7 +88,7 @@
 	_, readErr := peer.Read(make([]byte, 1))
 	_ = peer.Close()
 	// The kernel reports the failure once, to the one who comes first.
-	if writeErr := <-b.failed; !isOutOfReach(readErr) && !isOutOfReach(writeErr) {
+	if !isOutOfReach(readErr) && !isOutOfReach(<-b.failed) {
 		return
 	}
 	ended := s.askers.end(r.Header.Get(askerHeader))
