--- a/io/relay/conn.go
+++ b/io/relay/conn.go
@@ -266,6 +266,7 @@
 
 // close closes the idle connections; those that are given back later are closed at once.
 func (p *connPool) close() {
+	p.dialer.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
--- a/io/router/router.go
+++ b/io/router/router.go
@@ -119,6 +119,7 @@
 	if err := r.initComponents(ctx); err != nil {
 		return err
 	}
+	defer r.dialer.Close()
 	r.Log.Info("router-started", zap.String("router", r.Name), zap.String("listen", r.Listen),
 		zap.String("peer-listen", r.PeerListen), zap.Uint64("incarnation", r.incarnation))
 	var g run.Group
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -65,9 +65,11 @@
 
 	// id names this process to carriers.
 	id string
-	// presences are the connections that show carriers that this process is in their reach, by the carrier's peer address.
+	// presences are the connections that show carriers that this process is in their reach, by the carrier's peer address. presenceMu
+	// guards them, and closed, which is true once no further connections are needed.
 	presenceMu sync.Mutex
 	presences  map[string]*presence
+	closed     bool
 	// asked has an element for each carrier that is being asked.
 	asked chan struct{}
 
--- a/io/tunnel/presence.go
+++ b/io/tunnel/presence.go
@@ -126,6 +126,13 @@
 	idleSince time.Time
 }
 
+// Close ends what the dialer keeps open for connections to come. It is called at the end of the process.
+func (d *Dialer) Close() {
+	d.presenceMu.Lock()
+	defer d.presenceMu.Unlock()
+	d.closed = true
+}
+
 // holdPresence begins to show the carrier that this process is in reach, for one more connection that it passes on, until release.
 func (d *Dialer) holdPresence(carrier string) (release func()) {
 	d.presenceMu.Lock()
@@ -148,11 +155,12 @@
 	p.idleSince = p.dialer.Clock.Now()
 }
 
-// end reports whether the carrier has passed on no connection for a while. If so, this presence ends.
+// end reports whether the carrier has passed on no connection for a while, or passes on none and the dialer is closed. If so, this presence
+// ends.
 func (p *presence) end() bool {
 	p.dialer.presenceMu.Lock()
 	defer p.dialer.presenceMu.Unlock()
-	if p.users > 0 || p.dialer.Clock.Now().Sub(p.idleSince) < presenceLinger {
+	if p.users > 0 || !p.dialer.closed && p.dialer.Clock.Now().Sub(p.idleSince) < presenceLinger {
 		return false
 	}
 	delete(p.dialer.presences, p.carrier)
--- a/io/tunnel/presence_test.go
+++ b/io/tunnel/presence_test.go
@@ -167,3 +167,26 @@
 	}
 	eventually(t, "end of the presence", func() bool { n, _ := presences(); return n == 0 && c.Open() == 0 })
 }
+
+// Guards against presences that outlast a process which stops.
+func TestPresenceEndsWithDialer(t *testing.T) {
+	e := startEndpoint(t)
+	c := startCarrier(t, e, nil)
+	d := newCutOffDialer()
+	peer, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "presence", func() bool { return c.asked.Load() > 1 })
+	_ = peer.Close()
+	closedAt := time.Now()
+	d.Close()
+	eventually(t, "end of the presence", func() bool {
+		d.presenceMu.Lock()
+		defer d.presenceMu.Unlock()
+		return len(d.presences) == 0
+	})
+	if took := time.Since(closedAt); took > presenceLinger/2 {
+		t.Errorf("it ended after %s", took)
+	}
+}
