--- a/io/relay/plain.go
+++ b/io/relay/plain.go
@@ -216,6 +216,7 @@
 		q.mayHaveRun = true
 	}
 	q.avoidsKept = q.avoidsKept || q.sentOnKept && result.cause == common.RetrySilent
+	isStillCutOff := result.isCutOff() && q.isCutOff()
 	q.recordCutOff(e, result)
 	abandoned := q.isAbandoned()
 	var suspended time.Duration
@@ -248,7 +249,7 @@
 		// probed.
 		q.relay.prober.startProbe(e)
 	}
-	if result.outcome != completed {
+	if result.outcome != completed && !isStillCutOff {
 		q.log.Info("attempt-failed", zap.String("endpoint", e.ID), zap.String("address", e.Address),
 			zap.String("domain", e.Domain), zap.String("cause", string(result.cause)),
 			zap.Bool("may-have-run", result.outcome == outcomeUnknown),
