End a presence once, and share the dial of its tests

Cause: keep returns once the presence has ended and is out of the dialer's table, and run then ended it a second time, which could take a successor for the same carrier, registered meanwhile, out of the table, so that a third one was opened beside it. Found by reading; nobody saw it.

Change: run returns when keep says that it has ended.

--- a/io/tunnel/presence.go
+++ b/io/tunnel/presence.go
@@ -23,8 +23,8 @@
 	// presenceInterval is the time between two bytes that a carrier sends on such a connection.
 	presenceInterval = 100 * time.Millisecond
 	// presenceTimeout is the time in which the kernel of the process that asked must acknowledge one. It does so also while that process
-	// stands still. A process that has lost its carrier sends a stream to another endpoint 0.4 s later, where it must not go on for long
-	// while the first endpoint works on.
+	// stands still. A process that has lost its carrier sends a stream to another endpoint, mostly 0.4 s later, where it must not go on
+	// for long while the first endpoint works on.
 	presenceTimeout = 600 * time.Millisecond
 	// presenceLinger is how long a process keeps the connection after the last one that the carrier passes on has ended.
 	presenceLinger = 2 * time.Second
@@ -170,14 +170,17 @@
 // run keeps the connection open until it is not needed any more.
 func (p *presence) run() {
 	for !p.end() {
-		if err := p.keep(); err != nil {
-			p.dialer.Log.Debug("presence-not-kept", zap.String("carrier", p.carrier), zap.Error(err))
-			time.Sleep(presenceRetryInterval)
+		err := p.keep()
+		if err == nil {
+			// It has ended, and another one may have taken its place in the table.
+			return
 		}
+		p.dialer.Log.Debug("presence-not-kept", zap.String("carrier", p.carrier), zap.Error(err))
+		time.Sleep(presenceRetryInterval)
 	}
 }
 
-// keep opens the connection and reads from it until it fails or ends.
+// keep opens the connection and reads from it until it fails. It returns nil once the presence has ended.
 func (p *presence) keep() error {
 	ctx, cancel := context.WithTimeout(context.Background(), carrierTimeout)
 	defer cancel()
--- a/io/tunnel/presence_test.go
+++ b/io/tunnel/presence_test.go
@@ -79,6 +79,16 @@
 	return l
 }
 
+// dialCarrier opens a connection to the endpoint through the carrier.
+func dialCarrier(t *testing.T, d *Dialer, c *testCarrier, e *testEndpoint) net.Conn {
+	t.Helper()
+	nc, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return nc
+}
+
 // Guards against endpoints that work on for a process which has lost its carrier and sent the request elsewhere: the end of the connection
 // does not arrive at the carrier. Connections of other processes stay.
 func TestConnectionsEndWithoutTheirAsker(t *testing.T) {
@@ -87,10 +97,7 @@
 	presences := startSecondListener(t, c)
 	d := newCutOffDialer()
 	// The kernel cannot be made to lose a connection, so only the presence fails, which is on another address.
-	peer, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
-	if err != nil {
-		t.Fatal(err)
-	}
+	peer := dialCarrier(t, d, c, e)
 	defer peer.Close()
 	lost := e.next(t)
 	other, kept := dialThroughTo(t, c, e)
@@ -118,10 +125,7 @@
 	e := startEndpoint(t)
 	c := startCarrier(t, e, nil)
 	d := newCutOffDialer()
-	peer, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
-	if err != nil {
-		t.Fatal(err)
-	}
+	peer := dialCarrier(t, d, c, e)
 	defer peer.Close()
 	endpoint := e.next(t)
 	nc, _, _, err := d.request(t.Context(), c.address, presenceAddress)
@@ -144,11 +148,7 @@
 	d := newCutOffDialer()
 	var peers []net.Conn
 	for range 3 {
-		peer, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		peers = append(peers, peer)
+		peers = append(peers, dialCarrier(t, d, c, e))
 	}
 	eventually(t, "presence", func() bool { return c.asked.Load() > 3 })
 	presences := func() (n, users int) {
@@ -173,10 +173,7 @@
 	e := startEndpoint(t)
 	c := startCarrier(t, e, nil)
 	d := newCutOffDialer()
-	peer, _, _, err := d.dialThrough(t.Context(), c.address, e.address)
-	if err != nil {
-		t.Fatal(err)
-	}
+	peer := dialCarrier(t, d, c, e)
 	eventually(t, "presence", func() bool { return c.asked.Load() > 1 })
 	_ = peer.Close()
 	closedAt := time.Now()
