--- a/review/stand2/case_early.go
+++ b/review/stand2/case_early.go
@@ -71,7 +71,12 @@
 		return 0, 0, false
 	}
 	defer c.Close()
-	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 10000\r\nX-Key: %s\r\nContent-Length: %d\r\n\r\n", uri, host, id, key, length)
+	return s.uploadOn(c, bufio.NewReader(c), id, uri, length, func(int64) time.Duration { return time.Millisecond })
+}
+
+// uploadOn does the same on a channel; pace is the time after each KiB.
+func (s *system) uploadOn(c net.Conn, br *bufio.Reader, id, uri string, length int64, pace func(at int64) time.Duration) (status int, got int64, whole bool) {
+	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 10000\r\nX-Key: %s\r\nContent-Length: %d\r\n\r\n", uri, host, id, key, length)
 	if err != nil {
 		return 0, 0, false
 	}
@@ -83,12 +88,12 @@
 				s.note("client: id=%s the body ended at %d: %v", id, at, err)
 				return
 			}
-			next = next.Add(time.Millisecond)
+			next = next.Add(pace(at))
 			time.Sleep(time.Until(next))
 		}
 	}()
 	_ = c.SetReadDeadline(time.Now().Add(12 * time.Second))
-	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	res, err := http.ReadResponse(br, nil)
 	if err != nil {
 		s.note("client: id=%s no answer: %v", id, err)
 		return 0, 0, false
