--- a/review/stand2/case_cut.go
+++ b/review/stand2/case_cut.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["8"] = cutAnswers }
+func init() { cases["9"] = cutAnswers }
 
 // cutAnswers lets clients upload long bodies on kept channels, the end of them at 64 KiB a second. To one request in fifty, the engine
 // answers before it has read the whole body; it keeps the channel and reads on.
--- a/review/stand2/case_early.go
+++ b/review/stand2/case_early.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases["6"] = earlyAnswers }
+func init() { cases["7"] = earlyAnswers }
 
 // earlyAnswers lets clients upload long bodies at an even pace. To one request in fifty, the engine answers before it has read the whole
 // body; it keeps the channel and reads on.
--- a/review/stand2/case_restart.go
+++ b/review/stand2/case_restart.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-func init() { cases["7"] = restartedEngines }
+func init() { cases["8"] = restartedEngines }
 
 // restartedEngines lets a client read a long answer without a length at an even pace. Its engine is killed in the middle of it and
 // starts again under the id and the address that it had.
