--- a/review/stand2/case_cut.go
+++ b/review/stand2/case_cut.go
@@ -59,13 +59,14 @@
 				id := newID()
 				uri := fmt.Sprintf("%s2f?size=%d&early=%d", unsafePath, size, at)
 				status, got, ok := s.uploadOn(c, br, id, uri, length, pace)
+				wasKept := kept
 				kept = ok
 				if ok {
 					whole.Add(1)
 				} else {
 					time.Sleep(300 * time.Millisecond)
 					_, engineAnswered := answered.Load(id)
-					s.note("client: id=%s kept-channel=true early=%v status=%d bytes=%d of %d: the channel has ended; the engine has answered in full: %v", id, at > 0, status, got, size, engineAnswered)
+					s.note("client: id=%s kept-channel=%v early=%v status=%d bytes=%d of %d: the channel has ended; the engine has answered in full: %v", id, wasKept, at > 0, status, got, size, engineAnswered)
 					cut.Add(1)
 					if at > 0 && engineAnswered {
 						cutEarly.Add(1)
--- a/review/stand2/case_restart.go
+++ b/review/stand2/case_restart.go
@@ -18,7 +18,7 @@
 func restartedEngines(s *system) bool {
 	var mu sync.Mutex
 	ranAt := map[string]*instance{}
-	for i := 1; i <= 3; i++ {
+	for i := 1; i <= 8; i++ {
 		var e *instance
 		e = s.addEngine(i, fmt.Sprintf("i-%d", i), plain, false, func(line string) {
 			var id string
--- a/review/stand2/system.go
+++ b/review/stand2/system.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -95,6 +96,15 @@
 		os.Exit(2)
 	})
 	defer timer.Stop()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		s.note("the run was stopped")
+		s.stopAll()
+		os.RemoveAll(tmp)
+		os.Exit(2)
+	}()
 	defer func() {
 		if p := recover(); p != nil {
 			b, ok := p.(bug)
